--- a/src/bin/cresswheel-simhost/wire.rs
+++ b/src/bin/cresswheel-simhost/wire.rs
@@ -119,6 +119,7 @@
             _ => WhenAbsent::Load,
         },
         may_order: line.flag("specifics.may_load"),
+        tells_crowd: line.flag("specifics.counts_alike"),
         ration: (window > 0).then_some(ration),
         order_timeout: line.or("specifics.load_wait", absent.order_timeout)?,
         may_cancel: line.flag("limits.cancel"),
@@ -181,7 +182,8 @@
                 outcome,
                 elapsed: line.number("elapsed")?,
                 answered: line.flag("done_flag"),
-                crowd: (detail >= 8).then_some(detail / 8),
+                crowd: Some(detail / 8),
+                load_failed: matches!(outcome, Outcome::Error | Outcome::Miss) && detail & 4 != 0,
             }
         }
         "BEGUN" => Event::Begun { request: request()?, attempt: line.number("round_no")? as usize },
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -151,6 +151,8 @@
     pub when_absent: WhenAbsent,
     /// Hold and drop orders are allowed.
     pub may_order: bool,
+    /// Answers tell how many requests for the same function the worker held.
+    pub tells_crowd: bool,
     /// The ration of hold orders, where there is one.
     pub ration: Option<OrderRation>,
     /// A hold order unanswered for this long is answered as timed out.
@@ -192,6 +194,7 @@
             keep_alive: 0,
             when_absent: WhenAbsent::Load,
             may_order: false,
+            tells_crowd: false,
             ration: None,
             order_timeout: 0,
             may_cancel: false,
@@ -339,6 +342,8 @@
         answered: bool,
         /// Requests for the same function that the worker held when this one came, if told.
         crowd: Option<u32>,
+        /// It ended because a load failed there.
+        load_failed: bool,
     },
     /// A streamed answer has begun.
     Begun {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,14 +2,15 @@
 //!
 //! The ordinary path is Tyche's: a forecast from each function's last arrivals orders the ring home to hold
 //! an instance just before the next call, lets it go when the forecast has plainly missed, and requests go to
-//! a believed-warm home first. All else guards the rules or answers failures.
+//! a believed-warm home first. All else guards the rules or answers failures. What a gateway keeps is its
+//! part of a whole that `settings.gateways` share, so that parts add up from one gateway to hundreds.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::interface::*;
 use crate::state::*;
@@ -24,10 +25,16 @@
 const RENEW: f64 = 0.6;
 /// Share of keep-alive for which a warm belief lasts: an instance may give way to loads earlier.
 const BELIEF: f64 = 0.9;
+/// Expected calls of peers within keep-alive that keep an instance warm without us: missed by one in twenty.
+const KEPT: f64 = 3.0;
+/// Part of an instance's lanes that a home is planned to carry: other functions share the worker's cores.
+const PLAN: f64 = 0.3;
 /// Own pre-loads under way on one worker: a worker runs a few loads at a time, and peers load too.
-const PRELOADS_PER_WORKER: usize = 2;
-/// Pre-load orders a second for each worker in service: far above renewals, below a flood.
-const PRELOADS_PER_S: f64 = 4.0;
+const PRELOADS_PER_WORKER: u32 = 2;
+/// Pre-load orders for each own arrival, so that the gateways' orders add up to a part of the calls ...
+const PRELOADS_PER_CALL: f64 = 0.5;
+/// ... and how many may be saved up.
+const PRELOADS_SAVED: f64 = 8.0;
 /// Share of the load ration open to pre-loads; the rest is kept for loads that a request waits for.
 const PRELOAD_RATION: f64 = 0.7;
 /// Points of each worker on the ring: evens the arcs out to about a tenth.
@@ -43,18 +50,21 @@
 const FORGIVE: f64 = 0.8;
 /// ... and from this score on it is left alone: two failures with at most one success between.
 const SUSPECT: f64 = 1.75;
-/// Successes that clear a worker on trial.
+/// Successes that clear a worker on trial, at the most; as many as it had relapses before.
 const TRIALS: u32 = 3;
-/// A suspect is left alone for this multiple of the shortest aim, doubled at each relapse ...
+/// A suspect is left alone for this multiple of the shortest aim, or for our usual gap between requests to one
+/// worker where that is longer; doubled at each relapse ...
 const BACKOFF: f64 = 1.5;
 /// ... at most this often.
 const BACKOFF_DOUBLINGS: u32 = 3;
 /// Below this share of listed workers in good health the sense gives way: it is likelier the network or us.
 const QUORUM: f64 = 0.34;
-/// A worker silent for this multiple of the expected time of its oldest attempt counts as hung.
+/// An attempt unanswered for this multiple of its expected time, its worker silent since, counts as lost.
 const HUNG: f64 = 4.0;
-/// Time-out of a repeatable attempt, in expected times, two aims at the least: a late repeat earns little.
+/// Time-out of a repeatable attempt, in expected times, two aims at the least: a late repeat earns little ...
 const PATIENCE: f64 = 8.0;
+/// ... unless a repeat begun in good time still meets the aim and this many expected times have passed.
+const EARLY: f64 = 2.5;
 /// An order unanswered for this multiple of the usual load time is no longer waited for.
 const LOAD_PATIENCE: f64 = 3.0;
 /// Part of the stated multiple of its capacity that a cold worker is sent; the rest is for peers and chance.
@@ -66,12 +76,12 @@
 /// Further attempts after one that may have run, for each request taken: a bad spell adds a fifth at most.
 const RETRY_SHARE: f64 = 0.2;
 /// Retries that may be saved up.
-const RETRY_SAVED: f64 = 20.0;
+const RETRY_SAVED: f64 = 8.0;
 /// Sweeps within the shortest aim: pre-loads, waiting requests and silent workers are looked at that often.
 const SWEEPS: u64 = 16;
 
-fn blend(mean: &mut f64, sample: f64) {
-    *mean = if *mean > 0.0 { *mean + BLEND * (sample - *mean) } else { sample };
+fn blend(mean: &mut f64, sample: f64, weight: f64) {
+    *mean = if *mean > 0.0 { *mean + weight * (sample - *mean) } else { sample };
 }
 
 impl Forecast {
@@ -94,32 +104,42 @@
             _ => 0.0,
         }
     }
+
+    /// The rate that the arrivals prove: a standard error below their count, over the time until now. Few
+    /// arrivals close together prove next to nothing, and a function gone quiet fades.
+    fn sure_rate(&self, now: Micros) -> f64 {
+        let gaps = self.times.len().saturating_sub(1) as f64;
+        let span = now.saturating_sub(self.times.front().copied().unwrap_or(now));
+        (gaps - gaps.sqrt()) / span.max(1) as f64
+    }
 }
 
-/// The consistent-hash ring of the workers in service; XXH3 with seed 0, so that all gateways agree.
+/// The consistent-hash ring of the workers in service; XXH3 of their names, so that all gateways agree.
 #[derive(Debug, Default)]
 struct Ring {
-    points: BTreeMap<u64, WorkerId>,
+    points: Vec<(u64, W)>,
     version: u64,
 }
 
 impl Ring {
-    fn rebuild<'a>(&mut self, workers: impl Iterator<Item = &'a WorkerId>) {
-        self.points.clear();
+    /// Takes workers in or out: only the changed ones' points are moved.
+    fn change(&mut self, changed: &BTreeSet<W>, workers: &[Worker]) {
         self.version += 1;
-        for worker in workers {
-            for point in 0..RING_POINTS {
-                self.points.insert(xxh3_64(format!("{worker}#{point}").as_bytes()), worker.clone());
-            }
+        self.points.retain(|(_, w)| !changed.contains(w));
+        for w in changed.iter().filter(|w| workers[**w].entry.state == WorkerState::In) {
+            let name = workers[*w].entry.id.0.as_bytes();
+            self.points.extend((0..RING_POINTS).map(|point| (xxh3_64_with_seed(name, point), *w)));
         }
+        self.points.sort();
     }
 
     /// All workers, in ring order from the function's place.
-    fn order(&self, function: &FunctionId) -> Arc<[WorkerId]> {
+    fn order(&self, function: &FunctionId, workers: usize) -> Arc<[W]> {
         let place = xxh3_64(function.0.as_bytes());
-        let mut seen = BTreeSet::new();
-        let around = self.points.range(place..).chain(self.points.range(..place));
-        around.filter(|(_, w)| seen.insert(*w)).map(|(_, w)| w.clone()).collect()
+        let start = self.points.partition_point(|(at, _)| *at < place);
+        let mut fresh = vec![true; workers];
+        let around = self.points[start..].iter().chain(&self.points[..start]);
+        around.map(|(_, w)| *w).filter(|w| std::mem::take(&mut fresh[*w])).collect()
     }
 }
 
@@ -132,12 +152,13 @@
         }
     }
 
-    /// One failure; `sure` ones (no connection, broken connection, silence) need no second.
-    fn fail(&mut self, now: Micros, sure: bool, span: f64) {
-        self.score = if sure { self.score.max(SUSPECT) } else { self.score + 1.0 };
+    fn fail(&mut self, now: Micros, score: f64, span: f64, longest: f64) {
+        self.score += score;
         let view = self.view(now);
         if view == View::Trial || (view == View::Good && self.score >= SUSPECT) {
-            self.until = now + (span * f64::from(1u32 << self.relapses.min(BACKOFF_DOUBLINGS))) as Micros;
+            let doubled = span * f64::from(1u32 << self.relapses.min(BACKOFF_DOUBLINGS));
+            self.span = doubled.min(longest.max(span)) as Micros;
+            self.until = now.saturating_add(self.span);
             self.relapses += 1;
             self.suspect = true;
             self.trials = 0;
@@ -147,12 +168,9 @@
     fn ok(&mut self, now: Micros) {
         self.last_ok = now;
         self.score *= FORGIVE;
-        if self.view(now) == View::Trial {
-            self.trials += 1;
-        }
-        if self.suspect && (self.hung || self.trials >= TRIALS) {
+        self.trials += 1;
+        if self.suspect && self.trials >= self.relapses.min(TRIALS) {
             self.suspect = false;
-            self.hung = false;
             self.score = 0.0;
         } else if !self.suspect && self.score < 0.01 {
             self.relapses = 0;
@@ -161,16 +179,13 @@
 }
 
 impl Worker {
-    fn flying(&self, function: &FunctionId) -> f64 {
-        f64::from(self.in_flight.get(function).copied().unwrap_or(0))
-    }
-
-    /// Whether it can take one more and stay near the target answer time. By Little's law the requests in
-    /// flight that give that time are those seen, times target over time seen, times the rank of the work;
-    /// an instance's lanes, shared by the gateways, always pass, as waits for loads are no sign of a crowd.
-    fn takes_more(&self, now: Micros, target: f64, rank: f64, floor: f64) -> bool {
-        let limit = self.crowd * target / self.answer_time.max(1.0) * rank;
-        self.pause <= now && (self.answer_time <= target || (self.out.len() as f64) < limit.max(floor))
+    /// Whether it takes one more and stays near the target answer time. By Little's law the requests in flight
+    /// that give that time are those seen, times target over time seen, times the rank of the work; a part of
+    /// a request is taken by lot, so that gateways with less than one in flight here thin out together.
+    /// An instance's lanes, shared by the gateways, always pass: waits for loads are no sign of a crowd.
+    fn takes_more(&self, now: Micros, target: f64, rank: f64, floor: f64, lot: f64) -> bool {
+        let limit = (self.crowd * target / self.answer_time.max(1.0) * rank).max(floor);
+        self.pause <= now && (self.answer_time <= target || f64::from(self.flying) + lot < limit)
     }
 
     /// The share of its capacity that a worker has for sure at this time.
@@ -191,18 +206,22 @@
     settings: Settings,
     rng: Pcg32,
     aim: Micros,
-    functions: BTreeMap<FunctionId, Function>,
-    workers: BTreeMap<WorkerId, Worker>,
+    function_ids: BTreeMap<FunctionId, F>,
+    functions: Vec<Function>,
+    worker_ids: BTreeMap<WorkerId, W>,
+    workers: Vec<Worker>,
     ring: Ring,
-    warm: Warm,
     holds: Holds,
     ledger: BTreeMap<RequestId, Entry>,
+    /// Functions with requests that wait at the gateway.
+    waiting: BTreeSet<F>,
     timers: BTreeSet<(Micros, Timer)>,
     wake_at: Option<Micros>,
     retries: f64,
     means: Means,
     fleet: Fleet,
     now: Micros,
+    swept: Micros,
     actions: Vec<Action>,
 }
 
@@ -214,18 +233,21 @@
         Ok(Self {
             rng: Pcg32::new(seed, 0x0a02_bdbf_7bb3_c0a7),
             aim,
-            functions: BTreeMap::new(),
-            workers: BTreeMap::new(),
+            function_ids: BTreeMap::new(),
+            functions: Vec::new(),
+            worker_ids: BTreeMap::new(),
+            workers: Vec::new(),
             ring: Ring::default(),
-            warm: Warm::default(),
             holds: Holds::default(),
             ledger: BTreeMap::new(),
+            waiting: BTreeSet::new(),
             timers: BTreeSet::new(),
             wake_at: None,
             retries: RETRY_SAVED / 2.0,
             means: Means::new(settings.classes.len(), settings.tenants.len()),
             fleet: Fleet::default(),
             now: 0,
+            swept: 0,
             actions: Vec::new(),
             settings,
         })
@@ -235,13 +257,15 @@
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
         if self.timers.is_empty() {
+            self.swept = self.now;
             self.timers.insert((now, Timer::Sweep));
             self.actions.extend(self.settings.must_follow.then_some(Action::Follow));
         }
         match event {
             Event::Arrived(request) => self.arrived(request),
-            Event::Ended { request, attempt, outcome, elapsed, answered, .. } => {
-                self.ended(&request, attempt, outcome, elapsed, answered);
+            Event::Ended { request, attempt, outcome, elapsed, answered, crowd, load_failed, .. } => {
+                let crowd = crowd.filter(|_| self.settings.tells_crowd);
+                self.ended(&request, attempt, outcome, elapsed, (answered, crowd, load_failed));
             }
             Event::Begun { request, .. } => {
                 self.ledger.entry(request).and_modify(|entry| entry.streaming = true);
@@ -258,7 +282,7 @@
             self.timers.pop_first();
             match timer {
                 Timer::Deadline(id) => self.answer(&id),
-                Timer::Forecast(function) => self.forecast_due(&function),
+                Timer::Forecast(function) => self.forecast_due(function),
                 Timer::Sweep => self.sweep(),
                 Timer::Follow => self.actions.push(Action::Follow),
             }
@@ -271,9 +295,15 @@
         actions.append(&mut self.actions);
     }
 
+    /// A number in [0, 1).
+    fn lot(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
+    }
+
     // ---- the worker list
 
     fn list(&mut self, news: ListNews) {
+        let mut changed = BTreeSet::new();
         let entries = match news {
             ListNews::Lost => {
                 if self.settings.must_follow {
@@ -282,42 +312,56 @@
                 return;
             }
             ListNews::Whole(entries) => {
-                let named: BTreeSet<_> = entries.iter().map(|e| e.id.clone()).collect();
-                for (id, worker) in &mut self.workers {
-                    if !named.contains(id) {
-                        worker.entry.state = WorkerState::Out;
-                    }
+                let named: BTreeSet<_> = entries.iter().map(|e| &e.id).collect();
+                for (id, w) in self.worker_ids.iter().filter(|(id, _)| !named.contains(id)) {
+                    debug_assert_eq!(*id, self.workers[*w].entry.id);
+                    self.workers[*w].entry.state = WorkerState::Out;
+                    changed.insert(*w);
                 }
                 entries
             }
             ListNews::Changes(entries) => entries,
         };
         for entry in entries {
-            let id = entry.id.clone();
-            let worker = self.workers.entry(id.clone()).or_default();
-            if worker.entry.started != entry.started {
-                // A new process: empty, cold, and innocent of what the old one did.
-                worker.health = Health::default();
-                worker.no_room.clear();
-                worker.cold_sends.clear();
-                self.warm.forget_worker(&id);
-            }
-            worker.entry = entry;
-        }
-        let serving = self.workers.iter().filter(|(_, w)| w.entry.state == WorkerState::In);
-        self.ring.rebuild(serving.map(|(id, _)| id));
+            let w = *self.worker_ids.entry(entry.id.clone()).or_insert(self.workers.len());
+            if w == self.workers.len() {
+                self.workers.push(Worker::default());
+            }
+            if self.workers[w].entry.started != entry.started || self.workers[w].health.is_empty() {
+                // A new process: empty, cold, and innocent of what the old one did. The part of a request that
+                // we may send it is saved up from a random start, or all gateways' first would come at once.
+                let lot = self.lot();
+                let worker = &mut self.workers[w];
+                worker.health = vec![Health::default(); self.settings.classes.len() + 1];
+                (worker.cold_credit, worker.cold_since) = (lot, self.now);
+                self.forget(w);
+            }
+            if self.workers[w].entry.state != entry.state {
+                changed.insert(w);
+            }
+            self.workers[w].entry = entry;
+        }
+        if !changed.is_empty() {
+            self.ring.change(&changed, &self.workers);
+        }
         self.count();
         self.rescue_waiting();
     }
 
+    fn forget(&mut self, w: W) {
+        for place in self.functions.iter_mut().filter_map(|f| f.places.get_mut(&w)) {
+            (place.seen, place.no_room) = (None, 0);
+        }
+    }
+
     fn count(&mut self) {
         self.fleet = Fleet::default();
         let (mut good, mut busy) = (0.0, 0.0);
-        for worker in self.workers.values().filter(|w| w.entry.state == WorkerState::In) {
+        for worker in self.workers.iter().filter(|w| w.entry.state == WorkerState::In) {
             self.fleet.serving += 1.0;
             self.fleet.warm += f64::from(u8::from(worker.capacity(&self.settings.cold, self.now) >= 1.0));
             busy += f64::from(u8::from(worker.answer_time > self.aim as f64 * BUSY));
-            good += f64::from(u8::from(worker.health.view(self.now) == View::Good));
+            good += f64::from(u8::from(worker.health.iter().all(|h| h.view(self.now) == View::Good)));
         }
         self.fleet.calm = busy < 0.5 * self.fleet.serving;
         self.fleet.trusting = good < QUORUM * self.fleet.serving;
@@ -330,13 +374,21 @@
             return;
         }
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_SAVED);
+        self.holds.tokens = (self.holds.tokens + PRELOADS_PER_CALL).min(PRELOADS_SAVED);
         if self.settings.ration.is_some() {
             self.holds.taken.push_back(self.now);
         }
+        let gap = self.now.saturating_sub(std::mem::replace(&mut self.means.last_arrival, self.now));
+        blend(&mut self.means.gap, gap as f64, BLEND);
         for (tenant, share) in self.means.tenants.iter_mut().enumerate() {
             *share += TENANT_BLEND * (f64::from(u8::from(request.tenant == Some(tenant))) - *share);
         }
-        let function = self.functions.entry(request.function.clone()).or_default();
+        let f = *self.function_ids.entry(request.function.clone()).or_insert(self.functions.len());
+        if f == self.functions.len() {
+            let name = request.function.clone();
+            self.functions.push(Function { name, kept: self.means.kept, ..Function::default() });
+        }
+        let function = &mut self.functions[f];
         function.forecast.arrival(self.now);
         function.last_call = self.now;
         function.lanes = f64::from(request.lanes.unwrap_or(1).max(1));
@@ -346,13 +398,15 @@
         }
         if !function.timer && function.forecast.release_at > self.now {
             function.timer = true;
-            self.timers.insert((function.forecast.load_at, Timer::Forecast(request.function.clone())));
+            self.timers.insert((function.forecast.load_at, Timer::Forecast(f)));
         }
         let id = request.id.clone();
         let deadline = self.now.saturating_add(request.time_left);
         self.timers.insert((deadline, Timer::Deadline(id.clone())));
         let entry = Entry {
             request,
+            function: f,
+            lot: self.lot(),
             arrived: self.now,
             deadline,
             attempts: Vec::new(),
@@ -366,106 +420,148 @@
     /// Gives the request its next attempt, a load to wait for, or, when neither can be had, time.
     fn dispatch(&mut self, id: &RequestId) {
         let Some(entry) = self.ledger.get(id) else { return };
-        let function = entry.request.function.clone();
+        let f = entry.function;
         let waiter = (entry.deadline, id.clone());
         if entry.attempts.len() >= self.settings.max_attempts || !self.may_send_again(entry) {
             return self.answer(id);
         }
         let loads = self.settings.when_absent == WhenAbsent::Miss && self.settings.may_order;
-        // A worker that takes no order may still have an instance: ask it with the request itself.
-        let sent = self.route(id).is_some_and(|(worker, warm)| {
-            let ordered = loads && !warm && self.order_gate(&worker, &function, true);
-            !ordered && self.send_gate(id, &worker)
+        // A worker that takes no order may still have an instance: ask it with the request itself. So is one
+        // where peers may keep an instance: its 'miss' is quick, and proves that nothing ran.
+        let sent = self.route(id).is_some_and(|w| {
+            let ordered = loads && self.lacks(f, w) && self.order_gate(w, f, true);
+            !ordered && self.send_gate(id, w)
         });
-        if let Some(function) = self.functions.get_mut(&function) {
-            match sent {
-                true => function.waiting.remove(&waiter),
-                false => function.waiting.insert(waiter),
-            };
-        }
+        let function = &mut self.functions[f];
+        match sent {
+            true => function.waiting.remove(&waiter),
+            false => function.waiting.insert(waiter),
+        };
+        if function.waiting.is_empty() {
+            self.waiting.remove(&f)
+        } else {
+            self.waiting.insert(f)
+        };
     }
 
     /// Algorithm 1, with the exceptions that docs/DESIGN.md names.
-    fn route(&mut self, id: &RequestId) -> Option<(WorkerId, bool)> {
+    fn route(&mut self, id: &RequestId) -> Option<W> {
         let entry = self.ledger.get(id)?;
-        let name = entry.request.function.clone();
-        let effect = self.effect(entry.request.class);
-        let class = entry.request.class;
-        let tried = entry.attempts.iter().filter(|a| a.warm);
-        let avoid: BTreeSet<WorkerId> = tried.map(|a| a.worker.clone()).collect();
-        let rank = self.rank(&entry.request);
-        let ring = self.ring_of(&name);
-        let function = self.functions.get(&name)?;
-        let target = self.aim as f64 * BUSY;
-
-        let usable = |id: &&WorkerId| {
-            self.workers.get(*id).is_some_and(|w| {
-                let healthy = match w.health.view(self.now) {
-                    View::Good => true,
-                    View::Trial => w.out.is_empty() && effect == Effect::Safe,
-                    View::Bad => false,
-                };
-                (healthy || self.fleet.trusting)
-                    && !avoid.contains(*id)
-                    && w.no_room.get(&name).is_none_or(|until| *until <= self.now)
-                    && self.cold_budget(w) >= 1.0
-            })
-        };
-        let homes = self.homes(&name);
-        let able: Vec<&WorkerId> = ring.iter().filter(usable).take(homes + STAND_INS).collect();
+        let (f, class) = (entry.function, entry.request.class);
+        let (rank, lot) = (self.rank(&entry.request), entry.lot);
+        let avoid: Vec<W> = entry.attempts.iter().filter(|a| a.avoid).map(|a| a.worker).collect();
+        let ring = self.ring_of(f);
+        let homes = self.homes(f);
+        let usable = |w: &W| !avoid.contains(w) && self.has_room(f, *w) && self.may_take(*w, class);
+        let able: Vec<W> = ring.iter().copied().filter(usable).take(homes + STAND_INS).collect();
         let homes = homes.min(able.len());
-        let warm = |id: &WorkerId| self.believed_warm(id, &name);
-        let (lanes, floor) = (function.lanes, (function.lanes / f64::from(self.settings.gateways)).max(1.0));
-        let takes = |id: &&WorkerId| self.workers[*id].takes_more(self.now, target, rank, floor);
-        let has_lane = |id: &&WorkerId| warm(id) && takes(id) && self.workers[*id].flying(&name) < lanes;
-        let free = able[..homes].iter().copied().filter(has_lane);
-        let free: Vec<(f64, &WorkerId)> = free.map(|id| (self.workers[id].out.len() as f64, id)).collect();
+
+        let function = &self.functions[f];
+        let lanes = function.lanes;
+        let (target, floor) = (self.aim as f64 * BUSY, lanes / f64::from(self.settings.gateways));
+        let flying = |w: W| f64::from(function.places.get(&w).map_or(0, |p| p.flying));
+        let warm = |w: W| self.believed_warm(f, w);
+        let takes = |w: W| self.workers[w].takes_more(self.now, target, rank, floor, lot);
+        let has_lane = |w: W| warm(w) && takes(w) && flying(w) < lanes;
+        let free = able[..homes].iter().copied().filter(|w| has_lane(*w));
+        let free: Vec<(f64, W)> = free.map(|w| (f64::from(self.workers[w].flying), w)).collect();
         // Exception: a busy fleet loads no further instances, only those of functions that have none.
-        let widen = self.fleet.calm || !able[..homes].iter().any(|id| warm(id));
-        let lacking = able[..homes].iter().filter(|id| widen && !warm(id));
-        let mut cold_homes: Vec<WorkerId> = lacking.map(|id| (*id).clone()).collect();
+        let widen = self.fleet.calm || !able[..homes].iter().any(|w| warm(*w));
+        let mut cold: Vec<W> = able[..homes].iter().copied().filter(|w| widen && !warm(*w)).collect();
         let picked = if !free.is_empty() {
-            fewest(&mut self.rng, free).cloned()
-        } else if let Some(stand_in) = able[homes..].iter().find(|id| has_lane(id)) {
+            fewest(&mut self.rng, &free)
+        } else if let Some(stand_in) = able[homes..].iter().find(|w| has_lane(**w)) {
             // Exception: while no home has a warm lane, the next warm one on the ring stands in.
-            Some((*stand_in).clone())
+            Some(*stand_in)
         } else {
             // An instance to be loaded counts as the requests that would be served meanwhile.
-            let load = self.load_time(function) / self.run_time(&name, class).max(1.0);
-            let weigh = |id: &WorkerId| self.workers[id].flying(&name) + if warm(id) { 0.0 } else { load };
-            let taking = able[..homes].iter().copied().filter(|id| takes(id) && (widen || warm(id)));
-            let taking: Vec<(f64, &WorkerId)> = taking.map(|id| (weigh(id), id)).collect();
+            let load = self.load_time(function) / self.run_time(f, class).max(1.0);
+            let weigh = |w: W| flying(w) + if warm(w) { 0.0 } else { load };
+            let taking = able[..homes].iter().copied().filter(|w| takes(*w) && (widen || warm(*w)));
+            let taking: Vec<(f64, W)> = taking.map(|w| (weigh(w), w)).collect();
             if taking.is_empty() && self.fleet.calm {
                 // Exception: all homes are busy. A pre-load may widen the set; the request waits here.
-                cold_homes.extend(able[homes..].iter().find(|id| takes(id)).map(|id| (*id).clone()));
+                cold.extend(able[homes..].iter().find(|w| takes(**w)));
             }
-            fewest(&mut self.rng, taking).cloned()
+            fewest(&mut self.rng, &taking)
         };
-        let is_warm = picked.as_ref().is_some_and(|id| self.believed_warm(id, &name));
-        cold_homes.retain(|home| picked.as_ref() != Some(home) || is_warm);
-        self.holds.wanted.extend(cold_homes.into_iter().map(|home| (name.clone(), home)));
-        picked.map(|worker| (worker, is_warm))
+        cold.retain(|w| picked != Some(*w));
+        self.holds.wanted.extend(cold.into_iter().map(|w| (f, w)));
+        picked
     }
 
-    fn ring_of(&mut self, name: &FunctionId) -> Arc<[WorkerId]> {
-        let Some(function) = self.functions.get_mut(name) else { return Arc::new([]) };
+    /// Whether a worker may be given a request of this class: in health, on trial alone, within its cold start.
+    fn may_take(&self, w: W, class: usize) -> bool {
+        let worker = &self.workers[w];
+        let health = worker.health.get(class).or(worker.health.last());
+        let view = health.map_or(View::Good, |h| h.view(self.now));
+        let rested = |h: &Health| self.now >= h.until.saturating_add(h.span);
+        let healthy = match view {
+            View::Good => true,
+            // What can't be repeated is tried later than what can.
+            View::Trial => {
+                worker.flying == 0 && (self.effect(class) == Effect::Safe || health.is_some_and(rested))
+            }
+            View::Bad => false,
+        };
+        (healthy || self.fleet.trusting) && self.cold_budget(w, class) > 0.0
+    }
+
+    fn has_room(&self, f: F, w: W) -> bool {
+        self.functions[f].places.get(&w).is_none_or(|p| p.no_room <= self.now)
+    }
+
+    fn ring_of(&mut self, f: F) -> Arc<[W]> {
+        let function = &mut self.functions[f];
         if function.ring_version != self.ring.version {
-            function.ring = None;
+            function.order = self.ring.order(&function.name, self.workers.len());
             function.ring_version = self.ring.version;
         }
-        function.ring.get_or_insert_with(|| self.ring.order(name)).clone()
+        function.order.clone()
+    }
+
+    /// Calls of a function a microsecond at all gateways: ours times the gateways. Where answers tell how many
+    /// requests the homes held, that over the run time is the sounder measure: it needs no guess at the peers.
+    fn fleet_rate(&self, f: F) -> f64 {
+        let function = &self.functions[f];
+        let ours = function.forecast.sure_rate(self.now) * f64::from(self.settings.gateways);
+        match function.crowd > 0.0 && function.run > 0.0 {
+            true => ours.min(function.crowd / function.run),
+            false => ours,
+        }
     }
 
     /// Homes in ring order until they carry the rate of all gateways times the run time, plus one.
-    fn homes(&self, name: &FunctionId) -> usize {
-        let Some(function) = self.functions.get(name) else { return 1 };
-        let rate = function.forecast.rate() * f64::from(self.settings.gateways);
-        (rate * function.run / function.lanes.max(1.0)).min(1e4) as usize + 1
+    fn homes(&self, f: F) -> usize {
+        let function = &self.functions[f];
+        let at_work = self.fleet_rate(f) * function.run;
+        (at_work / (PLAN * function.lanes.max(1.0))).min(1e4) as usize + 1
+    }
+
+    /// Fresh evidence of our own, or none against it where peers' calls have mostly kept the function.
+    fn believed_warm(&self, f: F, w: W) -> bool {
+        self.known_warm(f, w) || (!self.lacks(f, w) && self.functions[f].kept >= 0.5)
     }
 
-    fn believed_warm(&self, worker: &WorkerId, function: &FunctionId) -> bool {
+    fn known_warm(&self, f: F, w: W) -> bool {
         let age = (self.settings.keep_alive as f64 * BELIEF) as Micros;
-        self.warm.at(worker, function).is_some_and(|at| self.now.saturating_sub(at) < age)
+        let seen = self.functions[f].places.get(&w).and_then(|p| p.seen);
+        seen.is_some_and(|at| self.now.saturating_sub(at) < age)
+    }
+
+    /// Evidence that none stands: a 'miss', or a process younger than our last sight of one.
+    fn lacks(&self, f: F, w: W) -> bool {
+        let place = self.functions[f].places.get(&w);
+        let since = self.now.saturating_sub(self.settings.keep_alive);
+        let started = self.workers[w].entry.started.is_some_and(|at| at > since);
+        let missed = place.and_then(|p| p.missed).is_some_and(|at| at > since);
+        !self.known_warm(f, w) && (missed || started || self.settings.gateways == 1)
+    }
+
+    fn kept_by_peers(&self, f: F) -> bool {
+        let function = &self.functions[f];
+        let peers = self.fleet_rate(f) * (1.0 - 1.0 / f64::from(self.settings.gateways));
+        peers * function.kept * self.settings.keep_alive as f64 >= KEPT * self.homes(f) as f64
     }
 
     /// Worth for work against the best class, its root so that none starves; less beyond a tenant's part.
@@ -487,10 +583,10 @@
         self.settings.classes.get(class).map_or(Effect::Unsafe, |c| c.effect)
     }
 
-    fn run_time(&self, name: &FunctionId, class: usize) -> f64 {
-        let function = self.functions.get(name).map_or(0.0, |f| f.run);
+    fn run_time(&self, f: F, class: usize) -> f64 {
         let class = self.means.class_run.get(class).copied().unwrap_or(0.0);
-        [function, class, self.means.run, self.aim as f64 / 4.0].into_iter().find(|t| *t > 0.0).unwrap_or(1.0)
+        let guess = self.aim as f64 / 4.0;
+        [self.functions[f].run, class, self.means.run, guess].into_iter().find(|t| *t > 0.0).unwrap_or(1.0)
     }
 
     fn load_time(&self, function: &Function) -> f64 {
@@ -498,17 +594,39 @@
         [function.load, self.means.load, guess].into_iter().find(|t| *t > 0.0).unwrap_or(guess)
     }
 
-    /// Requests that a cold worker may still be sent: its share of what a warm worker answers us, so that
-    /// gateways together stay under the stated multiple of its capacity without knowing of each other.
-    fn cold_budget(&self, worker: &Worker) -> f64 {
-        let cold = &self.settings.cold;
-        let share = worker.capacity(cold, self.now.saturating_sub(cold.window));
+    /// How long a suspect is left alone at first, and at the most.
+    fn rest(&self) -> (f64, f64) {
+        let gap = self.means.gap * self.fleet.serving;
+        let longest = 2.0 * self.settings.keep_alive as f64;
+        ((self.aim as f64 * BACKOFF).max(gap.min(longest)), longest)
+    }
+
+    /// Work, in mean requests, by which a cold worker may still be sent some: saved up at our part of the
+    /// stated multiple of its present capacity, measured by what a warm worker answers us. Gateways together
+    /// stay under that multiple without knowing of each other, also where a part is less than a request.
+    fn cold_budget(&self, w: W, class: usize) -> f64 {
+        let worker = &self.workers[w];
+        let (rate, share) = self.cold_rate(worker);
         if share >= 1.0 {
             return 1.0;
         }
+        let saved = worker.cold_credit + rate * self.now.saturating_sub(worker.cold_since) as f64;
+        let most = (rate * self.settings.cold.window as f64).max(1.0);
+        saved.min(most) - self.weight(class).min(most)
+    }
+
+    /// Requests a microsecond that we may send a cold worker, and the share of its capacity that is sure.
+    fn cold_rate(&self, worker: &Worker) -> (f64, f64) {
+        let cold = &self.settings.cold;
+        let share = worker.capacity(cold, self.now.saturating_sub(cold.window));
         let one_core = 1.0 / self.means.run.max(self.aim as f64 / 8.0) / f64::from(self.settings.gateways);
-        let rate = COLD_SPEND * cold.multiple * share * self.means.worker_rate.max(one_core);
-        (rate * cold.window as f64).max(1.0) - worker.cold_sends.len() as f64
+        (COLD_SPEND * cold.multiple * share * self.means.worker_rate.max(one_core), share)
+    }
+
+    /// Work of a class against the mean.
+    fn weight(&self, class: usize) -> f64 {
+        let run = self.means.class_run.get(class).copied().unwrap_or(0.0);
+        if run > 0.0 && self.means.run > 0.0 { (run / self.means.run).max(0.5) } else { 1.0 }
     }
 
     /// Whether the rules allow the request another attempt at all; the send gate looks at the worker.
@@ -519,117 +637,159 @@
 
     /// The one way out for attempts. It alone keeps: open requests only, attempts counted, one outstanding,
     /// no draining or gone worker, no effect twice, the cold-start budget.
-    fn send_gate(&mut self, id: &RequestId, to: &WorkerId) -> bool {
-        let (Some(entry), Some(worker)) = (self.ledger.get(id), self.workers.get(to)) else { return false };
-        let class = entry.request.class;
+    fn send_gate(&mut self, id: &RequestId, w: W) -> bool {
+        let Some(entry) = self.ledger.get(id) else { return false };
+        let (f, class) = (entry.function, entry.request.class);
         let effect = self.effect(class);
-        let name = entry.request.function.clone();
         let left = entry.deadline.saturating_sub(self.now);
         let kept = self.may_send_again(entry)
             && entry.attempts.len() < self.settings.max_attempts
             && (!entry.out() || (self.settings.may_duplicate && effect == Effect::Safe))
-            && worker.entry.state == WorkerState::In
+            && self.workers[w].entry.state == WorkerState::In
             && left > 0
-            && self.same_group(entry, effect, worker)
-            && self.cold_budget(worker) >= 1.0;
+            && self.same_group(entry, effect, w)
+            && self.cold_budget(w, class) > 0.0;
         if !kept {
             return false;
         }
-        let warm = self.believed_warm(to, &name);
-        let load = if warm { 0.0 } else { self.functions.get(&name).map_or(0.0, |f| self.load_time(f)) };
-        let capacity = worker.capacity(&self.settings.cold, self.now);
-        let expected = (self.run_time(&name, class) + load) / capacity;
+        let (warm, known) = (self.believed_warm(f, w), self.known_warm(f, w));
+        let load = if warm { 0.0 } else { self.load_time(&self.functions[f]) };
+        let capacity = self.workers[w].capacity(&self.settings.cold, self.now);
+        let expected = (self.run_time(f, class) + load) / capacity;
         let aim = self.settings.classes.get(class).map_or(left, |c| c.aim);
-        let patience = ((PATIENCE * expected) as Micros).max(aim * 2);
+        let in_time = (aim as f64 - self.now.saturating_sub(entry.arrived) as f64).min(left as f64);
+        let early = in_time - 2.0 * self.run_time(f, class);
         let repeatable = effect != Effect::Unsafe && entry.attempts.len() + 1 < self.settings.max_attempts;
-        let timeout = if repeatable && patience.saturating_add(aim / 2) < left { patience } else { left };
-
-        let (Some(entry), Some(worker)) = (self.ledger.get_mut(id), self.workers.get_mut(to)) else {
-            return false;
+        let patience = if known && early >= EARLY * expected && self.retries >= 1.0 {
+            early as Micros
+        } else {
+            ((PATIENCE * expected) as Micros).max(aim * 2)
         };
-        worker.out.insert((self.now, id.clone(), entry.attempts.len()), expected);
-        *worker.in_flight.entry(name).or_default() += 1;
+        let timeout = if repeatable && patience.saturating_add(aim / 4) < left { patience } else { left };
+
+        let (weight, (rate, _)) = (self.weight(class), self.cold_rate(&self.workers[w]));
+        let homes = self.homes(f) as f64;
+        let worker = &mut self.workers[w];
+        worker.flying += 1;
+        self.functions[f].places.entry(w).or_default().flying += 1;
         if capacity < 1.0 {
-            worker.cold_sends.push_back(self.now);
+            let most = (rate * self.settings.cold.window as f64).max(1.0);
+            let saved = worker.cold_credit + rate * self.now.saturating_sub(worker.cold_since) as f64;
+            (worker.cold_credit, worker.cold_since) = (saved.min(most) - weight, self.now);
+        }
+        let crowd = f64::from(worker.flying);
+        let request = id.clone();
+        self.actions.push(Action::Send { request, worker: worker.entry.id.clone(), timeout });
+        if let Some(entry) = self.ledger.get_mut(id) {
+            entry.attempts.push(Attempt {
+                worker: w,
+                sent: self.now,
+                warm,
+                known,
+                avoid: warm,
+                homes,
+                blamed: false,
+                expected,
+                crowd,
+                fate: Fate::Out,
+            });
         }
-        let crowd = worker.out.len() as f64;
-        let (fate, to) = (Fate::Out, to.clone());
-        entry.attempts.push(Attempt { worker: to.clone(), sent: self.now, warm, expected, crowd, fate });
-        self.actions.push(Action::Send { request: id.clone(), worker: to, timeout });
         true
     }
 
     /// A keyed request that may have run stays among the workers that drop its repeats, while they do.
-    fn same_group(&self, entry: &Entry, effect: Effect, to: &Worker) -> bool {
+    fn same_group(&self, entry: &Entry, effect: Effect, to: W) -> bool {
         let Effect::Keyed { group, memory } = effect else { return true };
+        let to = &self.workers[to].entry;
         entry.attempts.iter().filter(|a| a.fate != Fate::NeverRan).all(|a| {
-            let near = self.workers.get(&a.worker).is_some_and(|from| match group {
+            let from = &self.workers[a.worker].entry;
+            let near = match group {
                 Group::All => true,
-                Group::Zone => from.entry.zone == to.entry.zone,
-                Group::Cell => from.entry.cell == to.entry.cell,
-            });
+                Group::Zone => from.zone == to.zone,
+                Group::Cell => from.cell == to.cell,
+            };
             near && self.now.saturating_sub(a.sent) + self.settings.tick < memory
         })
     }
 
-    fn ended(&mut self, id: &RequestId, number: usize, outcome: Outcome, elapsed: Micros, answered: bool) {
+    fn ended(
+        &mut self,
+        id: &RequestId,
+        number: usize,
+        outcome: Outcome,
+        elapsed: Micros,
+        (answered, crowd, load_failed): (bool, Option<u32>, bool),
+    ) {
         let Some(entry) = self.ledger.get_mut(id) else { return };
         let Some(attempt) = entry.attempts.get_mut(number).filter(|a| a.fate == Fate::Out) else { return };
         attempt.fate = match outcome {
             Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss => Fate::NeverRan,
             _ => Fate::MayHaveRun,
         };
-        let Attempt { worker: to, sent, warm, expected, crowd, .. } = attempt.clone();
-        attempt.warm |= outcome == Outcome::Error; // An error sends the next attempt elsewhere.
-        let (name, class) = (entry.request.function.clone(), entry.request.class);
-        let span = self.aim as f64 * BACKOFF;
-        let mut was_warm = false;
-        if let Some(worker) = self.workers.get_mut(&to) {
-            worker.out.remove(&(sent, id.clone(), number));
-            worker.in_flight.entry(name.clone()).and_modify(|count| *count = count.saturating_sub(1));
-            was_warm = worker.capacity(&self.settings.cold, self.now) >= 1.0;
-            match outcome {
-                Outcome::Ok => {
-                    worker.health.ok(self.now);
-                    if warm {
-                        blend(&mut worker.answer_time, elapsed as f64);
-                        blend(&mut worker.crowd, crowd);
-                    }
-                }
-                Outcome::Error => worker.health.fail(self.now, false, span),
-                // A late answer is the worker's fault only if it has been silent to all since the sending.
-                Outcome::Timeout if elapsed as f64 >= expected && worker.health.last_ok <= sent => {
-                    worker.health.fail(self.now, false, span);
-                }
-                Outcome::Reset | Outcome::ConnectFailed => worker.health.fail(self.now, true, span),
-                Outcome::Full => {
-                    // With an instance there its queue is full, without one it lacks the room to load.
-                    worker.pause = self.now.saturating_add(self.means.run as Micros) / 2;
-                    if !warm {
-                        worker.no_room.insert(name.clone(), self.now.saturating_add(expected as Micros));
-                    }
-                }
-                _ => {}
-            }
+        attempt.avoid |= outcome == Outcome::Error; // An error sends the next attempt elsewhere.
+        let sent = attempt.clone();
+        let (f, class, w) = (entry.function, entry.request.class, sent.worker);
+        let took = elapsed as f64;
+        self.workers[w].flying = self.workers[w].flying.saturating_sub(1);
+        if let (Some(held), Outcome::Ok | Outcome::Full) = (crowd, outcome) {
+            let crowd = &mut self.functions[f].crowd;
+            blend(crowd, (f64::from(held) * sent.homes).max(1e-9), 2.0 * BLEND);
         }
+        let place = self.functions[f].places.entry(w).or_default();
+        place.flying = place.flying.saturating_sub(1);
         match outcome {
             Outcome::Ok => {
-                self.means.served += f64::from(u8::from(was_warm));
-                self.warm.seen.insert((to, name.clone()), self.now);
-                if warm && let Some(function) = self.functions.get_mut(&name) {
-                    blend(&mut function.run, elapsed as f64);
-                    blend(&mut self.means.run, elapsed as f64);
+                (place.seen, place.missed) = (Some(self.now), None);
+                let worker = &mut self.workers[w];
+                let since = self.now.saturating_sub(worker.last_ok) as f64;
+                worker.last_ok = self.now;
+                if let Some(health) = worker.health.get_mut(class) {
+                    health.ok(self.now);
+                }
+                self.means.served +=
+                    f64::from(u8::from(worker.capacity(&self.settings.cold, self.now) >= 1.0));
+                if sent.warm {
+                    // Samples far apart count for more: the old ones have aged.
+                    let weight = BLEND.max(since / (since + 2.0 * self.settings.keep_alive as f64));
+                    blend(&mut worker.answer_time, took, weight);
+                    blend(&mut worker.crowd, sent.crowd, weight);
+                    blend(&mut self.functions[f].run, took, BLEND);
+                    blend(&mut self.means.run, took, BLEND);
                     if let Some(mean) = self.means.class_run.get_mut(class) {
-                        blend(mean, elapsed as f64);
+                        blend(mean, took, BLEND);
                     }
                 }
             }
+            Outcome::Error if !load_failed => self.blame(w, class, sent.sent, 1.0),
+            // A late answer is the worker's fault only if it has been silent to all since the sending.
+            Outcome::Timeout if !sent.blamed && took >= sent.expected => {
+                self.blame_silence(w, class, &sent, took);
+            }
+            Outcome::Reset => self.blame(w, class, sent.sent, 1.0),
+            Outcome::ConnectFailed => {
+                self.forget(w);
+                self.blame(w, class, sent.sent, SUSPECT);
+            }
+            Outcome::Full => {
+                // With an instance there its queue is full, without one it lacks the room to load.
+                if !sent.warm {
+                    place.no_room = self.now.saturating_add(sent.expected as Micros);
+                }
+                self.workers[w].pause = self.now.saturating_add(self.means.run as Micros) / 2;
+            }
             Outcome::Miss => {
-                self.warm.seen.remove(&(to, name.clone()));
+                (place.seen, place.missed) = (None, Some(self.now));
             }
-            Outcome::Reset | Outcome::ConnectFailed => self.warm.forget_worker(&to),
             _ => {}
         }
+        if !sent.known && matches!(outcome, Outcome::Ok | Outcome::Miss) {
+            // Whether peers' calls kept an instance: an answer that took as long as a load says no.
+            let function = &self.functions[f];
+            let slow = took > self.run_time(f, class) + self.load_time(function) / 2.0;
+            let stood = f64::from(u8::from(outcome == Outcome::Ok && !slow));
+            self.functions[f].kept += 3.0 * BLEND * (stood - self.functions[f].kept);
+            self.means.kept += BLEND * (stood - self.means.kept);
+        }
         if answered || self.ledger.get(id).is_none_or(|e| e.over || e.streaming) {
             return self.close(id);
         }
@@ -645,6 +805,24 @@
         self.dispatch(id);
     }
 
+    fn blame_silence(&mut self, w: W, class: usize, sent: &Attempt, took: f64) {
+        if self.workers[w].health.get(class).is_some_and(|h| h.last_ok <= sent.sent) {
+            self.blame(w, class, sent.sent, if took >= HUNG * sent.expected { SUSPECT } else { 1.0 });
+        }
+    }
+
+    /// A failure counts against the worker for its class, and for each other class that the worker has not
+    /// answered since, there as one of two: what fails one class need not fail the rest.
+    fn blame(&mut self, w: W, class: usize, sent: Micros, score: f64) {
+        let (span, longest) = self.rest();
+        for (other, health) in self.workers[w].health.iter_mut().enumerate() {
+            if other == class || health.last_ok <= sent {
+                let score = if other == class { score } else { score.min(1.0) };
+                health.fail(self.now, score, span, longest);
+            }
+        }
+    }
+
     /// The gateway's own final answer: a refusal where that promise holds, else a failure.
     fn answer(&mut self, id: &RequestId) {
         let Some(entry) = self.ledger.get(id).filter(|e| !e.over && !e.streaming) else { return };
@@ -663,8 +841,10 @@
         let Some(entry) = self.ledger.get_mut(id) else { return };
         entry.over = true;
         self.timers.remove(&(entry.deadline, Timer::Deadline(id.clone())));
-        if let Some(function) = self.functions.get_mut(&entry.request.function) {
-            function.waiting.remove(&(entry.deadline, id.clone()));
+        let f = entry.function;
+        self.functions[f].waiting.remove(&(entry.deadline, id.clone()));
+        if self.functions[f].waiting.is_empty() {
+            self.waiting.remove(&f);
         }
         if !entry.out() {
             self.ledger.remove(id);
@@ -674,75 +854,73 @@
     // ---- holds
 
     /// The load or the release timer of a function.
-    fn forecast_due(&mut self, name: &FunctionId) {
-        let ring = self.ring_of(name);
-        let fit = |w: &Worker| {
-            w.health.view(self.now) != View::Bad && w.no_room.get(name).is_none_or(|until| *until <= self.now)
+    fn forecast_due(&mut self, f: F) {
+        let ring = self.ring_of(f);
+        let fit = |w: &W| {
+            self.has_room(f, *w) && self.workers[*w].health.iter().all(|h| h.view(self.now) != View::Bad)
         };
-        let home = ring.iter().find(|id| self.workers.get(*id).is_some_and(fit));
-        let Some(function) = self.functions.get_mut(name) else { return };
+        let home = ring.iter().copied().find(fit);
+        let kept = home.is_some_and(|w| !self.lacks(f, w) && self.kept_by_peers(f));
+        let function = &mut self.functions[f];
         let (load_at, release_at) = (function.forecast.load_at, function.forecast.release_at);
         function.timer = self.now < release_at;
         if !function.timer {
-            if let Some((worker, at)) = function.loaded_by_us.take()
+            if let Some((w, at)) = function.loaded_by_us.take()
                 && function.last_call < at
-                && self.workers.get(&worker).is_some_and(|w| w.entry.state == WorkerState::In)
+                && self.workers[w].entry.state == WorkerState::In
             {
-                self.warm.seen.remove(&(worker.clone(), name.clone()));
-                self.actions.push(Action::Drop { worker, function: name.clone() });
+                function.places.entry(w).or_default().seen = None;
+                let (worker, function) = (self.workers[w].entry.id.clone(), function.name.clone());
+                self.actions.push(Action::Drop { worker, function });
             }
             return;
         }
         let renewal = ((self.settings.keep_alive as f64 * RENEW) as Micros).max(self.settings.tick);
-        let renew_at = home.and_then(|home| self.warm.at(home, name)).map(|at| at + renewal);
-        let mut next = load_at.max(renew_at.unwrap_or(0));
+        let seen = home.and_then(|w| function.places.get(&w)).and_then(|p| p.seen);
+        let mut next = load_at.max(seen.map_or(0, |at| at + renewal));
         if next <= self.now {
             next = self.now + renewal / 4;
-            self.holds.wanted.extend(home.map(|home| (name.clone(), home.clone())));
+            // Peers' calls renew it as well as our order would.
+            self.holds.wanted.extend(home.filter(|_| !kept).map(|home| (f, home)));
             self.pump();
         }
         let next = next.min(release_at).max(self.now + self.settings.tick);
-        self.timers.insert((next, Timer::Forecast(name.clone())));
+        self.timers.insert((next, Timer::Forecast(f)));
     }
 
     /// Gives the wanted pre-loads to the gate, those that save most load time for their memory first.
     fn pump(&mut self) {
-        let mut ranked: Vec<(f64, (FunctionId, WorkerId))> = Vec::new();
+        let mut ranked: Vec<(f64, (F, W))> = Vec::new();
         for want in std::mem::take(&mut self.holds.wanted) {
-            let Some(function) = self.functions.get(&want.0) else { continue };
+            let function = &self.functions[want.0];
             if self.now < function.forecast.release_at {
                 let calls = function.forecast.rate() * self.settings.keep_alive as f64;
-                let value = calls * self.load_time(function) / function.memory.max(1.0);
-                ranked.push((value, want));
+                ranked.push((calls * self.load_time(function) / function.memory.max(1.0), want));
             }
         }
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-        for (_, (function, worker)) in ranked {
-            let fresh = (self.settings.keep_alive as f64 * RENEW) as Micros;
-            let seen = self.warm.at(&worker, &function);
-            if seen.is_none_or(|at| at + fresh <= self.now) && !self.order_gate(&worker, &function, false) {
-                self.holds.wanted.insert((function, worker));
+        let fresh = (self.settings.keep_alive as f64 * RENEW) as Micros;
+        for (_, (f, w)) in ranked {
+            let seen = self.functions[f].places.get(&w).and_then(|p| p.seen);
+            if seen.is_none_or(|at| at + fresh <= self.now) && !self.order_gate(w, f, false) {
+                self.holds.wanted.insert((f, w));
             }
         }
     }
 
     /// The one way out for load orders; true when one is under way. It alone keeps: no draining or gone
     /// worker, one order a function and worker, the caps on pre-loads, the ration.
-    fn order_gate(&mut self, to: &WorkerId, name: &FunctionId, needed: bool) -> bool {
-        let serving = self.fleet.serving;
-        let Some(worker) = self.workers.get_mut(to) else { return false };
+    fn order_gate(&mut self, w: W, f: F, needed: bool) -> bool {
+        let worker = &mut self.workers[w];
         if !self.settings.may_order || worker.entry.state != WorkerState::In {
             return false;
         }
-        if worker.orders.contains_key(name) {
+        let place = self.functions[f].places.entry(w).or_default();
+        if place.ordered.is_some() {
             return true;
         }
         let holds = &mut self.holds;
-        let rate = PRELOADS_PER_S * serving / 1e6;
-        let refill = self.now.saturating_sub(holds.refilled) as f64 * rate;
-        holds.tokens = (holds.tokens + refill).min(serving);
-        holds.refilled = self.now;
-        if !needed && (holds.tokens < 1.0 || worker.orders.len() >= PRELOADS_PER_WORKER) {
+        if !needed && (holds.tokens < 1.0 || worker.orders >= PRELOADS_PER_WORKER) {
             return false;
         }
         if let Some(ration) = &self.settings.ration {
@@ -764,128 +942,119 @@
         if !needed {
             holds.tokens -= 1.0;
         }
-        worker.orders.insert(name.clone(), self.now);
-        self.actions.push(Action::Hold { worker: to.clone(), function: name.clone(), count: 1 });
+        place.ordered = Some(self.now);
+        worker.orders += 1;
+        let (worker, function) = (worker.entry.id.clone(), self.functions[f].name.clone());
+        self.actions.push(Action::Hold { worker, function, count: 1 });
         true
     }
 
     fn held(&mut self, to: &WorkerId, name: &FunctionId, outcome: Outcome, elapsed: Micros, standing: u32) {
-        let span = self.aim as f64 * BACKOFF;
-        let (Some(worker), Some(function)) = (self.workers.get_mut(to), self.functions.get_mut(name)) else {
-            return;
-        };
-        worker.orders.remove(name);
+        let (Some(&w), Some(&f)) = (self.worker_ids.get(to), self.function_ids.get(name)) else { return };
+        let function = &mut self.functions[f];
+        let place = function.places.entry(w).or_default();
+        let Some(since) = place.ordered.take() else { return };
+        self.workers[w].orders = self.workers[w].orders.saturating_sub(1);
         let took = elapsed as f64;
+        let orders = self.settings.classes.len();
         match outcome {
             Outcome::Ok if standing > 0 => {
-                worker.no_room.remove(name);
-                self.warm.seen.insert((to.clone(), name.clone()), self.now);
-                self.means.round_trip =
-                    if self.means.round_trip > 0.0 { self.means.round_trip.min(took) } else { took };
-                if took > 4.0 * (self.means.round_trip + self.settings.tick as f64) {
-                    blend(&mut function.load, took);
-                    blend(&mut self.means.load, took);
-                    function.loaded_by_us = Some((to.clone(), self.now));
+                (place.seen, place.missed, place.no_room) = (Some(self.now), None, 0);
+                let quickest = &mut self.means.round_trip;
+                *quickest = if *quickest > 0.0 { quickest.min(took) } else { took };
+                if took > 4.0 * (*quickest + self.settings.tick as f64) {
+                    blend(&mut function.load, took, BLEND);
+                    blend(&mut self.means.load, took, BLEND);
+                    function.loaded_by_us = Some((w, self.now));
                 }
             }
             Outcome::Full => {
-                self.warm.seen.remove(&(to.clone(), name.clone()));
-                worker.no_room.insert(name.clone(), self.now + self.aim * 2);
+                (place.seen, place.no_room) = (None, self.now + self.aim * 2);
             }
-            Outcome::Reset | Outcome::ConnectFailed => {
-                self.warm.forget_worker(to);
-                worker.health.fail(self.now, true, span);
+            Outcome::Reset => self.blame(w, orders, since, 1.0),
+            Outcome::ConnectFailed => {
+                self.forget(w);
+                self.blame(w, orders, since, SUSPECT);
             }
-            Outcome::Timeout => worker.health.fail(self.now, false, span),
+            Outcome::Timeout => self.blame(w, orders, since, 1.0),
             _ => {}
         }
-        self.place_waiting(name);
+        self.place_waiting(f);
     }
 
     // ---- the sweep
 
     fn sweep(&mut self) {
-        let cold = self.settings.cold;
         let step = (self.aim / SWEEPS).max(self.settings.tick);
         self.timers.insert((self.now + step, Timer::Sweep));
-        // What a warm worker answers us a microsecond, over about a warm-up time: the measure for cold ones.
-        let sample = self.means.served / step as f64 / self.fleet.warm.max(1.0);
-        self.means.worker_rate +=
-            (sample - self.means.worker_rate) * step as f64 / (cold.warm_up + step) as f64;
-        self.means.served = 0.0;
-        self.count();
-        let span = self.aim as f64 * BACKOFF;
-        let mut stuck = Vec::new();
-        for worker in self.workers.values_mut() {
-            worker.cold_sends.retain(|at| at + cold.window + self.settings.tick >= self.now);
-            // A worker that takes work and answers none: silent since its oldest attempt went out.
-            if let Some(((sent, _, _), expected)) = worker.out.first_key_value() {
-                let quiet = self.now.saturating_sub(worker.health.last_ok.max(*sent)) as f64;
-                if worker.out.len() > 1
-                    && quiet > HUNG * expected
-                    && worker.health.view(self.now) != View::Bad
-                {
-                    worker.health.hung = true;
-                    worker.health.fail(self.now, true, span);
-                    for (sent, request, attempt) in worker.out.keys() {
-                        if self.now.saturating_sub(*sent) as f64 > HUNG * expected {
-                            stuck.push((request.clone(), *attempt));
-                        }
-                    }
-                }
-            }
-            for (name, since) in &worker.orders {
-                let load = self
-                    .functions
-                    .get(name)
-                    .map_or(0.0, |f| f.load)
-                    .max(self.means.load)
-                    .max(self.aim as f64);
-                if self.now.saturating_sub(*since) as f64 > LOAD_PATIENCE * load {
-                    worker.no_room.insert(name.clone(), self.now + span as Micros);
-                }
-            }
-        }
-        for (id, attempt) in stuck {
-            self.call_off(&id, attempt);
+        if self.now.saturating_sub(self.swept) >= self.aim {
+            // What a warm worker answers us a microsecond, over about a warm-up time: the measure for cold ones.
+            let span = self.now.saturating_sub(std::mem::replace(&mut self.swept, self.now)) as f64;
+            let sample = std::mem::take(&mut self.means.served) / span / self.fleet.warm.max(1.0);
+            let weight = span / (self.settings.cold.warm_up as f64 + span);
+            self.means.worker_rate += (sample - self.means.worker_rate) * weight;
+            self.count();
         }
+        self.call_off_lost();
         self.pump();
         self.rescue_waiting();
     }
 
-    /// Takes back an attempt that hangs, where another may follow; its outcome brings the next attempt.
-    fn call_off(&mut self, id: &RequestId, attempt: usize) {
-        let Some(entry) = self.ledger.get(id) else { return };
-        let again = self.effect(entry.request.class) == Effect::Safe
-            && entry.attempts.len() < self.settings.max_attempts
-            && self.retries >= 1.0;
-        if self.settings.may_cancel && again && !entry.over && !entry.streaming {
-            self.actions.push(Action::Cancel { request: id.clone(), attempt });
+    /// A worker that takes work and answers none: silent since an attempt went out, far beyond the expected. What
+    /// may be repeated is taken back; its outcome brings the next attempt.
+    fn call_off_lost(&mut self) {
+        let mut lost = Vec::new();
+        for (id, entry) in &mut self.ledger {
+            for (number, attempt) in entry.attempts.iter_mut().enumerate() {
+                let took = self.now.saturating_sub(attempt.sent) as f64;
+                if attempt.fate == Fate::Out && !attempt.blamed && took > HUNG * attempt.expected {
+                    attempt.blamed = true;
+                    lost.push((id.clone(), number, entry.request.class, attempt.clone(), took));
+                }
+            }
+        }
+        for (id, attempt, class, sent, took) in lost {
+            let silent = self.workers[sent.worker].last_ok <= sent.sent;
+            self.blame_silence(sent.worker, class, &sent, took);
+            let Some(entry) = self.ledger.get(&id) else { continue };
+            let again = self.effect(class) == Effect::Safe
+                && entry.attempts.len() < self.settings.max_attempts
+                && self.retries >= 1.0;
+            if silent && self.settings.may_cancel && again && !entry.over && !entry.streaming {
+                self.actions.push(Action::Cancel { request: id, attempt });
+            }
         }
     }
 
     /// Looks again for a place for the requests that wait at the gateway.
     fn rescue_waiting(&mut self) {
-        let waiting = self.functions.iter().filter(|(_, f)| !f.waiting.is_empty());
-        let names: Vec<_> = waiting.map(|(name, _)| name.clone()).collect();
-        for name in names {
-            self.place_waiting(&name);
+        for f in self.waiting.clone() {
+            self.place_waiting(f);
         }
     }
 
     /// Oldest first, until one finds no place. One that could no longer be answered within its aim is turned
     /// away while it waits for a free worker: under overload its place is worth more to the next.
-    fn place_waiting(&mut self, name: &FunctionId) {
-        let Some(function) = self.functions.get(name) else { return };
-        let loading = self.workers.values().any(|w| w.orders.contains_key(name));
+    fn place_waiting(&mut self, f: F) {
+        if self.functions[f].waiting.is_empty() {
+            return;
+        }
+        let usual = LOAD_PATIENCE * self.load_time(&self.functions[f]).max(self.means.load);
+        let mut loading = false;
+        for place in self.functions[f].places.values_mut() {
+            let waited = place.ordered.map(|since| self.now.saturating_sub(since) as f64);
+            if waited.is_some_and(|waited| waited > usual) {
+                place.no_room = place.no_room.max(self.now + self.aim);
+            }
+            loading |= waited.is_some_and(|waited| waited <= usual);
+        }
         let mut open = true;
-        for (deadline, id) in function.waiting.clone() {
+        for (deadline, id) in self.functions[f].waiting.clone() {
             let class_aim = |e: &Entry| self.settings.classes.get(e.request.class).map_or(0, |c| c.aim);
             let aim = self.ledger.get(&id).map_or(0, |e| e.arrived.saturating_add(class_aim(e)));
             if open {
                 self.dispatch(&id);
-                let waits = |f: &Function| f.waiting.contains(&(deadline, id.clone()));
-                open = !self.functions.get(name).is_some_and(waits);
+                open = !self.functions[f].waiting.contains(&(deadline, id.clone()));
             }
             if !open && !loading && self.now.saturating_add(self.means.run as Micros) > aim {
                 self.answer(&id);
@@ -895,9 +1064,9 @@
 }
 
 /// One of the lightest, at random.
-fn fewest<'a>(rng: &mut Pcg32, weighed: Vec<(f64, &'a WorkerId)>) -> Option<&'a WorkerId> {
+fn fewest(rng: &mut Pcg32, weighed: &[(f64, W)]) -> Option<W> {
     let least = weighed.iter().map(|(weight, _)| *weight).fold(f64::INFINITY, f64::min);
-    let ties: Vec<_> = weighed.into_iter().filter(|(weight, _)| *weight <= least).collect();
+    let ties: Vec<W> = weighed.iter().filter(|(weight, _)| *weight <= least).map(|(_, w)| *w).collect();
     let pick = if ties.len() > 1 { rng.next_u32() as usize % ties.len() } else { 0 };
-    ties.get(pick).map(|(_, id)| *id)
+    ties.get(pick).copied()
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,24 +5,49 @@
 
 use crate::interface::*;
 
+/// Positions of workers and functions in the module's tables: small, and never given anew.
+pub type W = usize;
+pub type F = usize;
+
 /// What is known of a function.
 #[derive(Debug, Default)]
 pub struct Function {
+    pub name: FunctionId,
     pub forecast: Forecast,
     pub lanes: f64,
     pub memory: f64,
     pub load: f64,
     pub run: f64,
     pub last_call: Micros,
+    /// Requests of all gateways at work at once, as answers tell; 0 until they do.
+    pub crowd: f64,
+    /// How often peers' calls alone kept an instance, as own calls found it.
+    pub kept: f64,
     /// A hold that found none standing: where and when. The release drops it if no request came since.
-    pub loaded_by_us: Option<(WorkerId, Micros)>,
+    pub loaded_by_us: Option<(W, Micros)>,
     pub timer: bool,
     /// Requests that wait at the gateway, by deadline.
     pub waiting: BTreeSet<(Micros, RequestId)>,
-    pub ring: Option<Arc<[WorkerId]>>,
+    pub places: BTreeMap<W, Place>,
+    /// The workers in ring order, as of a version of the ring.
+    pub order: Arc<[W]>,
     pub ring_version: u64,
 }
 
+/// A function at a worker, as this gateway knows it.
+#[derive(Debug, Default)]
+pub struct Place {
+    /// An instance stood there; none stood there.
+    pub seen: Option<Micros>,
+    pub missed: Option<Micros>,
+    /// Own order unanswered since.
+    pub ordered: Option<Micros>,
+    /// No room there until then.
+    pub no_room: Micros,
+    /// Own requests in flight.
+    pub flying: u32,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum View {
     Good,
@@ -34,20 +59,20 @@
 #[derive(Debug, Default)]
 pub struct Worker {
     pub entry: WorkerEntry,
-    pub health: Health,
-    /// When it was sent work while cold.
-    pub cold_sends: VecDeque<Micros>,
-    /// Own attempts in flight: sent when, expected to take.
-    pub out: BTreeMap<(Micros, RequestId, usize), f64>,
-    pub in_flight: BTreeMap<FunctionId, u32>,
+    /// By class.
+    pub health: Vec<Health>,
+    pub last_ok: Micros,
+    /// Work that it may still be sent while cold, as of when.
+    pub cold_credit: f64,
+    pub cold_since: Micros,
+    /// Own requests in flight, and own orders unanswered.
+    pub flying: u32,
+    pub orders: u32,
     /// Running means of answer time, and of own requests in flight when those were sent.
     pub answer_time: f64,
     pub crowd: f64,
     /// It turned a request away: nothing more until then.
     pub pause: Micros,
-    /// Own orders unanswered, and functions for which it lately had no room: until when.
-    pub orders: BTreeMap<FunctionId, Micros>,
-    pub no_room: BTreeMap<FunctionId, Micros>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,9 +85,17 @@
 /// An attempt in the ledger.
 #[derive(Clone, Debug)]
 pub struct Attempt {
-    pub worker: WorkerId,
+    pub worker: W,
     pub sent: Micros,
+    /// An instance was held to stand there, and own evidence was fresh.
     pub warm: bool,
+    pub known: bool,
+    /// It failed there: the next attempt goes elsewhere.
+    pub avoid: bool,
+    /// Homes of the function at the time.
+    pub homes: f64,
+    /// Its silence has been held against the worker.
+    pub blamed: bool,
     pub expected: f64,
     pub crowd: f64,
     pub fate: Fate,
@@ -72,6 +105,9 @@
 #[derive(Debug)]
 pub struct Entry {
     pub request: Request,
+    pub function: F,
+    /// Drawn once: whether it passes where a part of the requests does.
+    pub lot: f64,
     pub arrived: Micros,
     pub deadline: Micros,
     pub attempts: Vec<Attempt>,
@@ -92,7 +128,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timer {
     Deadline(RequestId),
-    Forecast(FunctionId),
+    Forecast(F),
     Sweep,
     Follow,
 }
@@ -121,6 +157,11 @@
     /// Successes on warm workers since the last sweep, and such a worker's usual rate of them.
     pub served: f64,
     pub worker_rate: f64,
+    /// How often peers' calls alone kept an instance, over all functions.
+    pub kept: f64,
+    /// Usual gap between own arrivals.
+    pub gap: f64,
+    pub last_arrival: Micros,
 }
 
 /// When a function will be called next: exponential gaps at the rate of its last arrivals.
@@ -131,14 +172,15 @@
     pub release_at: Micros,
 }
 
-/// A worker's health, from outcomes alone.
-#[derive(Debug, Default)]
+/// A worker's health for one class, from outcomes alone.
+#[derive(Clone, Debug, Default)]
 pub struct Health {
     pub score: f64,
     pub relapses: u32,
+    /// Left alone until then, for that long.
     pub until: Micros,
+    pub span: Micros,
     pub suspect: bool,
-    pub hung: bool,
     pub trials: u32,
     pub last_ok: Micros,
 }
@@ -146,31 +188,14 @@
 /// Load orders: the budgets of the order gate, and the pre-loads that wait for it.
 #[derive(Debug, Default)]
 pub struct Holds {
-    pub wanted: BTreeSet<(FunctionId, WorkerId)>,
+    pub wanted: BTreeSet<(F, W)>,
     pub tokens: f64,
-    pub refilled: Micros,
     pub given: VecDeque<Micros>,
     pub taken: VecDeque<Micros>,
 }
 
-/// Where instances are believed to stand: the last evidence, which ages.
-#[derive(Debug, Default)]
-pub struct Warm {
-    pub seen: BTreeMap<(WorkerId, FunctionId), Micros>,
-}
-
-impl Warm {
-    pub fn at(&self, worker: &WorkerId, function: &FunctionId) -> Option<Micros> {
-        self.seen.get(&(worker.clone(), function.clone())).copied()
-    }
-
-    pub fn forget_worker(&mut self, worker: &WorkerId) {
-        self.seen.retain(|(w, _), _| w != worker);
-    }
-}
-
 impl Means {
     pub fn new(classes: usize, tenants: usize) -> Self {
-        Self { class_run: vec![0.0; classes], tenants: vec![0.0; tenants], ..Self::default() }
+        Self { class_run: vec![0.0; classes], tenants: vec![0.0; tenants], kept: 1.0, ..Self::default() }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -79,6 +79,7 @@
         elapsed: 100 * MS,
         answered: outcome == Outcome::Ok,
         crowd: None,
+        load_failed: false,
     }
 }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -250,6 +250,7 @@
         elapsed: 3 * S,
         answered: true,
         crowd: None,
+        load_failed: false,
     };
     let to = worker(1).id;
     for n in 0..60 {
@@ -287,11 +288,11 @@
         for (_, worker) in sends(&bench.give(Event::Arrived(endless))) {
             let outcome = if n % 3 == 0 { Outcome::Full } else { Outcome::Ok };
             let event = ended(&id, 0, &worker, outcome);
-            let Event::Ended { request, attempt, worker, outcome, answered, crowd, .. } = event else {
+            let Event::Ended { request, attempt, worker, outcome, answered, crowd, load_failed, .. } = event else {
                 return;
             };
             let elapsed = Micros::MAX;
-            bench.give(Event::Ended { request, attempt, worker, outcome, elapsed, answered, crowd });
+            bench.give(Event::Ended { request, attempt, worker, outcome, elapsed, answered, crowd, load_failed });
         }
         bench.give(held(&worker(1).id, "f", Outcome::Ok, Micros::MAX));
         bench.run_to(bench.now + S);
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -87,6 +87,7 @@
                     elapsed: now - o.sent,
                     answered: false,
                     crowd: None,
+                    load_failed: false,
                 });
             }
             o.due > now
