--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,7 +28,7 @@
 /// Expected calls of peers within keep-alive that keep an instance warm without us: missed by one in twenty.
 const KEPT: f64 = 3.0;
 /// Part of an instance's lanes that a home is planned to carry: other functions share the worker's cores.
-const PLAN: f64 = 0.3;
+const PLAN: f64 = 0.5;
 /// Own pre-loads under way on one worker: a worker runs a few loads at a time, and peers load too.
 const PRELOADS_PER_WORKER: u32 = 2;
 /// Pre-load orders for each own arrival, so that the gateways' orders add up to a part of the calls ...
