A miss sends nothing elsewhere; silence is judged by the tail of answers seen; old failures fade

Also covers tailed run times; harms where a worker is slow on everything only by the tail's multiple: it is then found later.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -59,7 +59,8 @@
 const BACKOFF_DOUBLINGS: u32 = 3;
 /// Below this share of listed workers in good health the sense gives way: it is likelier the network or us.
 const QUORUM: f64 = 0.34;
-/// An attempt unanswered for this multiple of its expected time, its worker silent since, counts as lost.
+/// An attempt unanswered for this multiple of its expected time at least, or for what one answer in a hundred
+/// takes, its worker silent since, counts as lost.
 const HUNG: f64 = 4.0;
 /// Time-out of a repeatable attempt, in expected times, two aims at the least: a late repeat earns little ...
 const PATIENCE: f64 = 8.0;
@@ -153,7 +154,9 @@
     }
 
     fn fail(&mut self, now: Micros, score: f64, span: f64, longest: f64) {
-        self.score += score;
+        // What failed long ago, over the longest rest, says nothing any more.
+        let age = now.saturating_sub(std::mem::replace(&mut self.failed, now)) as f64;
+        self.score = self.score * (1.0 - age / longest.max(1.0)).max(0.0) + score;
         let view = self.view(now);
         if view == View::Trial || (view == View::Good && self.score >= SUSPECT) {
             let doubled = span * f64::from(1u32 << self.relapses.min(BACKOFF_DOUBLINGS));
@@ -598,7 +601,7 @@
     fn rest(&self) -> (f64, f64) {
         let gap = self.means.gap * self.fleet.serving;
         let longest = 2.0 * self.settings.keep_alive as f64;
-        ((self.aim as f64 * BACKOFF).max(gap.min(longest)), longest)
+        ((self.aim as f64 * BACKOFF).max(gap.min(longest / 4.0)), longest)
     }
 
     /// Work, in mean requests, by which a cold worker may still be sent some: saved up at our part of the
@@ -686,7 +689,7 @@
                 sent: self.now,
                 warm,
                 known,
-                avoid: warm,
+                avoid: false,
                 homes,
                 blamed: false,
                 expected,
@@ -726,7 +729,8 @@
             Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss => Fate::NeverRan,
             _ => Fate::MayHaveRun,
         };
-        attempt.avoid |= outcome == Outcome::Error; // An error sends the next attempt elsewhere.
+        // An error sends the next attempt elsewhere, a load that takes long or a 'miss' need not.
+        attempt.avoid = outcome == Outcome::Error || (attempt.warm && outcome != Outcome::Miss);
         let sent = attempt.clone();
         let (f, class, w) = (entry.function, entry.request.class, sent.worker);
         let took = elapsed as f64;
@@ -749,6 +753,10 @@
                 self.means.served +=
                     f64::from(u8::from(worker.capacity(&self.settings.cold, self.now) >= 1.0));
                 if sent.warm {
+                    // The multiple that one answer in a hundred still exceeds, where times are tailed.
+                    let tail = &mut self.means.tail;
+                    let step = if took > *tail * sent.expected { 1.5 } else { 0.995 };
+                    *tail = (*tail * step).clamp(HUNG, 2.0 * PATIENCE);
                     // Samples far apart count for more: the old ones have aged.
                     let weight = BLEND.max(since / (since + 2.0 * self.settings.keep_alive as f64));
                     blend(&mut worker.answer_time, took, weight);
@@ -807,7 +815,7 @@
 
     fn blame_silence(&mut self, w: W, class: usize, sent: &Attempt, took: f64) {
         if self.workers[w].health.get(class).is_some_and(|h| h.last_ok <= sent.sent) {
-            self.blame(w, class, sent.sent, if took >= HUNG * sent.expected { SUSPECT } else { 1.0 });
+            self.blame(w, class, sent.sent, if took >= self.means.tail * sent.expected { SUSPECT } else { 1.0 });
         }
     }
 
@@ -1007,7 +1015,7 @@
         for (id, entry) in &mut self.ledger {
             for (number, attempt) in entry.attempts.iter_mut().enumerate() {
                 let took = self.now.saturating_sub(attempt.sent) as f64;
-                if attempt.fate == Fate::Out && !attempt.blamed && took > HUNG * attempt.expected {
+                if attempt.fate == Fate::Out && !attempt.blamed && took > self.means.tail * attempt.expected {
                     attempt.blamed = true;
                     lost.push((id.clone(), number, entry.request.class, attempt.clone(), took));
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -159,6 +159,8 @@
     pub worker_rate: f64,
     /// How often peers' calls alone kept an instance, over all functions.
     pub kept: f64,
+    /// Expected times that one answer in a hundred exceeds.
+    pub tail: f64,
     /// Usual gap between own arrivals.
     pub gap: f64,
     pub last_arrival: Micros,
@@ -176,6 +178,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     pub score: f64,
+    pub failed: Micros,
     pub relapses: u32,
     /// Left alone until then, for that long.
     pub until: Micros,
@@ -196,6 +199,6 @@
 
 impl Means {
     pub fn new(classes: usize, tenants: usize) -> Self {
-        Self { class_run: vec![0.0; classes], tenants: vec![0.0; tenants], kept: 1.0, ..Self::default() }
+        Self { class_run: vec![0.0; classes], tenants: vec![0.0; tenants], kept: 1.0, tail: 4.0, ..Self::default() }
     }
 }
