--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,6 +44,8 @@
 /// Share of the shortest aim that a worker's mean answer time may reach before its requests are limited:
 /// answer times are about exponential, so at half the aim most still come in time.
 const BUSY: f64 = 0.5;
+/// Instances at work on a worker at a time, at a guess: a gateway's part of their lanes passes, up to a request.
+const INSTANCES: f64 = 4.0;
 /// Workers past the homes, in ring order, that may stand in: keeps a function's requests on few workers.
 const STAND_INS: usize = 3;
 /// A failure adds one to a worker's score, a success leaves this share of it ...
@@ -66,6 +68,8 @@
 const PATIENCE: f64 = 8.0;
 /// ... unless a repeat begun in good time still meets the aim and this many expected times have passed.
 const EARLY: f64 = 2.5;
+/// ... and this share of our attempts was lost of late: else a late answer is a load or a queue.
+const LOSSES: f64 = 0.05;
 /// An order unanswered for this multiple of the usual load time is no longer waited for.
 const LOAD_PATIENCE: f64 = 3.0;
 /// Part of the stated multiple of its capacity that a cold worker is sent; the rest is for peers and chance.
@@ -188,7 +192,8 @@
     /// An instance's lanes, shared by the gateways, always pass: waits for loads are no sign of a crowd.
     fn takes_more(&self, now: Micros, target: f64, rank: f64, floor: f64, lot: f64) -> bool {
         let limit = (self.crowd * target / self.answer_time.max(1.0) * rank).max(floor);
-        self.pause <= now && (self.answer_time <= target || f64::from(self.flying) + lot < limit)
+        let part = if limit < 1.0 { lot } else { 0.0 };
+        self.pause <= now && (self.answer_time <= target || f64::from(self.flying) + part < limit)
     }
 
     /// The share of its capacity that a worker has for sure at this time.
@@ -461,7 +466,8 @@
 
         let function = &self.functions[f];
         let lanes = function.lanes;
-        let (target, floor) = (self.aim as f64 * BUSY, lanes / f64::from(self.settings.gateways));
+        let (target, part) = (self.aim as f64 * BUSY, lanes / f64::from(self.settings.gateways));
+        let floor = part.max((INSTANCES * part).min(1.0));
         let flying = |w: W| f64::from(function.places.get(&w).map_or(0, |p| p.flying));
         let warm = |w: W| self.believed_warm(f, w);
         let takes = |w: W| self.workers[w].takes_more(self.now, target, rank, floor, lot);
@@ -663,7 +669,7 @@
         let in_time = (aim as f64 - self.now.saturating_sub(entry.arrived) as f64).min(left as f64);
         let early = in_time - 2.0 * self.run_time(f, class);
         let repeatable = effect != Effect::Unsafe && entry.attempts.len() + 1 < self.settings.max_attempts;
-        let patience = if known && early >= EARLY * expected && self.retries >= 1.0 {
+        let patience = if known && early >= EARLY * expected && self.means.lost > LOSSES && self.retries >= 1.0 {
             early as Micros
         } else {
             ((PATIENCE * expected) as Micros).max(aim * 2)
@@ -747,6 +753,7 @@
                 let worker = &mut self.workers[w];
                 let since = self.now.saturating_sub(worker.last_ok) as f64;
                 worker.last_ok = self.now;
+                self.means.lost -= BLEND * self.means.lost;
                 if let Some(health) = worker.health.get_mut(class) {
                     health.ok(self.now);
                 }
@@ -768,6 +775,13 @@
                     }
                 }
             }
+            Outcome::Timeout if sent.warm && took >= sent.expected => {
+                // It would have taken longer still.
+                blend(&mut self.workers[w].answer_time, took, BLEND);
+                if !sent.blamed {
+                    self.blame_silence(w, class, &sent, took);
+                }
+            }
             Outcome::Error if !load_failed => self.blame(w, class, sent.sent, 1.0),
             // A late answer is the worker's fault only if it has been silent to all since the sending.
             Outcome::Timeout if !sent.blamed && took >= sent.expected => {
@@ -780,7 +794,7 @@
             }
             Outcome::Full => {
                 // With an instance there its queue is full, without one it lacks the room to load.
-                if !sent.warm {
+                if !sent.known {
                     place.no_room = self.now.saturating_add(sent.expected as Micros);
                 }
                 self.workers[w].pause = self.now.saturating_add(self.means.run as Micros) / 2;
@@ -815,6 +829,7 @@
 
     fn blame_silence(&mut self, w: W, class: usize, sent: &Attempt, took: f64) {
         if self.workers[w].health.get(class).is_some_and(|h| h.last_ok <= sent.sent) {
+            self.means.lost += BLEND * (1.0 - self.means.lost);
             self.blame(w, class, sent.sent, if took >= self.means.tail * sent.expected { SUSPECT } else { 1.0 });
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -161,6 +161,8 @@
     pub kept: f64,
     /// Expected times that one answer in a hundred exceeds.
     pub tail: f64,
+    /// Share of our attempts that were lost in silence of late.
+    pub lost: f64,
     /// Usual gap between own arrivals.
     pub gap: f64,
     pub last_arrival: Micros,
