Unseen instances are believed in by the square of the peers' part; slow answers are queues where peers are many

Cause: with few gateways a home that nothing was known of counted as warm, and the loads waited for there were booked as answer times: workers looked busy, requests were refused.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,6 +27,11 @@
 const BELIEF: f64 = 0.9;
 /// Expected calls of peers within keep-alive that keep an instance warm without us: missed by one in twenty.
 const KEPT: f64 = 3.0;
+/// Chance from which an instance is believed to stand unseen: how often one stood, times the square of the
+/// peers' part of the calls, as few peers learn less from each other than a home's own evidence tells.
+const LIKELY: f64 = 0.5;
+/// Peers' part of the calls from which a slow answer is a queue rather than a load that we began.
+const MANY: f64 = 0.9;
 /// Part of an instance's lanes that a home is planned to carry: other functions share the worker's cores.
 const PLAN: f64 = 0.5;
 /// Own pre-loads under way on one worker: a worker runs a few loads at a time, and peers load too.
@@ -549,7 +554,7 @@
 
     /// Fresh evidence of our own, or none against it where peers' calls have mostly kept the function.
     fn believed_warm(&self, f: F, w: W) -> bool {
-        self.known_warm(f, w) || (!self.lacks(f, w) && self.functions[f].kept >= 0.5)
+        self.known_warm(f, w) || (!self.lacks(f, w) && self.functions[f].kept * self.peers().powi(2) >= LIKELY)
     }
 
     fn known_warm(&self, f: F, w: W) -> bool {
@@ -567,10 +572,14 @@
         !self.known_warm(f, w) && (missed || started || self.settings.gateways == 1)
     }
 
+    /// The peers' part of all calls.
+    fn peers(&self) -> f64 {
+        1.0 - 1.0 / f64::from(self.settings.gateways)
+    }
+
     fn kept_by_peers(&self, f: F) -> bool {
         let function = &self.functions[f];
-        let peers = self.fleet_rate(f) * (1.0 - 1.0 / f64::from(self.settings.gateways));
-        peers * function.kept * self.settings.keep_alive as f64 >= KEPT * self.homes(f) as f64
+        self.fleet_rate(f) * self.peers() * function.kept * self.settings.keep_alive as f64 >= KEPT * self.homes(f) as f64
     }
 
     /// Worth for work against the best class, its root so that none starves; less beyond a tenant's part.
@@ -745,6 +754,11 @@
             let crowd = &mut self.functions[f].crowd;
             blend(crowd, (f64::from(held) * sent.homes).max(1e-9), 2.0 * BLEND);
         }
+        // An answer that took as long as a load, where we knew of no instance, says nothing of run times.
+        let slow = took > self.run_time(f, class) + self.load_time(&self.functions[f]) / 2.0;
+        // Where peers make nearly all calls one stood so likely that it was a queue.
+        let many = self.peers() >= MANY;
+        let ran = sent.known || (sent.warm && (many || !slow));
         let place = self.functions[f].places.entry(w).or_default();
         place.flying = place.flying.saturating_sub(1);
         match outcome {
@@ -759,7 +773,7 @@
                 }
                 self.means.served +=
                     f64::from(u8::from(worker.capacity(&self.settings.cold, self.now) >= 1.0));
-                if sent.warm {
+                if ran {
                     // The multiple that one answer in a hundred still exceeds, where times are tailed.
                     let tail = &mut self.means.tail;
                     let step = if took > *tail * sent.expected { 1.5 } else { 0.995 };
@@ -775,18 +789,16 @@
                     }
                 }
             }
-            Outcome::Timeout if sent.warm && took >= sent.expected => {
-                // It would have taken longer still.
-                blend(&mut self.workers[w].answer_time, took, BLEND);
+            Outcome::Error if !load_failed => self.blame(w, class, sent.sent, 1.0),
+            Outcome::Timeout if took >= sent.expected => {
+                if sent.warm && many {
+                    blend(&mut self.workers[w].answer_time, took, BLEND);
+                }
+                // A late answer is the worker's fault only if it has been silent to all since the sending.
                 if !sent.blamed {
                     self.blame_silence(w, class, &sent, took);
                 }
             }
-            Outcome::Error if !load_failed => self.blame(w, class, sent.sent, 1.0),
-            // A late answer is the worker's fault only if it has been silent to all since the sending.
-            Outcome::Timeout if !sent.blamed && took >= sent.expected => {
-                self.blame_silence(w, class, &sent, took);
-            }
             Outcome::Reset => self.blame(w, class, sent.sent, 1.0),
             Outcome::ConnectFailed => {
                 self.forget(w);
@@ -805,9 +817,7 @@
             _ => {}
         }
         if !sent.known && matches!(outcome, Outcome::Ok | Outcome::Miss) {
-            // Whether peers' calls kept an instance: an answer that took as long as a load says no.
-            let function = &self.functions[f];
-            let slow = took > self.run_time(f, class) + self.load_time(function) / 2.0;
+            // Whether peers' calls kept an instance.
             let stood = f64::from(u8::from(outcome == Outcome::Ok && !slow));
             self.functions[f].kept += 3.0 * BLEND * (stood - self.functions[f].kept);
             self.means.kept += BLEND * (stood - self.means.kept);
