--- a/src/rules.rs
+++ b/src/rules.rs
@@ -478,13 +478,17 @@
         let takes = |w: W| self.workers[w].takes_more(self.now, target, rank, floor, lot);
         let has_lane = |w: W| warm(w) && takes(w) && flying(w) < lanes;
         let free = able[..homes].iter().copied().filter(|w| has_lane(*w));
-        let free: Vec<(f64, W)> = free.map(|w| (f64::from(self.workers[w].flying), w)).collect();
+        // Little's law again: the time that a worker takes to answer tells of the peers' requests in flight there.
+        let peers = |w: W| self.peers() * self.workers[w].answer_time / self.means.run.max(1.0);
+        let free: Vec<(f64, W)> =
+            free.map(|w| (f64::from(self.workers[w].flying) + peers(w), w)).collect();
         // Exception: a busy fleet loads no further instances, only those of functions that have none.
         let widen = self.fleet.calm || !able[..homes].iter().any(|w| warm(*w));
         let mut cold: Vec<W> = able[..homes].iter().copied().filter(|w| widen && !warm(*w)).collect();
+        let busy = !able[..homes].iter().any(|w| takes(*w));
         let picked = if !free.is_empty() {
             fewest(&mut self.rng, &free)
-        } else if let Some(stand_in) = able[homes..].iter().find(|w| has_lane(**w)) {
+        } else if let Some(stand_in) = able[homes..].iter().find(|w| (busy || self.known_warm(f, **w)) && has_lane(**w)) {
             // Exception: while no home has a warm lane, the next warm one on the ring stands in.
             Some(*stand_in)
         } else {
