--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,7 +33,7 @@
 /// Peers' part of the calls from which a slow answer is a queue rather than a load that we began.
 const MANY: f64 = 0.9;
 /// Part of an instance's lanes that a home is planned to carry: other functions share the worker's cores.
-const PLAN: f64 = 0.5;
+const PLAN: f64 = 0.3;
 /// Own pre-loads under way on one worker: a worker runs a few loads at a time, and peers load too.
 const PRELOADS_PER_WORKER: u32 = 2;
 /// Pre-load orders for each own arrival, so that the gateways' orders add up to a part of the calls ...
@@ -480,15 +480,16 @@
         let free = able[..homes].iter().copied().filter(|w| has_lane(*w));
         // Little's law again: the time that a worker takes to answer tells of the peers' requests in flight there.
         let peers = |w: W| self.peers() * self.workers[w].answer_time / self.means.run.max(1.0);
-        let free: Vec<(f64, W)> =
-            free.map(|w| (f64::from(self.workers[w].flying) + peers(w), w)).collect();
+        let free: Vec<(f64, W)> = free.map(|w| (f64::from(self.workers[w].flying) + peers(w), w)).collect();
         // Exception: a busy fleet loads no further instances, only those of functions that have none.
         let widen = self.fleet.calm || !able[..homes].iter().any(|w| warm(*w));
         let mut cold: Vec<W> = able[..homes].iter().copied().filter(|w| widen && !warm(*w)).collect();
         let busy = !able[..homes].iter().any(|w| takes(*w));
         let picked = if !free.is_empty() {
             fewest(&mut self.rng, &free)
-        } else if let Some(stand_in) = able[homes..].iter().find(|w| (busy || self.known_warm(f, **w)) && has_lane(**w)) {
+        } else if let Some(stand_in) =
+            able[homes..].iter().find(|w| (busy || self.known_warm(f, **w)) && has_lane(**w))
+        {
             // Exception: while no home has a warm lane, the next warm one on the ring stands in.
             Some(*stand_in)
         } else {
@@ -558,7 +559,8 @@
 
     /// Fresh evidence of our own, or none against it where peers' calls have mostly kept the function.
     fn believed_warm(&self, f: F, w: W) -> bool {
-        self.known_warm(f, w) || (!self.lacks(f, w) && self.functions[f].kept * self.peers().powi(2) >= LIKELY)
+        self.known_warm(f, w)
+            || (!self.lacks(f, w) && self.functions[f].kept * self.peers().powi(2) >= LIKELY)
     }
 
     fn known_warm(&self, f: F, w: W) -> bool {
@@ -583,7 +585,8 @@
 
     fn kept_by_peers(&self, f: F) -> bool {
         let function = &self.functions[f];
-        self.fleet_rate(f) * self.peers() * function.kept * self.settings.keep_alive as f64 >= KEPT * self.homes(f) as f64
+        self.fleet_rate(f) * self.peers() * function.kept * self.settings.keep_alive as f64
+            >= KEPT * self.homes(f) as f64
     }
 
     /// Worth for work against the best class, its root so that none starves; less beyond a tenant's part.
@@ -682,11 +685,12 @@
         let in_time = (aim as f64 - self.now.saturating_sub(entry.arrived) as f64).min(left as f64);
         let early = in_time - 2.0 * self.run_time(f, class);
         let repeatable = effect != Effect::Unsafe && entry.attempts.len() + 1 < self.settings.max_attempts;
-        let patience = if known && early >= EARLY * expected && self.means.lost > LOSSES && self.retries >= 1.0 {
-            early as Micros
-        } else {
-            ((PATIENCE * expected) as Micros).max(aim * 2)
-        };
+        let patience =
+            if known && early >= EARLY * expected && self.means.lost > LOSSES && self.retries >= 1.0 {
+                early as Micros
+            } else {
+                ((PATIENCE * expected) as Micros).max(aim * 2)
+            };
         let timeout = if repeatable && patience.saturating_add(aim / 4) < left { patience } else { left };
 
         let (weight, (rate, _)) = (self.weight(class), self.cold_rate(&self.workers[w]));
@@ -844,7 +848,12 @@
     fn blame_silence(&mut self, w: W, class: usize, sent: &Attempt, took: f64) {
         if self.workers[w].health.get(class).is_some_and(|h| h.last_ok <= sent.sent) {
             self.means.lost += BLEND * (1.0 - self.means.lost);
-            self.blame(w, class, sent.sent, if took >= self.means.tail * sent.expected { SUSPECT } else { 1.0 });
+            self.blame(
+                w,
+                class,
+                sent.sent,
+                if took >= self.means.tail * sent.expected { SUSPECT } else { 1.0 },
+            );
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -201,6 +201,12 @@
 
 impl Means {
     pub fn new(classes: usize, tenants: usize) -> Self {
-        Self { class_run: vec![0.0; classes], tenants: vec![0.0; tenants], kept: 1.0, tail: 4.0, ..Self::default() }
+        Self {
+            class_run: vec![0.0; classes],
+            tenants: vec![0.0; tenants],
+            kept: 1.0,
+            tail: 4.0,
+            ..Self::default()
+        }
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -288,11 +288,21 @@
         for (_, worker) in sends(&bench.give(Event::Arrived(endless))) {
             let outcome = if n % 3 == 0 { Outcome::Full } else { Outcome::Ok };
             let event = ended(&id, 0, &worker, outcome);
-            let Event::Ended { request, attempt, worker, outcome, answered, crowd, load_failed, .. } = event else {
+            let Event::Ended { request, attempt, worker, outcome, answered, crowd, load_failed, .. } = event
+            else {
                 return;
             };
             let elapsed = Micros::MAX;
-            bench.give(Event::Ended { request, attempt, worker, outcome, elapsed, answered, crowd, load_failed });
+            bench.give(Event::Ended {
+                request,
+                attempt,
+                worker,
+                outcome,
+                elapsed,
+                answered,
+                crowd,
+                load_failed,
+            });
         }
         bench.give(held(&worker(1).id, "f", Outcome::Ok, Micros::MAX));
         bench.run_to(bench.now + S);
