Out: early time-outs, the measured tail, the cap of pre-loads a worker, tenants' shares, taking attempts back

Each false alarm moved a function from its home and cost a load; silence counts from twelve expected times on. Could harm: a worker that hangs is found by its second time-out only.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,8 +34,6 @@
 const MANY: f64 = 0.9;
 /// Part of an instance's lanes that a home is planned to carry: other functions share the worker's cores.
 const PLAN: f64 = 0.3;
-/// Own pre-loads under way on one worker: a worker runs a few loads at a time, and peers load too.
-const PRELOADS_PER_WORKER: u32 = 2;
 /// Pre-load orders for each own arrival, so that the gateways' orders add up to a part of the calls ...
 const PRELOADS_PER_CALL: f64 = 0.5;
 /// ... and how many may be saved up.
@@ -66,23 +64,15 @@
 const BACKOFF_DOUBLINGS: u32 = 3;
 /// Below this share of listed workers in good health the sense gives way: it is likelier the network or us.
 const QUORUM: f64 = 0.34;
-/// An attempt unanswered for this multiple of its expected time at least, or for what one answer in a hundred
-/// takes, its worker silent since, counts as lost.
-const HUNG: f64 = 4.0;
-/// Time-out of a repeatable attempt, in expected times, two aims at the least: a late repeat earns little ...
+/// An attempt unanswered for this multiple of its expected time, its worker silent since, counts as lost: run
+/// times are tailed and queues pass, and a home left in vain costs loads.
+const HUNG: f64 = 12.0;
+/// Time-out of a repeatable attempt, in expected times, two aims at the least: a late repeat earns little.
 const PATIENCE: f64 = 8.0;
-/// ... unless a repeat begun in good time still meets the aim and this many expected times have passed.
-const EARLY: f64 = 2.5;
-/// ... and this share of our attempts was lost of late: else a late answer is a load or a queue.
-const LOSSES: f64 = 0.05;
 /// An order unanswered for this multiple of the usual load time is no longer waited for.
 const LOAD_PATIENCE: f64 = 3.0;
 /// Part of the stated multiple of its capacity that a cold worker is sent; the rest is for peers and chance.
 const COLD_SPEND: f64 = 0.75;
-/// A tenant with this multiple of its quota's part of the arrivals here is beyond its share: past chance.
-const OVER_SHARE: f64 = 1.25;
-/// Weight of one arrival in a tenant's part of them: some hundreds of arrivals, as quotas are of rates.
-const TENANT_BLEND: f64 = 0.005;
 /// Further attempts after one that may have run, for each request taken: a bad spell adds a fifth at most.
 const RETRY_SHARE: f64 = 0.2;
 /// Retries that may be saved up.
@@ -257,7 +247,7 @@
             timers: BTreeSet::new(),
             wake_at: None,
             retries: RETRY_SAVED / 2.0,
-            means: Means::new(settings.classes.len(), settings.tenants.len()),
+            means: Means::new(settings.classes.len()),
             fleet: Fleet::default(),
             now: 0,
             swept: 0,
@@ -393,9 +383,6 @@
         }
         let gap = self.now.saturating_sub(std::mem::replace(&mut self.means.last_arrival, self.now));
         blend(&mut self.means.gap, gap as f64, BLEND);
-        for (tenant, share) in self.means.tenants.iter_mut().enumerate() {
-            *share += TENANT_BLEND * (f64::from(u8::from(request.tenant == Some(tenant))) - *share);
-        }
         let f = *self.function_ids.entry(request.function.clone()).or_insert(self.functions.len());
         if f == self.functions.len() {
             let name = request.function.clone();
@@ -589,19 +576,14 @@
             >= KEPT * self.homes(f) as f64
     }
 
-    /// Worth for work against the best class, its root so that none starves; less beyond a tenant's part.
+    /// Worth for work against the best class, its root so that none starves.
     fn rank(&self, request: &Request) -> f64 {
         let worth = |class: usize| self.settings.classes.get(class).map_or(0.0, |c| c.worth);
         let density =
             |class: usize| worth(class) / self.means.class_run.get(class).map_or(1.0, |run| run.max(1.0));
         let known = self.means.class_run.iter().all(|run| *run > 0.0);
         let best = (0..self.settings.classes.len()).map(density).fold(0.0, f64::max);
-        let rank = if known && best > 0.0 { (density(request.class) / best).sqrt() } else { 1.0 };
-        let quota = |t: usize| self.settings.tenants.get(t).map_or(0.0, |tenant| tenant.quota_per_s);
-        let quotas: f64 = (0..self.settings.tenants.len()).map(quota).sum();
-        let share = |t: usize| self.means.tenants.get(t).copied().unwrap_or(0.0);
-        let over = request.tenant.is_some_and(|t| share(t) > OVER_SHARE * quota(t) / quotas);
-        if over { rank * self.settings.over_quota_worth } else { rank }
+        if known && best > 0.0 { (density(request.class) / best).sqrt() } else { 1.0 }
     }
 
     fn effect(&self, class: usize) -> Effect {
@@ -682,15 +664,8 @@
         let capacity = self.workers[w].capacity(&self.settings.cold, self.now);
         let expected = (self.run_time(f, class) + load) / capacity;
         let aim = self.settings.classes.get(class).map_or(left, |c| c.aim);
-        let in_time = (aim as f64 - self.now.saturating_sub(entry.arrived) as f64).min(left as f64);
-        let early = in_time - 2.0 * self.run_time(f, class);
         let repeatable = effect != Effect::Unsafe && entry.attempts.len() + 1 < self.settings.max_attempts;
-        let patience =
-            if known && early >= EARLY * expected && self.means.lost > LOSSES && self.retries >= 1.0 {
-                early as Micros
-            } else {
-                ((PATIENCE * expected) as Micros).max(aim * 2)
-            };
+        let patience = ((PATIENCE * expected) as Micros).max(aim * 2);
         let timeout = if repeatable && patience.saturating_add(aim / 4) < left { patience } else { left };
 
         let (weight, (rate, _)) = (self.weight(class), self.cold_rate(&self.workers[w]));
@@ -775,17 +750,12 @@
                 let worker = &mut self.workers[w];
                 let since = self.now.saturating_sub(worker.last_ok) as f64;
                 worker.last_ok = self.now;
-                self.means.lost -= BLEND * self.means.lost;
                 if let Some(health) = worker.health.get_mut(class) {
                     health.ok(self.now);
                 }
                 self.means.served +=
                     f64::from(u8::from(worker.capacity(&self.settings.cold, self.now) >= 1.0));
                 if ran {
-                    // The multiple that one answer in a hundred still exceeds, where times are tailed.
-                    let tail = &mut self.means.tail;
-                    let step = if took > *tail * sent.expected { 1.5 } else { 0.995 };
-                    *tail = (*tail * step).clamp(HUNG, 2.0 * PATIENCE);
                     // Samples far apart count for more: the old ones have aged.
                     let weight = BLEND.max(since / (since + 2.0 * self.settings.keep_alive as f64));
                     blend(&mut worker.answer_time, took, weight);
@@ -804,7 +774,7 @@
                 }
                 // A late answer is the worker's fault only if it has been silent to all since the sending.
                 if !sent.blamed {
-                    self.blame_silence(w, class, &sent, took);
+                    self.blame_silence(class, &sent, took);
                 }
             }
             Outcome::Reset => self.blame(w, class, sent.sent, 1.0),
@@ -845,15 +815,10 @@
         self.dispatch(id);
     }
 
-    fn blame_silence(&mut self, w: W, class: usize, sent: &Attempt, took: f64) {
+    fn blame_silence(&mut self, class: usize, sent: &Attempt, took: f64) {
+        let w = sent.worker;
         if self.workers[w].health.get(class).is_some_and(|h| h.last_ok <= sent.sent) {
-            self.means.lost += BLEND * (1.0 - self.means.lost);
-            self.blame(
-                w,
-                class,
-                sent.sent,
-                if took >= self.means.tail * sent.expected { SUSPECT } else { 1.0 },
-            );
+            self.blame(w, class, sent.sent, if took >= HUNG * sent.expected { SUSPECT } else { 1.0 });
         }
     }
 
@@ -957,7 +922,7 @@
     /// The one way out for load orders; true when one is under way. It alone keeps: no draining or gone
     /// worker, one order a function and worker, the caps on pre-loads, the ration.
     fn order_gate(&mut self, w: W, f: F, needed: bool) -> bool {
-        let worker = &mut self.workers[w];
+        let worker = &self.workers[w];
         if !self.settings.may_order || worker.entry.state != WorkerState::In {
             return false;
         }
@@ -966,7 +931,7 @@
             return true;
         }
         let holds = &mut self.holds;
-        if !needed && (holds.tokens < 1.0 || worker.orders >= PRELOADS_PER_WORKER) {
+        if !needed && holds.tokens < 1.0 {
             return false;
         }
         if let Some(ration) = &self.settings.ration {
@@ -989,7 +954,6 @@
             holds.tokens -= 1.0;
         }
         place.ordered = Some(self.now);
-        worker.orders += 1;
         let (worker, function) = (worker.entry.id.clone(), self.functions[f].name.clone());
         self.actions.push(Action::Hold { worker, function, count: 1 });
         true
@@ -1000,7 +964,6 @@
         let function = &mut self.functions[f];
         let place = function.places.entry(w).or_default();
         let Some(since) = place.ordered.take() else { return };
-        self.workers[w].orders = self.workers[w].orders.saturating_sub(1);
         let took = elapsed as f64;
         let orders = self.settings.classes.len();
         match outcome {
@@ -1041,34 +1004,25 @@
             self.means.worker_rate += (sample - self.means.worker_rate) * weight;
             self.count();
         }
-        self.call_off_lost();
+        self.blame_silent();
         self.pump();
         self.rescue_waiting();
     }
 
-    /// A worker that takes work and answers none: silent since an attempt went out, far beyond the expected. What
-    /// may be repeated is taken back; its outcome brings the next attempt.
-    fn call_off_lost(&mut self) {
+    /// A worker that takes work and answers none: silent since an attempt went out, far beyond the expected.
+    fn blame_silent(&mut self) {
         let mut lost = Vec::new();
-        for (id, entry) in &mut self.ledger {
-            for (number, attempt) in entry.attempts.iter_mut().enumerate() {
+        for entry in self.ledger.values_mut() {
+            for attempt in entry.attempts.iter_mut().filter(|a| a.fate == Fate::Out && !a.blamed) {
                 let took = self.now.saturating_sub(attempt.sent) as f64;
-                if attempt.fate == Fate::Out && !attempt.blamed && took > self.means.tail * attempt.expected {
-                    attempt.blamed = true;
-                    lost.push((id.clone(), number, entry.request.class, attempt.clone(), took));
+                attempt.blamed = took > HUNG * attempt.expected;
+                if attempt.blamed {
+                    lost.push((entry.request.class, attempt.clone(), took));
                 }
             }
         }
-        for (id, attempt, class, sent, took) in lost {
-            let silent = self.workers[sent.worker].last_ok <= sent.sent;
-            self.blame_silence(sent.worker, class, &sent, took);
-            let Some(entry) = self.ledger.get(&id) else { continue };
-            let again = self.effect(class) == Effect::Safe
-                && entry.attempts.len() < self.settings.max_attempts
-                && self.retries >= 1.0;
-            if silent && self.settings.may_cancel && again && !entry.over && !entry.streaming {
-                self.actions.push(Action::Cancel { request: id, attempt });
-            }
+        for (class, sent, took) in lost {
+            self.blame_silence(class, &sent, took);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -65,9 +65,8 @@
     /// Work that it may still be sent while cold, as of when.
     pub cold_credit: f64,
     pub cold_since: Micros,
-    /// Own requests in flight, and own orders unanswered.
+    /// Own requests in flight.
     pub flying: u32,
-    pub orders: u32,
     /// Running means of answer time, and of own requests in flight when those were sent.
     pub answer_time: f64,
     pub crowd: f64,
@@ -148,8 +147,6 @@
 #[derive(Debug, Default)]
 pub struct Means {
     pub class_run: Vec<f64>,
-    /// Each tenant's part of the arrivals.
-    pub tenants: Vec<f64>,
     pub run: f64,
     pub load: f64,
     /// The least round trip of an order.
@@ -159,10 +156,6 @@
     pub worker_rate: f64,
     /// How often peers' calls alone kept an instance, over all functions.
     pub kept: f64,
-    /// Expected times that one answer in a hundred exceeds.
-    pub tail: f64,
-    /// Share of our attempts that were lost in silence of late.
-    pub lost: f64,
     /// Usual gap between own arrivals.
     pub gap: f64,
     pub last_arrival: Micros,
@@ -200,13 +193,7 @@
 }
 
 impl Means {
-    pub fn new(classes: usize, tenants: usize) -> Self {
-        Self {
-            class_run: vec![0.0; classes],
-            tenants: vec![0.0; tenants],
-            kept: 1.0,
-            tail: 4.0,
-            ..Self::default()
-        }
+    pub fn new(classes: usize) -> Self {
+        Self { class_run: vec![0.0; classes], kept: 1.0, ..Self::default() }
     }
 }
