--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,8 +25,6 @@
 const RENEW: f64 = 0.6;
 /// Share of keep-alive for which a warm belief lasts: an instance may give way to loads earlier.
 const BELIEF: f64 = 0.9;
-/// Expected calls of peers within keep-alive that keep an instance warm without us: missed by one in twenty.
-const KEPT: f64 = 3.0;
 /// Chance from which an instance is believed to stand unseen: how often one stood, times the square of the
 /// peers' part of the calls, as few peers learn less from each other than a home's own evidence tells.
 const LIKELY: f64 = 0.5;
@@ -47,21 +45,15 @@
 /// Share of the shortest aim that a worker's mean answer time may reach before its requests are limited:
 /// answer times are about exponential, so at half the aim most still come in time.
 const BUSY: f64 = 0.5;
-/// Instances at work on a worker at a time, at a guess: a gateway's part of their lanes passes, up to a request.
-const INSTANCES: f64 = 4.0;
 /// Workers past the homes, in ring order, that may stand in: keeps a function's requests on few workers.
 const STAND_INS: usize = 3;
 /// A failure adds one to a worker's score, a success leaves this share of it ...
 const FORGIVE: f64 = 0.8;
 /// ... and from this score on it is left alone: two failures with at most one success between.
 const SUSPECT: f64 = 1.75;
-/// Successes that clear a worker on trial, at the most; as many as it had relapses before.
-const TRIALS: u32 = 3;
 /// A suspect is left alone for this multiple of the shortest aim, or for our usual gap between requests to one
-/// worker where that is longer; doubled at each relapse ...
+/// worker where that is longer, half a keep-alive at most; then one success clears it.
 const BACKOFF: f64 = 1.5;
-/// ... at most this often.
-const BACKOFF_DOUBLINGS: u32 = 3;
 /// Below this share of listed workers in good health the sense gives way: it is likelier the network or us.
 const QUORUM: f64 = 0.34;
 /// An attempt unanswered for this multiple of its expected time, its worker silent since, counts as lost: run
@@ -69,8 +61,6 @@
 const HUNG: f64 = 12.0;
 /// Time-out of a repeatable attempt, in expected times, two aims at the least: a late repeat earns little.
 const PATIENCE: f64 = 8.0;
-/// An order unanswered for this multiple of the usual load time is no longer waited for.
-const LOAD_PATIENCE: f64 = 3.0;
 /// Part of the stated multiple of its capacity that a cold worker is sent; the rest is for peers and chance.
 const COLD_SPEND: f64 = 0.75;
 /// Further attempts after one that may have run, for each request taken: a bad spell adds a fifth at most.
@@ -152,31 +142,21 @@
         }
     }
 
-    fn fail(&mut self, now: Micros, score: f64, span: f64, longest: f64) {
-        // What failed long ago, over the longest rest, says nothing any more.
+    fn fail(&mut self, now: Micros, score: f64, rest: f64, fades: f64) {
+        // What failed long ago says nothing any more.
         let age = now.saturating_sub(std::mem::replace(&mut self.failed, now)) as f64;
-        self.score = self.score * (1.0 - age / longest.max(1.0)).max(0.0) + score;
+        self.score = self.score * (1.0 - age / fades.max(1.0)).max(0.0) + score;
         let view = self.view(now);
         if view == View::Trial || (view == View::Good && self.score >= SUSPECT) {
-            let doubled = span * f64::from(1u32 << self.relapses.min(BACKOFF_DOUBLINGS));
-            self.span = doubled.min(longest.max(span)) as Micros;
-            self.until = now.saturating_add(self.span);
-            self.relapses += 1;
+            self.until = now.saturating_add(rest as Micros);
             self.suspect = true;
-            self.trials = 0;
         }
     }
 
     fn ok(&mut self, now: Micros) {
         self.last_ok = now;
-        self.score *= FORGIVE;
-        self.trials += 1;
-        if self.suspect && self.trials >= self.relapses.min(TRIALS) {
-            self.suspect = false;
-            self.score = 0.0;
-        } else if !self.suspect && self.score < 0.01 {
-            self.relapses = 0;
-        }
+        self.score *= if self.suspect { 0.0 } else { FORGIVE };
+        self.suspect = false;
     }
 }
 
@@ -458,8 +438,7 @@
 
         let function = &self.functions[f];
         let lanes = function.lanes;
-        let (target, part) = (self.aim as f64 * BUSY, lanes / f64::from(self.settings.gateways));
-        let floor = part.max((INSTANCES * part).min(1.0));
+        let (target, floor) = (self.aim as f64 * BUSY, lanes / f64::from(self.settings.gateways));
         let flying = |w: W| f64::from(function.places.get(&w).map_or(0, |p| p.flying));
         let warm = |w: W| self.believed_warm(f, w);
         let takes = |w: W| self.workers[w].takes_more(self.now, target, rank, floor, lot);
@@ -501,7 +480,7 @@
         let worker = &self.workers[w];
         let health = worker.health.get(class).or(worker.health.last());
         let view = health.map_or(View::Good, |h| h.view(self.now));
-        let rested = |h: &Health| self.now >= h.until.saturating_add(h.span);
+        let rested = |h: &Health| self.now.saturating_sub(h.until) >= h.until.saturating_sub(h.failed);
         let healthy = match view {
             View::Good => true,
             // What can't be repeated is tried later than what can.
@@ -570,12 +549,6 @@
         1.0 - 1.0 / f64::from(self.settings.gateways)
     }
 
-    fn kept_by_peers(&self, f: F) -> bool {
-        let function = &self.functions[f];
-        self.fleet_rate(f) * self.peers() * function.kept * self.settings.keep_alive as f64
-            >= KEPT * self.homes(f) as f64
-    }
-
     /// Worth for work against the best class, its root so that none starves.
     fn rank(&self, request: &Request) -> f64 {
         let worth = |class: usize| self.settings.classes.get(class).map_or(0.0, |c| c.worth);
@@ -601,11 +574,10 @@
         [function.load, self.means.load, guess].into_iter().find(|t| *t > 0.0).unwrap_or(guess)
     }
 
-    /// How long a suspect is left alone at first, and at the most.
+    /// How long a suspect is left alone, and the time in which a failure fades.
     fn rest(&self) -> (f64, f64) {
-        let gap = self.means.gap * self.fleet.serving;
-        let longest = 2.0 * self.settings.keep_alive as f64;
-        ((self.aim as f64 * BACKOFF).max(gap.min(longest / 4.0)), longest)
+        let fades = 2.0 * self.settings.keep_alive as f64;
+        ((self.aim as f64 * BACKOFF).max((self.means.gap * self.fleet.serving).min(fades / 4.0)), fades)
     }
 
     /// Work, in mean requests, by which a cold worker may still be sent some: saved up at our part of the
@@ -825,11 +797,11 @@
     /// A failure counts against the worker for its class, and for each other class that the worker has not
     /// answered since, there as one of two: what fails one class need not fail the rest.
     fn blame(&mut self, w: W, class: usize, sent: Micros, score: f64) {
-        let (span, longest) = self.rest();
+        let (rest, fades) = self.rest();
         for (other, health) in self.workers[w].health.iter_mut().enumerate() {
             if other == class || health.last_ok <= sent {
                 let score = if other == class { score } else { score.min(1.0) };
-                health.fail(self.now, score, span, longest);
+                health.fail(self.now, score, rest, fades);
             }
         }
     }
@@ -871,7 +843,7 @@
             self.has_room(f, *w) && self.workers[*w].health.iter().all(|h| h.view(self.now) != View::Bad)
         };
         let home = ring.iter().copied().find(fit);
-        let kept = home.is_some_and(|w| !self.lacks(f, w) && self.kept_by_peers(f));
+        let kept = home.is_some_and(|w| !self.known_warm(f, w) && self.believed_warm(f, w));
         let function = &mut self.functions[f];
         let (load_at, release_at) = (function.forecast.load_at, function.forecast.release_at);
         function.timer = self.now < release_at;
@@ -1039,15 +1011,7 @@
         if self.functions[f].waiting.is_empty() {
             return;
         }
-        let usual = LOAD_PATIENCE * self.load_time(&self.functions[f]).max(self.means.load);
-        let mut loading = false;
-        for place in self.functions[f].places.values_mut() {
-            let waited = place.ordered.map(|since| self.now.saturating_sub(since) as f64);
-            if waited.is_some_and(|waited| waited > usual) {
-                place.no_room = place.no_room.max(self.now + self.aim);
-            }
-            loading |= waited.is_some_and(|waited| waited <= usual);
-        }
+        let loading = self.functions[f].places.values().any(|p| p.ordered.is_some());
         let mut open = true;
         for (deadline, id) in self.functions[f].waiting.clone() {
             let class_aim = |e: &Entry| self.settings.classes.get(e.request.class).map_or(0, |c| c.aim);
--- a/src/state.rs
+++ b/src/state.rs
@@ -174,12 +174,9 @@
 pub struct Health {
     pub score: f64,
     pub failed: Micros,
-    pub relapses: u32,
-    /// Left alone until then, for that long.
+    /// Left alone until then, on trial after.
     pub until: Micros,
-    pub span: Micros,
     pub suspect: bool,
-    pub trials: u32,
     pub last_ok: Micros,
 }
 
