--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,9 +56,6 @@
 const BACKOFF: f64 = 1.5;
 /// Below this share of listed workers in good health the sense gives way: it is likelier the network or us.
 const QUORUM: f64 = 0.34;
-/// An attempt unanswered for this multiple of its expected time, its worker silent since, counts as lost: run
-/// times are tailed and queues pass, and a home left in vain costs loads.
-const HUNG: f64 = 12.0;
 /// Time-out of a repeatable attempt, in expected times, two aims at the least: a late repeat earns little.
 const PATIENCE: f64 = 8.0;
 /// Part of the stated multiple of its capacity that a cold worker is sent; the rest is for peers and chance.
@@ -165,10 +162,10 @@
     /// that give that time are those seen, times target over time seen, times the rank of the work; a part of
     /// a request is taken by lot, so that gateways with less than one in flight here thin out together.
     /// An instance's lanes, shared by the gateways, always pass: waits for loads are no sign of a crowd.
-    fn takes_more(&self, now: Micros, target: f64, rank: f64, floor: f64, lot: f64) -> bool {
+    fn takes_more(&self, target: f64, rank: f64, floor: f64, lot: f64) -> bool {
         let limit = (self.crowd * target / self.answer_time.max(1.0) * rank).max(floor);
         let part = if limit < 1.0 { lot } else { 0.0 };
-        self.pause <= now && (self.answer_time <= target || f64::from(self.flying) + part < limit)
+        self.answer_time <= target || f64::from(self.flying) + part < limit
     }
 
     /// The share of its capacity that a worker has for sure at this time.
@@ -296,8 +293,7 @@
             }
             ListNews::Whole(entries) => {
                 let named: BTreeSet<_> = entries.iter().map(|e| &e.id).collect();
-                for (id, w) in self.worker_ids.iter().filter(|(id, _)| !named.contains(id)) {
-                    debug_assert_eq!(*id, self.workers[*w].entry.id);
+                for (_, w) in self.worker_ids.iter().filter(|(id, _)| !named.contains(id)) {
                     self.workers[*w].entry.state = WorkerState::Out;
                     changed.insert(*w);
                 }
@@ -383,16 +379,7 @@
         let id = request.id.clone();
         let deadline = self.now.saturating_add(request.time_left);
         self.timers.insert((deadline, Timer::Deadline(id.clone())));
-        let entry = Entry {
-            request,
-            function: f,
-            lot: self.lot(),
-            arrived: self.now,
-            deadline,
-            attempts: Vec::new(),
-            over: false,
-            streaming: false,
-        };
+        let entry = Entry { lot: self.lot(), ..Entry::new(request, f, self.now) };
         self.ledger.insert(id.clone(), entry);
         self.dispatch(&id);
     }
@@ -412,15 +399,19 @@
             let ordered = loads && self.lacks(f, w) && self.order_gate(w, f, true);
             !ordered && self.send_gate(id, w)
         });
-        let function = &mut self.functions[f];
-        match sent {
-            true => function.waiting.remove(&waiter),
-            false => function.waiting.insert(waiter),
-        };
-        if function.waiting.is_empty() {
-            self.waiting.remove(&f)
+        let waiting = &mut self.functions[f].waiting;
+        if sent {
+            waiting.remove(&waiter)
         } else {
-            self.waiting.insert(f)
+            waiting.insert(waiter)
+        };
+        self.settle(f);
+    }
+
+    fn settle(&mut self, f: F) {
+        match self.functions[f].waiting.is_empty() {
+            true => self.waiting.remove(&f),
+            false => self.waiting.insert(f),
         };
     }
 
@@ -441,7 +432,7 @@
         let (target, floor) = (self.aim as f64 * BUSY, lanes / f64::from(self.settings.gateways));
         let flying = |w: W| f64::from(function.places.get(&w).map_or(0, |p| p.flying));
         let warm = |w: W| self.believed_warm(f, w);
-        let takes = |w: W| self.workers[w].takes_more(self.now, target, rank, floor, lot);
+        let takes = |w: W| self.workers[w].takes_more(target, rank, floor, lot);
         let has_lane = |w: W| warm(w) && takes(w) && flying(w) < lanes;
         let free = able[..homes].iter().copied().filter(|w| has_lane(*w));
         // Little's law again: the time that a worker takes to answer tells of the peers' requests in flight there.
@@ -489,7 +480,7 @@
             }
             View::Bad => false,
         };
-        (healthy || self.fleet.trusting) && self.cold_budget(w, class) > 0.0
+        (healthy || self.fleet.trusting) && self.cold_budget(w) >= 1.0
     }
 
     fn has_room(&self, f: F, w: W) -> bool {
@@ -583,29 +574,16 @@
     /// Work, in mean requests, by which a cold worker may still be sent some: saved up at our part of the
     /// stated multiple of its present capacity, measured by what a warm worker answers us. Gateways together
     /// stay under that multiple without knowing of each other, also where a part is less than a request.
-    fn cold_budget(&self, w: W, class: usize) -> f64 {
-        let worker = &self.workers[w];
-        let (rate, share) = self.cold_rate(worker);
+    fn cold_budget(&self, w: W) -> f64 {
+        let (cold, worker) = (&self.settings.cold, &self.workers[w]);
+        let share = worker.capacity(cold, self.now.saturating_sub(cold.window));
         if share >= 1.0 {
             return 1.0;
         }
-        let saved = worker.cold_credit + rate * self.now.saturating_sub(worker.cold_since) as f64;
-        let most = (rate * self.settings.cold.window as f64).max(1.0);
-        saved.min(most) - self.weight(class).min(most)
-    }
-
-    /// Requests a microsecond that we may send a cold worker, and the share of its capacity that is sure.
-    fn cold_rate(&self, worker: &Worker) -> (f64, f64) {
-        let cold = &self.settings.cold;
-        let share = worker.capacity(cold, self.now.saturating_sub(cold.window));
         let one_core = 1.0 / self.means.run.max(self.aim as f64 / 8.0) / f64::from(self.settings.gateways);
-        (COLD_SPEND * cold.multiple * share * self.means.worker_rate.max(one_core), share)
-    }
-
-    /// Work of a class against the mean.
-    fn weight(&self, class: usize) -> f64 {
-        let run = self.means.class_run.get(class).copied().unwrap_or(0.0);
-        if run > 0.0 && self.means.run > 0.0 { (run / self.means.run).max(0.5) } else { 1.0 }
+        let rate = COLD_SPEND * cold.multiple * share * self.means.worker_rate.max(one_core);
+        let saved = worker.cold_credit + rate * self.now.saturating_sub(worker.cold_since) as f64;
+        saved.min((rate * cold.window as f64).max(1.0))
     }
 
     /// Whether the rules allow the request another attempt at all; the send gate looks at the worker.
@@ -627,7 +605,7 @@
             && self.workers[w].entry.state == WorkerState::In
             && left > 0
             && self.same_group(entry, effect, w)
-            && self.cold_budget(w, class) > 0.0;
+            && self.cold_budget(w) >= 1.0;
         if !kept {
             return false;
         }
@@ -640,33 +618,18 @@
         let patience = ((PATIENCE * expected) as Micros).max(aim * 2);
         let timeout = if repeatable && patience.saturating_add(aim / 4) < left { patience } else { left };
 
-        let (weight, (rate, _)) = (self.weight(class), self.cold_rate(&self.workers[w]));
-        let homes = self.homes(f) as f64;
+        let (homes, credit) = (self.homes(f) as f64, self.cold_budget(w));
         let worker = &mut self.workers[w];
         worker.flying += 1;
         self.functions[f].places.entry(w).or_default().flying += 1;
         if capacity < 1.0 {
-            let most = (rate * self.settings.cold.window as f64).max(1.0);
-            let saved = worker.cold_credit + rate * self.now.saturating_sub(worker.cold_since) as f64;
-            (worker.cold_credit, worker.cold_since) = (saved.min(most) - weight, self.now);
+            (worker.cold_credit, worker.cold_since) = (credit - 1.0, self.now);
         }
         let crowd = f64::from(worker.flying);
         let request = id.clone();
         self.actions.push(Action::Send { request, worker: worker.entry.id.clone(), timeout });
-        if let Some(entry) = self.ledger.get_mut(id) {
-            entry.attempts.push(Attempt {
-                worker: w,
-                sent: self.now,
-                warm,
-                known,
-                avoid: false,
-                homes,
-                blamed: false,
-                expected,
-                crowd,
-                fate: Fate::Out,
-            });
-        }
+        let attempt = Attempt { warm, known, homes, expected, crowd, ..Attempt::new(w, self.now) };
+        self.ledger.entry(id.clone()).and_modify(|entry| entry.attempts.push(attempt));
         true
     }
 
@@ -744,9 +707,9 @@
                 if sent.warm && many {
                     blend(&mut self.workers[w].answer_time, took, BLEND);
                 }
-                // A late answer is the worker's fault only if it has been silent to all since the sending.
-                if !sent.blamed {
-                    self.blame_silence(class, &sent, took);
+                // A late answer is the worker's fault only if it has been silent on the class since the sending.
+                if self.workers[w].health.get(class).is_some_and(|h| h.last_ok <= sent.sent) {
+                    self.blame(w, class, sent.sent, 1.0);
                 }
             }
             Outcome::Reset => self.blame(w, class, sent.sent, 1.0),
@@ -755,11 +718,10 @@
                 self.blame(w, class, sent.sent, SUSPECT);
             }
             Outcome::Full => {
-                // With an instance there its queue is full, without one it lacks the room to load.
                 if !sent.known {
+                    // With an instance there its queue is full, without one it lacks the room to load.
                     place.no_room = self.now.saturating_add(sent.expected as Micros);
                 }
-                self.workers[w].pause = self.now.saturating_add(self.means.run as Micros) / 2;
             }
             Outcome::Miss => {
                 (place.seen, place.missed) = (None, Some(self.now));
@@ -787,13 +749,6 @@
         self.dispatch(id);
     }
 
-    fn blame_silence(&mut self, class: usize, sent: &Attempt, took: f64) {
-        let w = sent.worker;
-        if self.workers[w].health.get(class).is_some_and(|h| h.last_ok <= sent.sent) {
-            self.blame(w, class, sent.sent, if took >= HUNG * sent.expected { SUSPECT } else { 1.0 });
-        }
-    }
-
     /// A failure counts against the worker for its class, and for each other class that the worker has not
     /// answered since, there as one of two: what fails one class need not fail the rest.
     fn blame(&mut self, w: W, class: usize, sent: Micros, score: f64) {
@@ -826,12 +781,10 @@
         self.timers.remove(&(entry.deadline, Timer::Deadline(id.clone())));
         let f = entry.function;
         self.functions[f].waiting.remove(&(entry.deadline, id.clone()));
-        if self.functions[f].waiting.is_empty() {
-            self.waiting.remove(&f);
-        }
         if !entry.out() {
             self.ledger.remove(id);
         }
+        self.settle(f);
     }
 
     // ---- holds
@@ -941,9 +894,8 @@
         match outcome {
             Outcome::Ok if standing > 0 => {
                 (place.seen, place.missed, place.no_room) = (Some(self.now), None, 0);
-                let quickest = &mut self.means.round_trip;
-                *quickest = if *quickest > 0.0 { quickest.min(took) } else { took };
-                if took > 4.0 * (*quickest + self.settings.tick as f64) {
+                // Longer than a round trip: it was loaded for us.
+                if took > (self.aim / SWEEPS) as f64 {
                     blend(&mut function.load, took, BLEND);
                     blend(&mut self.means.load, took, BLEND);
                     function.loaded_by_us = Some((w, self.now));
@@ -976,28 +928,10 @@
             self.means.worker_rate += (sample - self.means.worker_rate) * weight;
             self.count();
         }
-        self.blame_silent();
         self.pump();
         self.rescue_waiting();
     }
 
-    /// A worker that takes work and answers none: silent since an attempt went out, far beyond the expected.
-    fn blame_silent(&mut self) {
-        let mut lost = Vec::new();
-        for entry in self.ledger.values_mut() {
-            for attempt in entry.attempts.iter_mut().filter(|a| a.fate == Fate::Out && !a.blamed) {
-                let took = self.now.saturating_sub(attempt.sent) as f64;
-                attempt.blamed = took > HUNG * attempt.expected;
-                if attempt.blamed {
-                    lost.push((entry.request.class, attempt.clone(), took));
-                }
-            }
-        }
-        for (class, sent, took) in lost {
-            self.blame_silence(class, &sent, took);
-        }
-    }
-
     /// Looks again for a place for the requests that wait at the gateway.
     fn rescue_waiting(&mut self) {
         for f in self.waiting.clone() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,8 +70,6 @@
     /// Running means of answer time, and of own requests in flight when those were sent.
     pub answer_time: f64,
     pub crowd: f64,
-    /// It turned a request away: nothing more until then.
-    pub pause: Micros,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,8 +91,6 @@
     pub avoid: bool,
     /// Homes of the function at the time.
     pub homes: f64,
-    /// Its silence has been held against the worker.
-    pub blamed: bool,
     pub expected: f64,
     pub crowd: f64,
     pub fate: Fate,
@@ -114,7 +110,30 @@
     pub streaming: bool,
 }
 
+impl Attempt {
+    pub fn new(worker: W, sent: Micros) -> Self {
+        let (expected, crowd, homes) = (0.0, 0.0, 0.0);
+        Self {
+            worker,
+            sent,
+            warm: false,
+            known: false,
+            avoid: false,
+            homes,
+            expected,
+            crowd,
+            fate: Fate::Out,
+        }
+    }
+}
+
 impl Entry {
+    pub fn new(request: Request, function: F, arrived: Micros) -> Self {
+        let deadline = arrived.saturating_add(request.time_left);
+        let attempts = Vec::new();
+        Self { request, function, lot: 0.0, arrived, deadline, attempts, over: false, streaming: false }
+    }
+
     pub fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.fate == Fate::Out)
     }
@@ -149,8 +168,6 @@
     pub class_run: Vec<f64>,
     pub run: f64,
     pub load: f64,
-    /// The least round trip of an order.
-    pub round_trip: f64,
     /// Successes on warm workers since the last sweep, and such a worker's usual rate of them.
     pub served: f64,
     pub worker_rate: f64,
