--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,8 +36,6 @@
 const PRELOADS_PER_CALL: f64 = 0.5;
 /// ... and how many may be saved up.
 const PRELOADS_SAVED: f64 = 8.0;
-/// Share of the load ration open to pre-loads; the rest is kept for loads that a request waits for.
-const PRELOAD_RATION: f64 = 0.7;
 /// Points of each worker on the ring: evens the arcs out to about a tenth.
 const RING_POINTS: u64 = 100;
 /// Weight of a new observation in running means.
@@ -450,11 +448,8 @@
             // Exception: while no home has a warm lane, the next warm one on the ring stands in.
             Some(*stand_in)
         } else {
-            // An instance to be loaded counts as the requests that would be served meanwhile.
-            let load = self.load_time(function) / self.run_time(f, class).max(1.0);
-            let weigh = |w: W| flying(w) + if warm(w) { 0.0 } else { load };
             let taking = able[..homes].iter().copied().filter(|w| takes(*w) && (widen || warm(*w)));
-            let taking: Vec<(f64, W)> = taking.map(|w| (weigh(w), w)).collect();
+            let taking: Vec<(f64, W)> = taking.map(|w| (flying(w), w)).collect();
             if taking.is_empty() && self.fleet.calm {
                 // Exception: all homes are busy. A pre-load may widen the set; the request waits here.
                 cold.extend(able[homes..].iter().find(|w| takes(**w)));
@@ -466,19 +461,13 @@
         picked
     }
 
-    /// Whether a worker may be given a request of this class: in health, on trial alone, within its cold start.
+    /// Whether a worker may be given a request of this class: in health, or alone on trial; within its cold start.
     fn may_take(&self, w: W, class: usize) -> bool {
         let worker = &self.workers[w];
-        let health = worker.health.get(class).or(worker.health.last());
-        let view = health.map_or(View::Good, |h| h.view(self.now));
-        let rested = |h: &Health| self.now.saturating_sub(h.until) >= h.until.saturating_sub(h.failed);
-        let healthy = match view {
-            View::Good => true,
-            // What can't be repeated is tried later than what can.
-            View::Trial => {
-                worker.flying == 0 && (self.effect(class) == Effect::Safe || health.is_some_and(rested))
-            }
-            View::Bad => false,
+        let healthy = match worker.health.get(class).or(worker.health.last()).map(|h| h.view(self.now)) {
+            None | Some(View::Good) => true,
+            Some(View::Trial) => worker.flying == 0,
+            Some(View::Bad) => false,
         };
         (healthy || self.fleet.trusting) && self.cold_budget(w) >= 1.0
     }
@@ -869,8 +858,7 @@
                 holds.taken.pop_front();
             }
             let allowed = ration.free + ration.per_request * holds.taken.len() as f64;
-            let open = if needed { allowed } else { allowed * PRELOAD_RATION };
-            if (holds.given.len() + 1) as f64 > open {
+            if (holds.given.len() + 1) as f64 > allowed {
                 return false;
             }
             holds.given.push_back(self.now);
