--- a/src/rules.rs
+++ b/src/rules.rs
@@ -417,7 +417,7 @@
     fn route(&mut self, id: &RequestId) -> Option<W> {
         let entry = self.ledger.get(id)?;
         let (f, class) = (entry.function, entry.request.class);
-        let (rank, lot) = (self.rank(&entry.request), entry.lot);
+        let (rank, lot) = (self.rank(class), entry.lot);
         let avoid: Vec<W> = entry.attempts.iter().filter(|a| a.avoid).map(|a| a.worker).collect();
         let ring = self.ring_of(f);
         let homes = self.homes(f);
@@ -438,9 +438,8 @@
         let free: Vec<(f64, W)> = free.map(|w| (f64::from(self.workers[w].flying) + peers(w), w)).collect();
         // Exception: a busy fleet loads no further instances, only those of functions that have none.
         let widen = self.fleet.calm || !able[..homes].iter().any(|w| warm(*w));
-        let mut cold: Vec<W> = able[..homes].iter().copied().filter(|w| widen && !warm(*w)).collect();
         let busy = !able[..homes].iter().any(|w| takes(*w));
-        let picked = if !free.is_empty() {
+        if !free.is_empty() {
             fewest(&mut self.rng, &free)
         } else if let Some(stand_in) =
             able[homes..].iter().find(|w| (busy || self.known_warm(f, **w)) && has_lane(**w))
@@ -450,15 +449,8 @@
         } else {
             let taking = able[..homes].iter().copied().filter(|w| takes(*w) && (widen || warm(*w)));
             let taking: Vec<(f64, W)> = taking.map(|w| (flying(w), w)).collect();
-            if taking.is_empty() && self.fleet.calm {
-                // Exception: all homes are busy. A pre-load may widen the set; the request waits here.
-                cold.extend(able[homes..].iter().find(|w| takes(**w)));
-            }
             fewest(&mut self.rng, &taking)
-        };
-        cold.retain(|w| picked != Some(*w));
-        self.holds.wanted.extend(cold.into_iter().map(|w| (f, w)));
-        picked
+        }
     }
 
     /// Whether a worker may be given a request of this class: in health, or alone on trial; within its cold start.
@@ -529,14 +521,11 @@
         1.0 - 1.0 / f64::from(self.settings.gateways)
     }
 
-    /// Worth for work against the best class, its root so that none starves.
-    fn rank(&self, request: &Request) -> f64 {
-        let worth = |class: usize| self.settings.classes.get(class).map_or(0.0, |c| c.worth);
-        let density =
-            |class: usize| worth(class) / self.means.class_run.get(class).map_or(1.0, |run| run.max(1.0));
-        let known = self.means.class_run.iter().all(|run| *run > 0.0);
-        let best = (0..self.settings.classes.len()).map(density).fold(0.0, f64::max);
-        if known && best > 0.0 { (density(request.class) / best).sqrt() } else { 1.0 }
+    /// Worth against the best class, its root so that none starves.
+    fn rank(&self, class: usize) -> f64 {
+        let best = self.settings.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
+        let worth = self.settings.classes.get(class).map_or(0.0, |c| c.worth);
+        if best > 0.0 { (worth / best).sqrt() } else { 1.0 }
     }
 
     fn effect(&self, class: usize) -> Effect {
