One silent time-out makes a suspect; rest is half a keep-alive; slow answers of believed instances are queues

At this number of gateways the second failure at one worker comes too late, and while a repeat is cheap a function that stands elsewhere by then need not return at once.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,8 +28,6 @@
 /// Chance from which an instance is believed to stand unseen: how often one stood, times the square of the
 /// peers' part of the calls, as few peers learn less from each other than a home's own evidence tells.
 const LIKELY: f64 = 0.5;
-/// Peers' part of the calls from which a slow answer is a queue rather than a load that we began.
-const MANY: f64 = 0.9;
 /// Part of an instance's lanes that a home is planned to carry: other functions share the worker's cores.
 const PLAN: f64 = 0.3;
 /// Pre-load orders for each own arrival, so that the gateways' orders add up to a part of the calls ...
@@ -49,9 +47,9 @@
 const FORGIVE: f64 = 0.8;
 /// ... and from this score on it is left alone: two failures with at most one success between.
 const SUSPECT: f64 = 1.75;
-/// A suspect is left alone for this multiple of the shortest aim, or for our usual gap between requests to one
-/// worker where that is longer, half a keep-alive at most; then one success clears it.
-const BACKOFF: f64 = 1.5;
+/// A suspect is left alone for this share of keep-alive, an aim at least; then one success clears it. By then
+/// its functions stand elsewhere, and few of a gateway's requests would have met it sooner.
+const REST: f64 = 0.5;
 /// Below this share of listed workers in good health the sense gives way: it is likelier the network or us.
 const QUORUM: f64 = 0.34;
 /// Time-out of a repeatable attempt, in expected times, two aims at the least: a late repeat earns little.
@@ -137,10 +135,10 @@
         }
     }
 
-    fn fail(&mut self, now: Micros, score: f64, rest: f64, fades: f64) {
-        // What failed long ago says nothing any more.
+    fn fail(&mut self, now: Micros, score: f64, rest: f64) {
+        // What failed four rests ago says nothing any more.
         let age = now.saturating_sub(std::mem::replace(&mut self.failed, now)) as f64;
-        self.score = self.score * (1.0 - age / fades.max(1.0)).max(0.0) + score;
+        self.score = self.score * (1.0 - age / (4.0 * rest)).max(0.0) + score;
         let view = self.view(now);
         if view == View::Trial || (view == View::Good && self.score >= SUSPECT) {
             self.until = now.saturating_add(rest as Micros);
@@ -355,8 +353,6 @@
         if self.settings.ration.is_some() {
             self.holds.taken.push_back(self.now);
         }
-        let gap = self.now.saturating_sub(std::mem::replace(&mut self.means.last_arrival, self.now));
-        blend(&mut self.means.gap, gap as f64, BLEND);
         let f = *self.function_ids.entry(request.function.clone()).or_insert(self.functions.len());
         if f == self.functions.len() {
             let name = request.function.clone();
@@ -543,12 +539,6 @@
         [function.load, self.means.load, guess].into_iter().find(|t| *t > 0.0).unwrap_or(guess)
     }
 
-    /// How long a suspect is left alone, and the time in which a failure fades.
-    fn rest(&self) -> (f64, f64) {
-        let fades = 2.0 * self.settings.keep_alive as f64;
-        ((self.aim as f64 * BACKOFF).max((self.means.gap * self.fleet.serving).min(fades / 4.0)), fades)
-    }
-
     /// Work, in mean requests, by which a cold worker may still be sent some: saved up at our part of the
     /// stated multiple of its present capacity, measured by what a warm worker answers us. Gateways together
     /// stay under that multiple without knowing of each other, also where a part is less than a request.
@@ -650,11 +640,7 @@
             let crowd = &mut self.functions[f].crowd;
             blend(crowd, (f64::from(held) * sent.homes).max(1e-9), 2.0 * BLEND);
         }
-        // An answer that took as long as a load, where we knew of no instance, says nothing of run times.
         let slow = took > self.run_time(f, class) + self.load_time(&self.functions[f]) / 2.0;
-        // Where peers make nearly all calls one stood so likely that it was a queue.
-        let many = self.peers() >= MANY;
-        let ran = sent.known || (sent.warm && (many || !slow));
         let place = self.functions[f].places.entry(w).or_default();
         place.flying = place.flying.saturating_sub(1);
         match outcome {
@@ -668,7 +654,7 @@
                 }
                 self.means.served +=
                     f64::from(u8::from(worker.capacity(&self.settings.cold, self.now) >= 1.0));
-                if ran {
+                if sent.warm {
                     // Samples far apart count for more: the old ones have aged.
                     let weight = BLEND.max(since / (since + 2.0 * self.settings.keep_alive as f64));
                     blend(&mut worker.answer_time, took, weight);
@@ -682,12 +668,13 @@
             }
             Outcome::Error if !load_failed => self.blame(w, class, sent.sent, 1.0),
             Outcome::Timeout if took >= sent.expected => {
-                if sent.warm && many {
+                if sent.warm && !sent.known {
+                    // Peers keep an instance there, so it was a queue, and would have taken longer still.
                     blend(&mut self.workers[w].answer_time, took, BLEND);
                 }
                 // A late answer is the worker's fault only if it has been silent on the class since the sending.
                 if self.workers[w].health.get(class).is_some_and(|h| h.last_ok <= sent.sent) {
-                    self.blame(w, class, sent.sent, 1.0);
+                    self.blame(w, class, sent.sent, SUSPECT);
                 }
             }
             Outcome::Reset => self.blame(w, class, sent.sent, 1.0),
@@ -730,11 +717,11 @@
     /// A failure counts against the worker for its class, and for each other class that the worker has not
     /// answered since, there as one of two: what fails one class need not fail the rest.
     fn blame(&mut self, w: W, class: usize, sent: Micros, score: f64) {
-        let (rest, fades) = self.rest();
+        let rest = (self.settings.keep_alive as f64 * REST).max(self.aim as f64);
         for (other, health) in self.workers[w].health.iter_mut().enumerate() {
             if other == class || health.last_ok <= sent {
                 let score = if other == class { score } else { score.min(1.0) };
-                health.fail(self.now, score, rest, fades);
+                health.fail(self.now, score, rest);
             }
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -173,9 +173,6 @@
     pub worker_rate: f64,
     /// How often peers' calls alone kept an instance, over all functions.
     pub kept: f64,
-    /// Usual gap between own arrivals.
-    pub gap: f64,
-    pub last_arrival: Micros,
 }
 
 /// When a function will be called next: exponential gaps at the rate of its last arrivals.
