--- a/src/rules.rs
+++ b/src/rules.rs
@@ -276,8 +276,6 @@
         f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
     }
 
-    // ---- the worker list
-
     fn list(&mut self, news: ListNews) {
         let mut changed = BTreeSet::new();
         let entries = match news {
@@ -342,8 +340,6 @@
         self.fleet.trusting = good < QUORUM * self.fleet.serving;
     }
 
-    // ---- requests
-
     fn arrived(&mut self, request: Request) {
         if self.ledger.contains_key(&request.id) {
             return;
@@ -428,25 +424,26 @@
         let warm = |w: W| self.believed_warm(f, w);
         let takes = |w: W| self.workers[w].takes_more(target, rank, floor, lot);
         let has_lane = |w: W| warm(w) && takes(w) && flying(w) < lanes;
-        let free = able[..homes].iter().copied().filter(|w| has_lane(*w));
         // Little's law again: the time that a worker takes to answer tells of the peers' requests in flight there.
         let peers = |w: W| self.peers() * self.workers[w].answer_time / self.means.run.max(1.0);
-        let free: Vec<(f64, W)> = free.map(|w| (f64::from(self.workers[w].flying) + peers(w), w)).collect();
-        // Exception: a busy fleet loads no further instances, only those of functions that have none.
-        let widen = self.fleet.calm || !able[..homes].iter().any(|w| warm(*w));
-        let busy = !able[..homes].iter().any(|w| takes(*w));
+        let weigh = |w: W| (f64::from(self.workers[w].flying) + peers(w), w);
+        let (homes, beyond) = able.split_at(homes);
+        let free: Vec<_> = homes.iter().filter(|w| has_lane(**w)).map(|w| weigh(*w)).collect();
         if !free.is_empty() {
-            fewest(&mut self.rng, &free)
-        } else if let Some(stand_in) =
-            able[homes..].iter().find(|w| (busy || self.known_warm(f, **w)) && has_lane(**w))
-        {
-            // Exception: while no home has a warm lane, the next warm one on the ring stands in.
-            Some(*stand_in)
-        } else {
-            let taking = able[..homes].iter().copied().filter(|w| takes(*w) && (widen || warm(*w)));
-            let taking: Vec<(f64, W)> = taking.map(|w| (flying(w), w)).collect();
-            fewest(&mut self.rng, &taking)
+            return fewest(&mut self.rng, &free);
         }
+        // Exception: while no home has a warm lane, the next warm one on the ring stands in; one that was not
+        // seen warm only if all homes are busy, not if they lack the function.
+        let busy = !homes.iter().any(|w| takes(*w));
+        let stands_in = |w: &&W| (busy || self.known_warm(f, **w)) && has_lane(**w);
+        if let Some(stand_in) = beyond.iter().find(stands_in) {
+            return Some(*stand_in);
+        }
+        // Exception: a busy fleet loads no further instances, only those of functions that have none.
+        let widen = self.fleet.calm || !homes.iter().any(|w| warm(*w));
+        let taking = homes.iter().filter(|w| takes(**w) && (widen || warm(**w)));
+        let taking: Vec<_> = taking.map(|w| weigh(*w)).collect();
+        fewest(&mut self.rng, &taking)
     }
 
     /// Whether a worker may be given a request of this class: in health, or alone on trial; within its cold start.
@@ -752,8 +749,6 @@
         self.settle(f);
     }
 
-    // ---- holds
-
     /// The load or the release timer of a function.
     fn forecast_due(&mut self, f: F) {
         let ring = self.ring_of(f);
@@ -868,19 +863,16 @@
             Outcome::Full => {
                 (place.seen, place.no_room) = (None, self.now + self.aim * 2);
             }
-            Outcome::Reset => self.blame(w, orders, since, 1.0),
             Outcome::ConnectFailed => {
                 self.forget(w);
                 self.blame(w, orders, since, SUSPECT);
             }
-            Outcome::Timeout => self.blame(w, orders, since, 1.0),
+            Outcome::Reset | Outcome::Timeout => self.blame(w, orders, since, 1.0),
             _ => {}
         }
         self.place_waiting(f);
     }
 
-    // ---- the sweep
-
     fn sweep(&mut self) {
         let step = (self.aim / SWEEPS).max(self.settings.tick);
         self.timers.insert((self.now + step, Timer::Sweep));
