--- a/src/rules.rs
+++ b/src/rules.rs
@@ -154,10 +154,9 @@
 }
 
 impl Worker {
-    /// Whether it takes one more and stays near the target answer time. By Little's law the requests in flight
-    /// that give that time are those seen, times target over time seen, times the rank of the work; a part of
-    /// a request is taken by lot, so that gateways with less than one in flight here thin out together.
-    /// An instance's lanes, shared by the gateways, always pass: waits for loads are no sign of a crowd.
+    /// Whether it takes one more and stays near the target answer time. By Little's law the requests in
+    /// flight that give that time are those seen, times target over time seen, times the rank of the work;
+    /// less than one passes by lot. An instance's lanes over the gateways always pass: loads are no crowd.
     fn takes_more(&self, target: f64, rank: f64, floor: f64, lot: f64) -> bool {
         let limit = (self.crowd * target / self.answer_time.max(1.0) * rank).max(floor);
         let part = if limit < 1.0 { lot } else { 0.0 };
@@ -301,8 +300,8 @@
                 self.workers.push(Worker::default());
             }
             if self.workers[w].entry.started != entry.started || self.workers[w].health.is_empty() {
-                // A new process: empty, cold, and innocent of what the old one did. The part of a request that
-                // we may send it is saved up from a random start, or all gateways' first would come at once.
+                // A new process: empty, cold, and innocent of what the old one did. What we may send it is
+                // saved up from a random start, or all gateways' first requests would come at once.
                 let lot = self.lot();
                 let worker = &mut self.workers[w];
                 worker.health = vec![Health::default(); self.settings.classes.len() + 1];
@@ -389,20 +388,12 @@
             let ordered = loads && self.lacks(f, w) && self.order_gate(w, f, true);
             !ordered && self.send_gate(id, w)
         });
-        let waiting = &mut self.functions[f].waiting;
         if sent {
-            waiting.remove(&waiter)
+            self.functions[f].waiting.remove(&waiter);
         } else {
-            waiting.insert(waiter)
-        };
-        self.settle(f);
-    }
-
-    fn settle(&mut self, f: F) {
-        match self.functions[f].waiting.is_empty() {
-            true => self.waiting.remove(&f),
-            false => self.waiting.insert(f),
-        };
+            self.functions[f].waiting.insert(waiter);
+            self.waiting.insert(f);
+        }
     }
 
     /// Algorithm 1, with the exceptions that docs/DESIGN.md names.
@@ -418,13 +409,12 @@
         let homes = homes.min(able.len());
 
         let function = &self.functions[f];
-        let lanes = function.lanes;
-        let (target, floor) = (self.aim as f64 * BUSY, lanes / f64::from(self.settings.gateways));
+        let (target, floor) = (self.aim as f64 * BUSY, function.lanes / f64::from(self.settings.gateways));
         let flying = |w: W| f64::from(function.places.get(&w).map_or(0, |p| p.flying));
         let warm = |w: W| self.believed_warm(f, w);
         let takes = |w: W| self.workers[w].takes_more(target, rank, floor, lot);
-        let has_lane = |w: W| warm(w) && takes(w) && flying(w) < lanes;
-        // Little's law again: the time that a worker takes to answer tells of the peers' requests in flight there.
+        let has_lane = |w: W| warm(w) && takes(w) && flying(w) < function.lanes;
+        // Little's law again: a worker's time to answer tells of the peers' requests in flight there.
         let peers = |w: W| self.peers() * self.workers[w].answer_time / self.means.run.max(1.0);
         let weigh = |w: W| (f64::from(self.workers[w].flying) + peers(w), w);
         let (homes, beyond) = able.split_at(homes);
@@ -446,7 +436,7 @@
         fewest(&mut self.rng, &taking)
     }
 
-    /// Whether a worker may be given a request of this class: in health, or alone on trial; within its cold start.
+    /// Whether a worker may be given a request of this class: healthy or on trial, within its cold start.
     fn may_take(&self, w: W, class: usize) -> bool {
         let worker = &self.workers[w];
         let healthy = match worker.health.get(class).or(worker.health.last()).map(|h| h.view(self.now)) {
@@ -470,8 +460,8 @@
         function.order.clone()
     }
 
-    /// Calls of a function a microsecond at all gateways: ours times the gateways. Where answers tell how many
-    /// requests the homes held, that over the run time is the sounder measure: it needs no guess at the peers.
+    /// Calls of a function a microsecond at all gateways: ours times the gateways, or, where answers tell how
+    /// many requests the homes held, that over the run time, whichever is less: both err upwards.
     fn fleet_rate(&self, f: F) -> f64 {
         let function = &self.functions[f];
         let ours = function.forecast.sure_rate(self.now) * f64::from(self.settings.gateways);
@@ -536,9 +526,8 @@
         [function.load, self.means.load, guess].into_iter().find(|t| *t > 0.0).unwrap_or(guess)
     }
 
-    /// Work, in mean requests, by which a cold worker may still be sent some: saved up at our part of the
-    /// stated multiple of its present capacity, measured by what a warm worker answers us. Gateways together
-    /// stay under that multiple without knowing of each other, also where a part is less than a request.
+    /// Requests that a cold worker may still be sent: saved up at our part of the multiple of its present
+    /// capacity, measured by what a warm worker answers us, so that the parts of all gateways add up to it.
     fn cold_budget(&self, w: W) -> f64 {
         let (cold, worker) = (&self.settings.cold, &self.workers[w]);
         let share = worker.capacity(cold, self.now.saturating_sub(cold.window));
@@ -566,7 +555,7 @@
         let left = entry.deadline.saturating_sub(self.now);
         let kept = self.may_send_again(entry)
             && entry.attempts.len() < self.settings.max_attempts
-            && (!entry.out() || (self.settings.may_duplicate && effect == Effect::Safe))
+            && !entry.out()
             && self.workers[w].entry.state == WorkerState::In
             && left > 0
             && self.same_group(entry, effect, w)
@@ -646,9 +635,7 @@
                 let worker = &mut self.workers[w];
                 let since = self.now.saturating_sub(worker.last_ok) as f64;
                 worker.last_ok = self.now;
-                if let Some(health) = worker.health.get_mut(class) {
-                    health.ok(self.now);
-                }
+                worker.health.get_mut(class).into_iter().for_each(|health| health.ok(self.now));
                 self.means.served +=
                     f64::from(u8::from(worker.capacity(&self.settings.cold, self.now) >= 1.0));
                 if sent.warm {
@@ -658,9 +645,8 @@
                     blend(&mut worker.crowd, sent.crowd, weight);
                     blend(&mut self.functions[f].run, took, BLEND);
                     blend(&mut self.means.run, took, BLEND);
-                    if let Some(mean) = self.means.class_run.get_mut(class) {
-                        blend(mean, took, BLEND);
-                    }
+                    let class_run = self.means.class_run.get_mut(class);
+                    class_run.into_iter().for_each(|mean| blend(mean, took, BLEND));
                 }
             }
             Outcome::Error if !load_failed => self.blame(w, class, sent.sent, 1.0),
@@ -669,7 +655,7 @@
                     // Peers keep an instance there, so it was a queue, and would have taken longer still.
                     blend(&mut self.workers[w].answer_time, took, BLEND);
                 }
-                // A late answer is the worker's fault only if it has been silent on the class since the sending.
+                // A late answer is the worker's fault only if it answered none of the class since the sending.
                 if self.workers[w].health.get(class).is_some_and(|h| h.last_ok <= sent.sent) {
                     self.blame(w, class, sent.sent, SUSPECT);
                 }
@@ -679,11 +665,9 @@
                 self.forget(w);
                 self.blame(w, class, sent.sent, SUSPECT);
             }
-            Outcome::Full => {
-                if !sent.known {
-                    // With an instance there its queue is full, without one it lacks the room to load.
-                    place.no_room = self.now.saturating_add(sent.expected as Micros);
-                }
+            // With an instance there its queue is full, without one it lacks the room to load.
+            Outcome::Full if !sent.known => {
+                place.no_room = self.now.saturating_add(sent.expected as Micros);
             }
             Outcome::Miss => {
                 (place.seen, place.missed) = (None, Some(self.now));
@@ -699,11 +683,7 @@
         if answered || self.ledger.get(id).is_none_or(|e| e.over || e.streaming) {
             return self.close(id);
         }
-        if self.ledger.get(id).is_some_and(Entry::out) {
-            return;
-        }
-        let costs =
-            matches!(outcome, Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
+        let costs = sent.fate == Fate::MayHaveRun;
         if costs && self.retries < 1.0 {
             return self.answer(id);
         }
@@ -746,7 +726,6 @@
         if !entry.out() {
             self.ledger.remove(id);
         }
-        self.settle(f);
     }
 
     /// The load or the release timer of a function.
@@ -877,7 +856,7 @@
         let step = (self.aim / SWEEPS).max(self.settings.tick);
         self.timers.insert((self.now + step, Timer::Sweep));
         if self.now.saturating_sub(self.swept) >= self.aim {
-            // What a warm worker answers us a microsecond, over about a warm-up time: the measure for cold ones.
+            // What a warm worker answers us a microsecond, over a warm-up time: the measure for cold ones.
             let span = self.now.saturating_sub(std::mem::replace(&mut self.swept, self.now)) as f64;
             let sample = std::mem::take(&mut self.means.served) / span / self.fleet.warm.max(1.0);
             let weight = span / (self.settings.cold.warm_up as f64 + span);
@@ -890,7 +869,7 @@
 
     /// Looks again for a place for the requests that wait at the gateway.
     fn rescue_waiting(&mut self) {
-        for f in self.waiting.clone() {
+        for f in std::mem::take(&mut self.waiting) {
             self.place_waiting(f);
         }
     }
