--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,7 +55,7 @@
 /// Time-out of a repeatable attempt, in expected times, two aims at the least: a late repeat earns little.
 const PATIENCE: f64 = 8.0;
 /// Part of the stated multiple of its capacity that a cold worker is sent; the rest is for peers and chance.
-const COLD_SPEND: f64 = 0.75;
+const COLD_SPEND: f64 = 0.6;
 /// Further attempts after one that may have run, for each request taken: a bad spell adds a fifth at most.
 const RETRY_SHARE: f64 = 0.2;
 /// Retries that may be saved up.
@@ -300,12 +300,10 @@
                 self.workers.push(Worker::default());
             }
             if self.workers[w].entry.started != entry.started || self.workers[w].health.is_empty() {
-                // A new process: empty, cold, and innocent of what the old one did. What we may send it is
-                // saved up from a random start, or all gateways' first requests would come at once.
-                let lot = self.lot();
+                // A new process: empty, cold, and innocent of what the old one did.
                 let worker = &mut self.workers[w];
                 worker.health = vec![Health::default(); self.settings.classes.len() + 1];
-                (worker.cold_credit, worker.cold_since) = (lot, self.now);
+                (worker.cold_credit, worker.cold_since) = (0.0, self.now);
                 self.forget(w);
             }
             if self.workers[w].entry.state != entry.state {
@@ -404,7 +402,7 @@
         let avoid: Vec<W> = entry.attempts.iter().filter(|a| a.avoid).map(|a| a.worker).collect();
         let ring = self.ring_of(f);
         let homes = self.homes(f);
-        let usable = |w: &W| !avoid.contains(w) && self.has_room(f, *w) && self.may_take(*w, class);
+        let usable = |w: &W| !avoid.contains(w) && self.has_room(f, *w) && self.may_take(*w, class, lot);
         let able: Vec<W> = ring.iter().copied().filter(usable).take(homes + STAND_INS).collect();
         let homes = homes.min(able.len());
 
@@ -437,14 +435,14 @@
     }
 
     /// Whether a worker may be given a request of this class: healthy or on trial, within its cold start.
-    fn may_take(&self, w: W, class: usize) -> bool {
+    fn may_take(&self, w: W, class: usize, lot: f64) -> bool {
         let worker = &self.workers[w];
         let healthy = match worker.health.get(class).or(worker.health.last()).map(|h| h.view(self.now)) {
             None | Some(View::Good) => true,
             Some(View::Trial) => worker.flying == 0,
             Some(View::Bad) => false,
         };
-        (healthy || self.fleet.trusting) && self.cold_budget(w) >= 1.0
+        (healthy || self.fleet.trusting) && self.cold_budget(w) > lot
     }
 
     fn has_room(&self, f: F, w: W) -> bool {
@@ -528,6 +526,8 @@
 
     /// Requests that a cold worker may still be sent: saved up at our part of the multiple of its present
     /// capacity, measured by what a warm worker answers us, so that the parts of all gateways add up to it.
+    /// A part of a request passes by lot. Half a window is saved at most: more, and an idle worker that all
+    /// gateways turn to at once would get what each of hundreds had saved.
     fn cold_budget(&self, w: W) -> f64 {
         let (cold, worker) = (&self.settings.cold, &self.workers[w]);
         let share = worker.capacity(cold, self.now.saturating_sub(cold.window));
@@ -537,7 +537,7 @@
         let one_core = 1.0 / self.means.run.max(self.aim as f64 / 8.0) / f64::from(self.settings.gateways);
         let rate = COLD_SPEND * cold.multiple * share * self.means.worker_rate.max(one_core);
         let saved = worker.cold_credit + rate * self.now.saturating_sub(worker.cold_since) as f64;
-        saved.min((rate * cold.window as f64).max(1.0))
+        saved.min(rate * cold.window as f64 / 2.0)
     }
 
     /// Whether the rules allow the request another attempt at all; the send gate looks at the worker.
@@ -559,7 +559,7 @@
             && self.workers[w].entry.state == WorkerState::In
             && left > 0
             && self.same_group(entry, effect, w)
-            && self.cold_budget(w) >= 1.0;
+            && self.cold_budget(w) > entry.lot;
         if !kept {
             return false;
         }
@@ -655,7 +655,7 @@
                     // Peers keep an instance there, so it was a queue, and would have taken longer still.
                     blend(&mut self.workers[w].answer_time, took, BLEND);
                 }
-                // A late answer is the worker's fault only if it answered none of the class since the sending.
+                // A late answer is the worker's fault only if it answered none of the class since.
                 if self.workers[w].health.get(class).is_some_and(|h| h.last_ok <= sent.sent) {
                     self.blame(w, class, sent.sent, SUSPECT);
                 }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -33,8 +33,7 @@
 fn worst_push(stated_gateways: u32) -> f64 {
     let settings = Settings { gateways: stated_gateways, ..settings() };
     let cold = settings.cold;
-    let mut gateways: Vec<Bench> =
-        (0..GATEWAYS).map(|n| Bench::seeded(settings.clone(), n as u64)).collect();
+    let mut gateways: Vec<Bench> = (0..GATEWAYS).map(|n| Bench::seeded(settings.clone(), n as u64)).collect();
     let start = S;
     let entry = WorkerEntry { started: Some(start), ..worker(1) };
     for gateway in &mut gateways {
@@ -91,8 +90,7 @@
 #[test]
 fn pre_loads_after_a_void_add_up_to_a_part_of_the_calls() {
     let settings = Settings { gateways: GATEWAYS as u32, ..settings() };
-    let mut gateways: Vec<Bench> =
-        (0..GATEWAYS).map(|n| Bench::seeded(settings.clone(), n as u64)).collect();
+    let mut gateways: Vec<Bench> = (0..GATEWAYS).map(|n| Bench::seeded(settings.clone(), n as u64)).collect();
     for gateway in &mut gateways {
         gateway.give(workers(9));
     }
