--- a/src/rules.rs
+++ b/src/rules.rs
@@ -90,11 +90,10 @@
 
     /// The rate that the arrivals prove: a standard error below their count, over the time until now. Few
     /// arrivals close together prove next to nothing, and a function gone quiet fades.
-    fn sure_rate(&self, now: Micros, keep_alive: Micros) -> f64 {
+    fn sure_rate(&self, now: Micros) -> f64 {
         let gaps = self.times.len().saturating_sub(1) as f64;
         let span = now.saturating_sub(self.times.front().copied().unwrap_or(now));
-        let least = keep_alive as f64 / 4.0 * (1.0 - self.times.len() as f64 / WINDOW as f64);
-        (gaps - gaps.sqrt()) / (span as f64).max(least).max(1.0)
+        (gaps - gaps.sqrt()) / span.max(1) as f64
     }
 }
 
@@ -463,8 +462,7 @@
     /// many requests the homes held, that over the run time, whichever is less: both err upwards.
     fn fleet_rate(&self, f: F) -> f64 {
         let function = &self.functions[f];
-        let ours = function.forecast.sure_rate(self.now, self.settings.keep_alive)
-            * f64::from(self.settings.gateways);
+        let ours = function.forecast.sure_rate(self.now) * f64::from(self.settings.gateways);
         match function.crowd > 0.0 && function.run > 0.0 {
             true => ours.min(function.crowd / function.run),
             false => ours,
