Workspace with crates by concern; the main protocol's frames and HTTP/1.1, free of sockets

The gateway needs a border between bytes and typed messages that no input can upset. crates/protocol has length-prefixed, versioned frames (names at most 512 bytes, frames at most a stated length, unknown kinds passed over, other versions refused in words) and HTTP/1.1 requests over httparse, strict where a request's end could be read in two ways.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! The command.
+fn main() {}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,1 @@
+//! The gateway without sockets and clock: calls, attempts, deferred results, admission.
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! The calloop shell of the gateway.
--- /dev/null
+++ b/crates/protocol/src/field.rs
@@ -0,0 +1,149 @@
+//! One field of a frame: its bytes, its bounds.
+
+use crate::frame::FrameError;
+use crate::message::MAX_NAME;
+
+/// What remains of a frame's payload.
+pub struct Reader<'a> {
+    rest: &'a [u8],
+    /// The field being read, for errors.
+    pub field: &'static str,
+}
+
+impl<'a> Reader<'a> {
+    pub fn new(payload: &'a [u8]) -> Self {
+        Self { rest: payload, field: "" }
+    }
+
+    fn take(&mut self, count: usize) -> Result<&'a [u8], FrameError> {
+        let short = FrameError::Short { field: self.field };
+        let (taken, rest) = self.rest.split_at_checked(count).ok_or(short)?;
+        self.rest = rest;
+        Ok(taken)
+    }
+
+    fn array<const N: usize>(&mut self) -> Result<[u8; N], FrameError> {
+        let mut bytes = [0; N];
+        bytes.copy_from_slice(self.take(N)?);
+        Ok(bytes)
+    }
+}
+
+/// A type that can stand in a frame.
+pub trait Field: Sized {
+    fn put(&self, out: &mut Vec<u8>);
+    fn take(reader: &mut Reader) -> Result<Self, FrameError>;
+}
+
+macro_rules! number {
+    ($($type:ty),*) => {$(
+        impl Field for $type {
+            fn put(&self, out: &mut Vec<u8>) {
+                out.extend_from_slice(&self.to_be_bytes());
+            }
+            fn take(reader: &mut Reader) -> Result<Self, FrameError> {
+                Ok(Self::from_be_bytes(reader.array()?))
+            }
+        }
+    )*};
+}
+number!(u8, u16, u32, u64);
+
+impl Field for bool {
+    fn put(&self, out: &mut Vec<u8>) {
+        out.push(u8::from(*self));
+    }
+    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
+        match u8::take(reader)? {
+            0 => Ok(false),
+            1 => Ok(true),
+            value => Err(FrameError::Value { field: reader.field, value }),
+        }
+    }
+}
+
+/// A name: UTF-8, at most [`MAX_NAME`] bytes, its length before it as 16 bits. A longer one is cut at the
+/// border of a character when written.
+impl Field for String {
+    fn put(&self, out: &mut Vec<u8>) {
+        let mut end = self.len().min(MAX_NAME);
+        while !self.is_char_boundary(end) {
+            end -= 1;
+        }
+        (end as u16).put(out);
+        out.extend_from_slice(&self.as_bytes()[..end]);
+    }
+    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
+        let length = usize::from(u16::take(reader)?);
+        if length > MAX_NAME {
+            return Err(FrameError::Long { field: reader.field, length, most: MAX_NAME });
+        }
+        let bytes = reader.take(length)?.to_vec();
+        String::from_utf8(bytes).map_err(|_| FrameError::NotText { field: reader.field })
+    }
+}
+
+/// A body: its length before it as 32 bits; the frame's own bound bounds it.
+impl Field for Vec<u8> {
+    fn put(&self, out: &mut Vec<u8>) {
+        (self.len() as u32).put(out);
+        out.extend_from_slice(self);
+    }
+    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
+        let length = u32::take(reader)? as usize;
+        Ok(reader.take(length)?.to_vec())
+    }
+}
+
+/// A list of records: their number before them as 32 bits. Memory grows with the bytes that are there, never
+/// with the number that is announced.
+pub fn put_list<T: Field>(items: &[T], out: &mut Vec<u8>) {
+    (items.len() as u32).put(out);
+    items.iter().for_each(|item| item.put(out));
+}
+
+pub fn take_list<T: Field>(reader: &mut Reader) -> Result<Vec<T>, FrameError> {
+    let count = u32::take(reader)?;
+    let mut items = Vec::new();
+    for _ in 0..count {
+        items.push(T::take(reader)?);
+    }
+    Ok(items)
+}
+
+macro_rules! choice {
+    ($(#[$doc:meta])* $name:ident { $($(#[$vdoc:meta])* $variant:ident = $code:literal => $word:literal,)* }) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum $name { $($(#[$vdoc])* $variant,)* }
+        impl $name {
+            /// All values, in the order of their codes.
+            pub const ALL: &'static [Self] = &[$(Self::$variant),*];
+            /// The value as a word, for logs, headers and records.
+            pub fn word(self) -> &'static str {
+                match self { $(Self::$variant => $word),* }
+            }
+            /// The value of a word.
+            pub fn from_word(word: &str) -> Option<Self> {
+                match word { $($word => Some(Self::$variant),)* _ => None }
+            }
+        }
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str(self.word())
+            }
+        }
+        impl crate::field::Field for $name {
+            fn put(&self, out: &mut Vec<u8>) {
+                out.push(match self { $(Self::$variant => $code),* });
+            }
+            fn take(reader: &mut crate::field::Reader) -> Result<Self, crate::frame::FrameError> {
+                match u8::take(reader)? {
+                    $($code => Ok(Self::$variant),)*
+                    value => Err(crate::frame::FrameError::Value { field: reader.field, value }),
+                }
+            }
+        }
+    };
+}
+pub(crate) use choice;
--- /dev/null
+++ b/crates/protocol/src/frame.rs
@@ -0,0 +1,164 @@
+//! Frames: a header of six bytes (length of the rest, version, kind), then the payload.
+
+use crate::field::Reader;
+use crate::message::Message;
+
+/// The version that this side speaks.
+pub const VERSION: u8 = 1;
+/// Bytes of a header: length (4, of what follows it), version (1), kind (1).
+pub const HEADER: usize = 6;
+
+/// Bounds of what one connection may make this side hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Longest frame, header included, in bytes.
+    pub frame: usize,
+}
+
+impl Default for Limits {
+    /// 4 MiB.
+    fn default() -> Self {
+        Self { frame: 4 << 20 }
+    }
+}
+
+/// Why bytes are no frame. The connection they came on is of no further use.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FrameError {
+    /// The header announces more than the bound.
+    #[error("frame of {length} bytes, {most} at most")]
+    TooLong {
+        /// Bytes announced.
+        length: usize,
+        /// The bound.
+        most: usize,
+    },
+    /// The header announces less than a header's own version and kind.
+    #[error("frame of {0} bytes, shorter than its header")]
+    NoHeader(usize),
+    /// The other side speaks another version.
+    #[error("protocol version {0}, this side speaks {VERSION}")]
+    Version(u8),
+    /// The payload ends inside a field.
+    #[error("{field} runs past the frame")]
+    Short {
+        /// The field.
+        field: &'static str,
+    },
+    /// A name is too long.
+    #[error("{field} has {length} bytes, {most} at most")]
+    Long {
+        /// The field.
+        field: &'static str,
+        /// Its length.
+        length: usize,
+        /// The bound.
+        most: usize,
+    },
+    /// A name is not UTF-8.
+    #[error("{field} is not UTF-8")]
+    NotText {
+        /// The field.
+        field: &'static str,
+    },
+    /// A choice has a value that means nothing.
+    #[error("{field} has the value {value}, which means nothing")]
+    Value {
+        /// The field.
+        field: &'static str,
+        /// The value.
+        value: u8,
+    },
+}
+
+/// Appends a message's frame.
+pub fn encode(message: &Message, out: &mut Vec<u8>) {
+    let start = out.len();
+    out.extend_from_slice(&[0, 0, 0, 0, VERSION, message.code()]);
+    message.put(out);
+    let length = (out.len() - start - 4) as u32;
+    out[start..start + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+/// Bytes in, messages out. After an error it gives that error for ever.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    limits: Limits,
+    buffer: Vec<u8>,
+    /// Bytes at the front of the buffer that are done with.
+    used: usize,
+    /// Frames of unknown kinds passed over.
+    pub skipped: u64,
+    failed: Option<FrameError>,
+}
+
+impl Decoder {
+    /// A decoder within these bounds.
+    pub fn new(limits: Limits) -> Self {
+        Self { limits, ..Self::default() }
+    }
+
+    /// Takes bytes as they came. An idle decoder holds no buffer.
+    pub fn push(&mut self, bytes: &[u8]) {
+        if self.used == self.buffer.len() {
+            self.buffer.clear();
+            self.used = 0;
+        } else if self.used > 64 << 10 {
+            self.buffer.drain(..self.used);
+            self.used = 0;
+        }
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Bytes held of a frame that is not whole yet.
+    pub fn held(&self) -> usize {
+        self.buffer.len() - self.used
+    }
+
+    /// The next whole message; `None`: more bytes are needed.
+    pub fn next(&mut self) -> Result<Option<Message>, FrameError> {
+        if let Some(error) = &self.failed {
+            return Err(error.clone());
+        }
+        let result = self.read();
+        match &result {
+            Err(error) => {
+                self.failed = Some(error.clone());
+                self.buffer = Vec::new();
+                self.used = 0;
+            }
+            Ok(None) if self.used == self.buffer.len() => {
+                self.buffer = Vec::new();
+                self.used = 0;
+            }
+            Ok(_) => {}
+        }
+        result
+    }
+
+    fn read(&mut self) -> Result<Option<Message>, FrameError> {
+        loop {
+            let rest = &self.buffer[self.used..];
+            let Some(header) = rest.first_chunk::<HEADER>() else { return Ok(None) };
+            let [a, b, c, d, version, code] = *header;
+            let length = u32::from_be_bytes([a, b, c, d]) as usize;
+            if length < HEADER - 4 {
+                return Err(FrameError::NoHeader(length));
+            }
+            // The version comes before the length's bound: another version may have other bounds.
+            if version != VERSION {
+                return Err(FrameError::Version(version));
+            }
+            if length + 4 > self.limits.frame {
+                return Err(FrameError::TooLong { length: length + 4, most: self.limits.frame });
+            }
+            let Some(payload) = rest.get(HEADER..length + 4) else { return Ok(None) };
+            let message = Message::take(code, &mut Reader::new(payload))?;
+            self.used += length + 4;
+            if message.is_some() {
+                return Ok(message);
+            }
+            self.skipped += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/http.rs
@@ -0,0 +1,335 @@
+//! HTTP/1.1 requests from bytes, responses to bytes. httparse reads the heads; what it leaves open (how long a
+//! body is, when a connection may go on) is settled here, on the strict side: a request whose end could be read
+//! in two ways is refused and its connection closed.
+
+use std::io::Write;
+
+/// Bounds of one connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Longest head, in bytes.
+    pub head: usize,
+    /// Most header lines.
+    pub headers: usize,
+    /// Longest body, in bytes.
+    pub body: usize,
+}
+
+impl Default for Limits {
+    /// 16 KiB, 64 lines, 4 MiB.
+    fn default() -> Self {
+        Self { head: 16 << 10, headers: 64, body: 4 << 20 }
+    }
+}
+
+/// A whole request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Request {
+    /// `GET`, `POST`, ...
+    pub method: String,
+    /// Path and query as they came.
+    pub target: String,
+    /// Names in lower case, values as they came; those that are not UTF-8 are left out.
+    pub headers: Vec<(String, String)>,
+    /// The body, chunks joined.
+    pub body: Vec<u8>,
+    /// The connection goes on after the answer.
+    pub keep_alive: bool,
+}
+
+impl Request {
+    /// The first header of that name (in lower case).
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.trim())
+    }
+}
+
+/// What the bytes so far amount to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// More bytes are needed.
+    More,
+    /// The client waits for `100 Continue` before it sends the body.
+    Continue,
+    /// A request is whole.
+    Request(Request),
+}
+
+/// Why bytes are no request; answer `status` and close.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{status} {reason}")]
+pub struct HttpError {
+    /// The status code.
+    pub status: u16,
+    /// In words, for the body of the answer.
+    pub reason: &'static str,
+}
+
+fn refuse<T>(status: u16, reason: &'static str) -> Result<T, HttpError> {
+    Err(HttpError { status, reason })
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Body {
+    #[default]
+    Head,
+    Length(usize),
+    /// At a chunk's size line.
+    ChunkSize,
+    /// Within a chunk, so many bytes to come, its line end after them.
+    Chunk(usize),
+    /// Trailers, until an empty line.
+    Trailers(usize),
+}
+
+/// Bytes in, requests out.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    limits: Limits,
+    buffer: Vec<u8>,
+    state: Body,
+    request: Request,
+    told_to_continue: bool,
+    wants_continue: bool,
+    failed: Option<HttpError>,
+}
+
+/// Longest line with a chunk's size, its extensions included.
+const SIZE_LINE: usize = 256;
+
+impl Decoder {
+    /// A decoder within these bounds.
+    pub fn new(limits: Limits) -> Self {
+        Self { limits, ..Self::default() }
+    }
+
+    /// Takes bytes as they came.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Bytes held of a request that is not whole yet.
+    pub fn held(&self) -> usize {
+        self.buffer.len() + self.request.body.len()
+    }
+
+    /// A request is under way.
+    pub fn midway(&self) -> bool {
+        self.state != Body::Head || !self.buffer.is_empty()
+    }
+
+    /// The next step; after an error that error for ever.
+    pub fn next(&mut self) -> Result<Step, HttpError> {
+        if let Some(error) = &self.failed {
+            return Err(error.clone());
+        }
+        let step = self.read();
+        if let Err(error) = &step {
+            self.failed = Some(error.clone());
+            self.buffer = Vec::new();
+        } else if self.buffer.is_empty() {
+            self.buffer = Vec::new();
+        }
+        step
+    }
+
+    fn read(&mut self) -> Result<Step, HttpError> {
+        loop {
+            match self.state {
+                Body::Head => {
+                    if !self.head()? {
+                        return Ok(Step::More);
+                    }
+                }
+                Body::Length(length) => {
+                    if self.buffer.len() >= length {
+                        let rest = self.buffer.split_off(length);
+                        self.request.body = std::mem::replace(&mut self.buffer, rest);
+                        return Ok(self.whole());
+                    }
+                    return Ok(self.body_wanted());
+                }
+                Body::ChunkSize => {
+                    let Some(line) = self.line(SIZE_LINE, "chunk size line too long")? else {
+                        return Ok(self.body_wanted());
+                    };
+                    let size = chunk_size(&line)?;
+                    if self.request.body.len().saturating_add(size) > self.limits.body {
+                        return refuse(413, "body too long");
+                    }
+                    self.state = if size == 0 { Body::Trailers(0) } else { Body::Chunk(size) };
+                }
+                Body::Chunk(size) => {
+                    if self.buffer.len() < size + 2 {
+                        return Ok(Step::More);
+                    }
+                    if &self.buffer[size..size + 2] != b"\r\n" {
+                        return refuse(400, "chunk without its line end");
+                    }
+                    self.request.body.extend_from_slice(&self.buffer[..size]);
+                    self.buffer.drain(..size + 2);
+                    self.state = Body::ChunkSize;
+                }
+                Body::Trailers(seen) => {
+                    let most = self.limits.head.saturating_sub(seen);
+                    let Some(line) = self.line(most, "trailers too long")? else { return Ok(Step::More) };
+                    if line.is_empty() {
+                        return Ok(self.whole());
+                    }
+                    self.state = Body::Trailers(seen + line.len() + 2);
+                }
+            }
+        }
+    }
+
+    fn body_wanted(&mut self) -> Step {
+        if self.wants_continue && !self.told_to_continue && self.buffer.is_empty() {
+            self.told_to_continue = true;
+            return Step::Continue;
+        }
+        Step::More
+    }
+
+    fn whole(&mut self) -> Step {
+        self.state = Body::Head;
+        (self.told_to_continue, self.wants_continue) = (false, false);
+        Step::Request(std::mem::take(&mut self.request))
+    }
+
+    /// A line without its end, if it is there.
+    fn line(&mut self, most: usize, long: &'static str) -> Result<Option<Vec<u8>>, HttpError> {
+        match self.buffer.windows(2).position(|pair| pair == b"\r\n") {
+            Some(at) if at <= most => {
+                let mut line: Vec<u8> = self.buffer.drain(..at + 2).collect();
+                line.truncate(at);
+                Ok(Some(line))
+            }
+            None if self.buffer.len() <= most => Ok(None),
+            _ => refuse(400, long),
+        }
+    }
+
+    /// Reads a head; false: it is not whole yet.
+    fn head(&mut self) -> Result<bool, HttpError> {
+        // Empty lines between requests are passed over, as RFC 9112 2.2 asks.
+        while self.buffer.starts_with(b"\r\n") {
+            self.buffer.drain(..2);
+        }
+        let mut lines = vec![httparse::EMPTY_HEADER; self.limits.headers];
+        let mut head = httparse::Request::new(&mut lines);
+        let length = match head.parse(&self.buffer) {
+            Ok(httparse::Status::Complete(length)) if length <= self.limits.head => length,
+            Ok(httparse::Status::Partial) if self.buffer.len() <= self.limits.head => return Ok(false),
+            Ok(_) => return refuse(431, "head too long"),
+            Err(httparse::Error::TooManyHeaders) => return refuse(431, "too many headers"),
+            Err(httparse::Error::Version) => return refuse(505, "HTTP/1.0 and 1.1 only"),
+            Err(_) => return refuse(400, "not an HTTP request"),
+        };
+        let mut request = Request {
+            method: head.method.unwrap_or("").into(),
+            target: head.path.unwrap_or("").into(),
+            keep_alive: head.version == Some(1),
+            ..Request::default()
+        };
+        let (mut length_said, mut chunked) = (None, false);
+        for line in head.headers.iter() {
+            let Ok(value) = std::str::from_utf8(line.value) else { continue };
+            let name = line.name.to_ascii_lowercase();
+            let value = value.trim();
+            match name.as_str() {
+                "content-length" => {
+                    // Only digits: `+5` and `5, 5` are read in two ways elsewhere.
+                    if value.is_empty() || !value.bytes().all(|b| b.is_ascii_digit()) {
+                        return refuse(400, "content-length is not a number");
+                    }
+                    let said = value.parse::<usize>().or(refuse(413, "body too long"))?;
+                    if length_said.is_some_and(|before| before != said) {
+                        return refuse(400, "two lengths that differ");
+                    }
+                    length_said = Some(said);
+                }
+                "transfer-encoding" => {
+                    if chunked || !value.eq_ignore_ascii_case("chunked") {
+                        return refuse(501, "transfer-encoding: chunked only, once");
+                    }
+                    chunked = true;
+                }
+                "connection" => {
+                    for word in value.split(',').map(str::trim) {
+                        if word.eq_ignore_ascii_case("close") {
+                            request.keep_alive = false;
+                        }
+                    }
+                }
+                "expect" => {
+                    if !value.eq_ignore_ascii_case("100-continue") {
+                        return refuse(417, "expect: 100-continue only");
+                    }
+                    self.wants_continue = true;
+                }
+                _ => {}
+            }
+            request.headers.push((name, value.into()));
+        }
+        if head.version == Some(1) && request.header("host").is_none() {
+            return refuse(400, "no host header");
+        }
+        if chunked && (length_said.is_some() || head.version == Some(0)) {
+            return refuse(400, "both a length and chunks, or chunks in HTTP/1.0");
+        }
+        let length_said = length_said.unwrap_or(0);
+        if length_said > self.limits.body {
+            return refuse(413, "body too long");
+        }
+        self.buffer.drain(..length);
+        self.request = request;
+        self.state = if chunked { Body::ChunkSize } else { Body::Length(length_said) };
+        if length_said == 0 && !chunked {
+            self.wants_continue = false;
+        }
+        Ok(true)
+    }
+}
+
+fn chunk_size(line: &[u8]) -> Result<usize, HttpError> {
+    let digits = line.split(|b| *b == b';').next().unwrap_or(&[]);
+    let text = std::str::from_utf8(digits).unwrap_or("").trim_end_matches([' ', '\t']);
+    if text.is_empty() || text.len() > 8 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return refuse(400, "bad chunk size");
+    }
+    usize::from_str_radix(text, 16).or(refuse(400, "bad chunk size"))
+}
+
+/// Tells a client that waits for it to send the body.
+pub const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Appends a response with its length. Header values must be free of line ends: others are left out.
+pub fn respond(out: &mut Vec<u8>, status: u16, headers: &[(&str, &str)], body: &[u8], keep_alive: bool) {
+    let words = match status {
+        200 => "OK",
+        202 => "Accepted",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        410 => "Gone",
+        413 => "Content Too Large",
+        417 => "Expectation Failed",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        505 => "HTTP Version Not Supported",
+        _ => "",
+    };
+    let mut head = || -> std::io::Result<()> {
+        write!(out, "HTTP/1.1 {status} {words}\r\ncontent-length: {}\r\n", body.len())?;
+        for (name, value) in headers.iter().filter(|(_, v)| !v.contains(['\r', '\n', '\0'])) {
+            write!(out, "{name}: {value}\r\n")?;
+        }
+        let connection: &[u8] = if keep_alive { b"\r\n" } else { b"connection: close\r\n\r\n" };
+        out.write_all(connection)?;
+        out.write_all(body)
+    };
+    let written = head();
+    debug_assert!(written.is_ok(), "a vector takes any bytes");
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,16 @@
+//! Bytes to typed messages and back: the main protocol ([`Message`], [`Decoder`]) and HTTP/1.1 ([`http`]).
+//!
+//! Nothing here opens a socket or reads a clock. Whatever bytes come in, the answer is a message, a wish for
+//! more bytes, or one [`FrameError`] that names the field; no input makes it panic or hold more memory than
+//! [`Limits`] allows. `docs/PROTOCOL.md` has the layout.
+
+mod field;
+mod frame;
+pub mod http;
+mod message;
+
+pub use frame::{Decoder, FrameError, HEADER, Limits, VERSION, encode};
+pub use message::*;
+
+/// A span or an instant in microseconds.
+pub type Micros = u64;
--- /dev/null
+++ b/crates/protocol/src/message.rs
@@ -0,0 +1,326 @@
+//! The messages of the main protocol. `docs/PROTOCOL.md` tells who sends which, and when.
+
+use crate::Micros;
+use crate::field::{Field, Reader, choice, put_list, take_list};
+use crate::frame::FrameError;
+
+/// Longest name (function, class, tenant, key, id, address, reason), in bytes.
+pub const MAX_NAME: usize = 512;
+
+choice!(
+    /// What the peer that opens a connection is.
+    Role {
+        /// A client of a gateway.
+        Client = 1 => "client",
+        /// A gateway, towards a worker or the worker list.
+        Gateway = 2 => "gateway",
+        /// A worker, towards the worker list.
+        Worker = 3 => "worker",
+    }
+);
+choice!(
+    /// How a call ended for its client.
+    Status {
+        /// It ran; the body is the function's answer.
+        Served = 0 => "served",
+        /// It did not take effect and may be tried again without harm.
+        Refused = 1 => "refused",
+        /// It failed; whether it took effect is not promised.
+        Failed = 2 => "failed",
+        /// Not over yet (answer to an await).
+        Pending = 3 => "pending",
+        /// No such call is known here (answer to an await).
+        Unknown = 4 => "unknown",
+        /// The call is over, but its result is no longer kept (answer to an await).
+        Expired = 5 => "expired",
+    }
+);
+choice!(
+    /// How a worker ended an attempt or an order.
+    Ending {
+        /// Done.
+        Ok = 0 => "ok",
+        /// The function failed; it may have run.
+        Error = 1 => "error",
+        /// Turned away unseen.
+        Full = 2 => "full",
+        /// The function is not loaded here.
+        Miss = 3 => "miss",
+        /// The load that the call waited for failed; the call never ran.
+        LoadFailed = 4 => "load-failed",
+        /// Called off before it ran.
+        Cancelled = 5 => "cancelled",
+    }
+);
+choice!(
+    /// Whether a listed worker may be given work.
+    Standing {
+        /// In service.
+        In = 0 => "in",
+        /// Finishing what it has.
+        Draining = 1 => "draining",
+        /// Withdrawn.
+        Out = 2 => "out",
+    }
+);
+
+macro_rules! record {
+    ($(#[$doc:meta])* $name:ident { $($(#[$fdoc:meta])* $field:ident: $type:ty,)* }) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq)]
+        pub struct $name { $($(#[$fdoc])* pub $field: $type,)* }
+        impl Field for $name {
+            fn put(&self, out: &mut Vec<u8>) {
+                $(self.$field.put(out);)*
+            }
+            fn take(reader: &mut Reader) -> Result<Self, FrameError> {
+                Ok(Self { $($field: { reader.field = stringify!($field); Field::take(reader)? }),* })
+            }
+        }
+    };
+}
+
+record!(
+    /// One worker on the list.
+    Listed {
+        /// Its name, kept when its process restarts.
+        id: String,
+        /// Where it listens, `host:port`.
+        address: String,
+        /// Its zone.
+        zone: String,
+        /// Its kind of machine.
+        kind: String,
+        /// Its cell: workers that share what keys they have seen.
+        cell: u64,
+        /// Whether it may be given work.
+        standing: Standing,
+        /// When its process last started, in microseconds since 1970; 0: long ago.
+        started: Micros,
+    }
+);
+record!(
+    /// Facts about a function that travel with its calls; 0: not told.
+    Shape {
+        /// Memory of one instance, in MB.
+        memory_mb: u32,
+        /// Calls that one instance runs at a time.
+        lanes: u32,
+        /// Usual time of a load, in microseconds.
+        load_time: Micros,
+        /// Usual work of a call on one core, in microseconds.
+        work: Micros,
+    }
+);
+
+impl Field for Vec<Listed> {
+    fn put(&self, out: &mut Vec<u8>) {
+        put_list(self, out);
+    }
+    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
+        take_list(reader)
+    }
+}
+
+macro_rules! messages {
+    ($($(#[$doc:meta])* $code:literal $name:ident { $($(#[$fdoc:meta])* $field:ident: $type:ty,)* })*) => {
+        /// A message, one to a frame.
+        #[derive(Clone, Debug, PartialEq, Eq)]
+        pub enum Message {
+            $($(#[$doc])* $name { $($(#[$fdoc])* $field: $type,)* },)*
+        }
+        impl Message {
+            /// The code of its kind in the frame's header.
+            pub fn code(&self) -> u8 {
+                match self { $(Self::$name { .. } => $code),* }
+            }
+            /// The name of its kind.
+            pub fn kind(&self) -> &'static str {
+                match self { $(Self::$name { .. } => stringify!($name)),* }
+            }
+            pub(crate) fn put(&self, out: &mut Vec<u8>) {
+                match self { $(Self::$name { $($field),* } => { $($field.put(out);)* }),* }
+            }
+            /// `None`: a kind that this version does not know. Bytes after the last field are passed over.
+            pub(crate) fn take(code: u8, reader: &mut Reader) -> Result<Option<Self>, FrameError> {
+                Ok(Some(match code {
+                    $($code => Self::$name {
+                        $($field: { reader.field = stringify!($field); Field::take(reader)? }),*
+                    },)*
+                    _ => return Ok(None),
+                }))
+            }
+        }
+    };
+}
+
+messages! {
+    /// Opens a connection, from the side that connected.
+    1 Hello {
+        /// What the sender is.
+        role: Role,
+        /// Its name, for logs and records.
+        name: String,
+        /// Its zone; empty if it has none.
+        zone: String,
+    }
+    /// The receiver did something that this side can't go on with; the connection closes after it.
+    2 Bye {
+        /// What was wrong, in words.
+        reason: String,
+    }
+    /// The sender will close soon: send it nothing new.
+    3 GoingAway {
+        /// Why, in a word.
+        reason: String,
+    }
+    /// Is anybody there?
+    4 Probe {
+        /// Given back in the answer.
+        number: u64,
+    }
+    /// The answer to a probe.
+    5 Probed {
+        /// From the probe.
+        number: u64,
+        /// Calls held.
+        held: u32,
+        /// Calls among them that wait.
+        queued: u32,
+    }
+    /// Client to gateway: run a function.
+    10 Call {
+        /// Chosen by the client, used once on its connection.
+        number: u64,
+        /// The answer is fetched later with `Await`.
+        deferred: bool,
+        /// The function.
+        function: String,
+        /// Its class.
+        class: String,
+        /// The tenant; empty: none.
+        tenant: String,
+        /// The idempotency key; empty: none.
+        key: String,
+        /// Follows the call over gateway and worker; empty: the gateway makes one.
+        trace: String,
+        /// Time until the client gives up; 0: the class's own.
+        time_left: Micros,
+        /// What is known of the function.
+        shape: Shape,
+        /// The arguments.
+        body: Vec<u8>,
+    }
+    /// Gateway to client: a deferred call was taken.
+    11 Accepted {
+        /// From the call.
+        number: u64,
+        /// Names the call from now on.
+        id: String,
+    }
+    /// Gateway to client: the final answer to a call, or the answer to an await.
+    12 Answer {
+        /// From the call or the await.
+        number: u64,
+        /// How it ended.
+        status: Status,
+        /// Why, in a word; empty when served.
+        reason: String,
+        /// How long a refused client should stay away; 0: no advice.
+        retry_after: Micros,
+        /// The function's answer.
+        body: Vec<u8>,
+    }
+    /// Client to gateway: the result of a deferred call, once it is there.
+    13 Await {
+        /// Chosen by the client, used once on its connection.
+        number: u64,
+        /// The call.
+        id: String,
+        /// Longest wait; 0: answer at once.
+        wait: Micros,
+    }
+    /// Client to gateway: no longer interested in a call or an await. It gets no answer.
+    14 Cancel {
+        /// From the call or the await.
+        number: u64,
+    }
+    /// Gateway to worker: run a call.
+    20 Run {
+        /// Names the attempt on this connection.
+        attempt: u64,
+        /// The call's trace, the same in all its attempts.
+        trace: String,
+        /// Attempts of the call before this one.
+        before: u32,
+        /// The function.
+        function: String,
+        /// Its class.
+        class: String,
+        /// The key by which repeats are told; empty: none.
+        key: String,
+        /// After this nobody waits any more.
+        time_left: Micros,
+        /// What is known of the function.
+        shape: Shape,
+        /// The arguments.
+        body: Vec<u8>,
+    }
+    /// Worker to gateway: how an attempt ended.
+    21 Ran {
+        /// From `Run`.
+        attempt: u64,
+        /// How it ended.
+        ending: Ending,
+        /// Calls of the same function held when this one came.
+        crowd: u32,
+        /// The function's answer.
+        body: Vec<u8>,
+    }
+    /// Gateway to worker: nobody waits for this attempt any more.
+    22 CancelRun {
+        /// From `Run`.
+        attempt: u64,
+    }
+    /// Gateway to worker: hold at least so many instances; 0 only asks.
+    23 Hold {
+        /// Names the order on this connection.
+        order: u64,
+        /// The function.
+        function: String,
+        /// Instances wanted, 16 at most.
+        count: u32,
+        /// What is known of the function.
+        shape: Shape,
+    }
+    /// Worker to gateway: how an order ended.
+    24 Held {
+        /// From `Hold`.
+        order: u64,
+        /// How it ended.
+        ending: Ending,
+        /// Instances that stand loaded.
+        standing: u32,
+    }
+    /// Gateway to worker: unload the function's idle instances.
+    25 Drop {
+        /// The function.
+        function: String,
+    }
+    /// Gateway to worker list: the whole list, then its changes.
+    30 Follow {}
+    /// Worker list to gateway.
+    31 List {
+        /// All workers, or those that changed.
+        whole: bool,
+        /// Counts up with each change.
+        version: u64,
+        /// The workers.
+        workers: Vec<Listed>,
+    }
+    /// Worker to worker list: put me on the list as this.
+    32 Register {
+        /// The entry.
+        workers: Vec<Listed>,
+    }
+}
--- /dev/null
+++ b/crates/protocol/tests/frames.rs
@@ -0,0 +1,148 @@
+//! Frames: round trips, arbitrary cuts, arbitrary bytes.
+
+use cresswheel_protocol::*;
+use proptest::prelude::*;
+
+fn shape() -> impl Strategy<Value = Shape> {
+    any::<(u32, u32, u64, u64)>().prop_map(|(memory_mb, lanes, load_time, work)| Shape {
+        memory_mb,
+        lanes,
+        load_time,
+        work,
+    })
+}
+
+fn name() -> impl Strategy<Value = String> {
+    "\\PC{0,60}"
+}
+
+fn body() -> impl Strategy<Value = Vec<u8>> {
+    prop::collection::vec(any::<u8>(), 0..300)
+}
+
+fn listed() -> impl Strategy<Value = Listed> {
+    let standing = prop::sample::select(Standing::ALL);
+    (name(), name(), name(), name(), any::<u64>(), standing, any::<u64>()).prop_map(
+        |(id, address, zone, kind, cell, standing, started)| Listed {
+            id,
+            address,
+            zone,
+            kind,
+            cell,
+            standing,
+            started,
+        },
+    )
+}
+
+fn message() -> impl Strategy<Value = Message> {
+    let status = prop::sample::select(Status::ALL);
+    let ending = prop::sample::select(Ending::ALL);
+    let call = (any::<(u64, bool, u64)>(), name(), name(), name(), name(), name(), shape(), body());
+    let run = (any::<(u64, u32, u64)>(), name(), name(), name(), name(), shape(), body());
+    prop_oneof![
+        (prop::sample::select(Role::ALL), name(), name()).prop_map(|(role, name, zone)| Message::Hello {
+            role,
+            name,
+            zone
+        }),
+        name().prop_map(|reason| Message::Bye { reason }),
+        any::<u64>().prop_map(|number| Message::Probe { number }),
+        call.prop_map(|((number, deferred, time_left), function, class, tenant, key, trace, shape, body)| {
+            Message::Call { number, deferred, function, class, tenant, key, trace, time_left, shape, body }
+        }),
+        (any::<(u64, u64)>(), status, name(), body()).prop_map(
+            |((number, retry_after), status, reason, body)| Message::Answer {
+                number,
+                status,
+                reason,
+                retry_after,
+                body
+            }
+        ),
+        run.prop_map(|((attempt, before, time_left), trace, function, class, key, shape, body)| {
+            Message::Run { attempt, trace, before, function, class, key, time_left, shape, body }
+        }),
+        (any::<(u64, u32)>(), ending, body()).prop_map(|((attempt, crowd), ending, body)| Message::Ran {
+            attempt,
+            ending,
+            crowd,
+            body
+        }),
+        Just(Message::Follow {}),
+        (any::<(bool, u64)>(), prop::collection::vec(listed(), 0..5))
+            .prop_map(|((whole, version), workers)| Message::List { whole, version, workers }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+
+    #[test]
+    fn what_is_written_is_read(messages in prop::collection::vec(message(), 1..5), cut in 1usize..70) {
+        let mut bytes = Vec::new();
+        messages.iter().for_each(|m| encode(m, &mut bytes));
+        let mut decoder = Decoder::new(Limits::default());
+        let mut read = Vec::new();
+        for part in bytes.chunks(cut) {
+            decoder.push(part);
+            while let Some(message) = decoder.next().unwrap() {
+                read.push(message);
+            }
+        }
+        prop_assert_eq!(read, messages);
+        prop_assert_eq!(decoder.held(), 0);
+    }
+
+    #[test]
+    fn any_bytes_end_in_an_error_or_a_wait(bytes in body(), limit in 6usize..400) {
+        let mut decoder = Decoder::new(Limits { frame: limit });
+        decoder.push(&bytes);
+        while let Ok(Some(_)) = decoder.next() {}
+        let last = decoder.next();
+        prop_assert!(last.is_err() || decoder.held() <= bytes.len());
+        prop_assert_eq!(decoder.next(), last, "an error stays");
+    }
+
+    #[test]
+    fn a_damaged_frame_is_never_more_than_an_error(message in message(), at in any::<prop::sample::Index>(), with: u8) {
+        let mut bytes = Vec::new();
+        encode(&message, &mut bytes);
+        let at = at.index(bytes.len());
+        bytes[at] = with;
+        let mut decoder = Decoder::new(Limits::default());
+        decoder.push(&bytes);
+        while let Ok(Some(_)) = decoder.next() {}
+    }
+}
+
+fn fails(bytes: &[u8]) -> String {
+    let mut decoder = Decoder::new(Limits { frame: 100 });
+    decoder.push(bytes);
+    decoder.next().unwrap_err().to_string()
+}
+
+#[test]
+fn each_fault_is_named() {
+    assert_eq!(fails(&[0xff, 0xff, 0xff, 0xff, VERSION, 1]), "frame of 4294967299 bytes, 100 at most");
+    assert_eq!(fails(&[0, 0, 0, 1, VERSION, 1]), "frame of 1 bytes, shorter than its header");
+    assert_eq!(fails(&[0, 0, 0, 2, 9, 1]), "protocol version 9, this side speaks 1");
+    assert_eq!(fails(&[0, 0, 0, 3, VERSION, 1, 77]), "role has the value 77, which means nothing");
+    assert_eq!(fails(&[0, 0, 0, 4, VERSION, 2, 0, 5]), "reason runs past the frame");
+    assert_eq!(fails(&[0, 0, 0, 4, VERSION, 2, 9, 0]), "reason has 2304 bytes, 512 at most");
+    assert_eq!(fails(&[0, 0, 0, 5, VERSION, 2, 0, 1, 0xff]), "reason is not UTF-8");
+    // A list that announces four thousand million entries holds none of them.
+    let list = [0, 0, 0, 15, VERSION, 31, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff, 0xff, 0xff];
+    assert_eq!(fails(&list), "id runs past the frame");
+}
+
+#[test]
+fn unknown_kinds_and_later_fields_are_passed_over() {
+    let mut bytes = vec![0, 0, 0, 4, VERSION, 250, 1, 2];
+    bytes.extend([0, 0, 0, 12, VERSION, 4, 0, 0, 0, 0, 0, 0, 0, 7, 9, 9]);
+    let mut decoder = Decoder::new(Limits::default());
+    decoder.push(&bytes);
+    assert_eq!(decoder.next(), Ok(Some(Message::Probe { number: 7 })));
+    assert_eq!(decoder.skipped, 1);
+    assert_eq!(decoder.next(), Ok(None));
+}
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scenes, clients and the auditor that judges the rules from what passed on the sockets.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! A Starlark script to checked, typed settings.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small peers for tests and rehearsals: worker and worker list.
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! Framed connections on non-blocking sockets, driven by calloop.
