The engine: calls, attempts, deferred results, keys and admission around the module, free of I/O

The module needs a host that holds what it does not care for: who waits for which answer, bodies, time-outs of attempts and orders, results, idempotency keys, bounds. crates/engine does this with inputs and outputs alone. One table (ending.rs) maps what sockets saw to the module's outcomes; Outcome::never_ran in the interface is the one place that says what provably never ran, and the module and its tests now use it.

Measured: 14 tests, 300 arbitrary sequences among them, each input given to two engines whose outputs must agree.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -1,1 +1,28 @@
-//! The gateway without sockets and clock: calls, attempts, deferred results, admission.
+//! The gateway without sockets and clock.
+//!
+//! [`Engine::handle`] takes what happened ([`Input`]) with the time and appends what is to be done
+//! ([`Output`]). Between the two stands the decision module (`cresswheel::Dispatcher`), which alone says which
+//! worker gets an attempt, what is loaded, tried again or refused. The engine holds what the module does not
+//! care for: who waits for which answer, bodies, time-outs of attempts and orders, results of deferred calls,
+//! idempotency keys and the bounds on all of these.
+//!
+//! Invariants:
+//! - a call that was taken gets one final answer, and each of its waiters one;
+//! - each `Action::Send` of the module gets one `Event::Ended`, each `Hold` one `Event::Held`;
+//! - whether an attempt provably never ran is said in [`AttemptEnd::outcome`] and nowhere else;
+//! - same inputs, same outputs.
+
+mod admission;
+mod counters;
+mod ending;
+mod engine;
+mod interface;
+mod keys;
+mod results;
+
+pub use admission::AdmissionLimits;
+pub use counters::Counters;
+pub use ending::{AttemptEnd, OrderEnd};
+pub use engine::Engine;
+pub use interface::*;
+pub use results::ResultLimits;
--- /dev/null
+++ b/crates/engine/tests/calls.rs
@@ -0,0 +1,321 @@
+//! One call at a time: who gets which answer, when, and what the module is told.
+
+use cresswheel::{Class, Effect, Group, Settings, WhenAbsent};
+use cresswheel_engine::*;
+use cresswheel_protocol::{Ending, Listed, Shape, Standing, Status};
+
+const MS: u64 = 1_000;
+const S: u64 = 1_000_000;
+
+fn settings() -> EngineSettings {
+    let class = |name: &str, effect| Class {
+        name: name.into(),
+        aim: 600 * MS,
+        give_up: 5 * S,
+        effect,
+        streamed: false,
+        worth: 1.0,
+        late_worth: 0.3,
+    };
+    let keyed = Effect::Keyed { group: Group::Zone, memory: 2 * S };
+    EngineSettings {
+        module: Settings {
+            classes: vec![class("check", Effect::Safe), class("post", Effect::Unsafe), class("keyed", keyed)],
+            keep_alive: 10 * S,
+            when_absent: WhenAbsent::Load,
+            may_order: true,
+            may_cancel: true,
+            max_attempts: 4,
+            order_timeout: 10 * S,
+            ..Settings::default()
+        },
+        admission: AdmissionLimits { open_calls: 50, open_bytes: 1_000, per_connection: 20, functions: 100 },
+        results: ResultLimits { keep: 60 * S, bytes: 3_000 },
+        answer_margin: 10 * MS,
+        most_time: 100 * S,
+        deferred_time: 20 * S,
+    }
+}
+
+fn call(class: &str) -> Call {
+    Call {
+        deferred: false,
+        function: "f".into(),
+        class: class.into(),
+        tenant: String::new(),
+        key: String::new(),
+        trace: String::new(),
+        time_left: 0,
+        shape: Shape { memory_mb: 100, lanes: 4, load_time: 0, work: 0 },
+        body: b"in".to_vec(),
+    }
+}
+
+struct Bed {
+    engine: Engine,
+    now: u64,
+    next: u64,
+}
+
+impl Bed {
+    fn new(workers: usize) -> Self {
+        let mut bed = Self { engine: Engine::new(settings(), 7).unwrap(), now: 1_700_000_000 * S, next: 0 };
+        let workers = (0..workers).map(|n| Listed {
+            id: format!("w{n}"),
+            address: format!("127.0.0.1:{}", 9000 + n),
+            zone: "a".into(),
+            kind: "std".into(),
+            cell: 0,
+            standing: Standing::In,
+            started: 0,
+        });
+        let workers = workers.collect();
+        bed.give(Input::List { whole: true, workers });
+        bed
+    }
+
+    fn give(&mut self, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.engine.handle(self.now, input, &mut out);
+        out
+    }
+
+    fn ask(&mut self, call: Call) -> (Client, Vec<Output>) {
+        self.next += 1;
+        let client = Client { connection: 1, number: self.next };
+        (client, self.give(Input::Call(client, call)))
+    }
+
+    /// Lets time pass, with the wake-ups that were asked for.
+    fn pass(&mut self, span: u64) -> Vec<Output> {
+        let until = self.now + span;
+        let mut out = Vec::new();
+        while let Some(at) = self.engine.wake_at().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            out.extend(self.give(Input::Wake));
+        }
+        self.now = until;
+        out
+    }
+}
+
+fn runs(out: &[Output]) -> Vec<&Attempt> {
+    out.iter().filter_map(|o| if let Output::Run(attempt) = o { Some(attempt) } else { None }).collect()
+}
+
+fn answers(out: &[Output]) -> Vec<(u64, Status, &'static str)> {
+    let answer = |o: &Output| match o {
+        Output::Answer(client, answer) => Some((client.number, answer.status, answer.reason)),
+        _ => None,
+    };
+    out.iter().filter_map(answer).collect()
+}
+
+fn accepted(out: &[Output]) -> String {
+    let id = out.iter().find_map(|o| if let Output::Accepted(_, id) = o { Some(id.clone()) } else { None });
+    id.expect("accepted")
+}
+
+const OK: AttemptEnd = AttemptEnd::Answered(Ending::Ok, 0);
+
+#[test]
+fn a_served_call_and_a_second_answer_to_it() {
+    let mut bed = Bed::new(3);
+    let (client, out) = bed.ask(call("check"));
+    let attempt = runs(&out)[0].number;
+    let out = bed.give(Input::AttemptEnded(attempt, OK, b"out".to_vec()));
+    assert_eq!(answers(&out), [(client.number, Status::Served, "")]);
+    let again = bed.give(Input::AttemptEnded(attempt, OK, b"out".to_vec()));
+    let unknown = bed.give(Input::AttemptEnded(999, OK, Vec::new()));
+    assert!(answers(&again).is_empty() && answers(&unknown).is_empty());
+    assert_eq!(bed.engine.counters().late_answers, 2);
+    assert_eq!((bed.engine.open_calls(), bed.engine.open_attempts()), (0, 0));
+}
+
+#[test]
+fn a_post_whose_connection_broke_runs_no_second_time_and_fails_in_time() {
+    let mut bed = Bed::new(3);
+    let (client, out) = bed.ask(call("post"));
+    let start = bed.now;
+    let out = bed.give(Input::AttemptEnded(runs(&out)[0].number, AttemptEnd::Broken, Vec::new()));
+    assert!(runs(&out).is_empty());
+    let out = [out, bed.pass(6 * S)].concat();
+    assert_eq!(answers(&out), [(client.number, Status::Failed, "broken")]);
+    assert!(runs(&out).is_empty());
+    assert!(bed.now > start);
+}
+
+#[test]
+fn a_post_that_never_left_goes_elsewhere() {
+    for end in [AttemptEnd::NotConnected, AttemptEnd::NotWritten, AttemptEnd::Answered(Ending::Full, 0)] {
+        let mut bed = Bed::new(3);
+        let (_, out) = bed.ask(call("post"));
+        let first = runs(&out)[0].clone();
+        let out = bed.give(Input::AttemptEnded(first.number, end, Vec::new()));
+        let second = runs(&out)[0];
+        assert_ne!(second.worker, first.worker, "{end:?}");
+        assert_eq!((second.before, &second.id), (1, &first.id));
+    }
+}
+
+#[test]
+fn silence_ends_every_call_before_its_clients_deadline() {
+    for class in ["check", "post", "keyed"] {
+        let mut bed = Bed::new(2);
+        let (client, _) = bed.ask(Call { time_left: 700 * MS, ..call(class) });
+        let out = bed.pass(700 * MS - 1);
+        let last = answers(&out);
+        assert_eq!(last.len(), 1, "{class}");
+        let harmless = class == "check";
+        assert_eq!(last[0].1, if harmless { Status::Refused } else { Status::Failed }, "{class}");
+        assert_eq!(last[0].0, client.number);
+        assert!(answers(&bed.pass(20 * S)).is_empty());
+        assert_eq!((bed.engine.open_calls(), bed.engine.open_attempts()), (0, 0));
+    }
+}
+
+#[test]
+fn answer_and_time_out_in_the_same_tick_give_one_answer() {
+    for answer_first in [true, false] {
+        let mut bed = Bed::new(2);
+        let (client, out) = bed.ask(Call { time_left: 600 * MS, ..call("post") });
+        let attempt = runs(&out)[0].number;
+        bed.now += 590 * MS;
+        let mut out = Vec::new();
+        if answer_first {
+            out.extend(bed.give(Input::AttemptEnded(attempt, OK, Vec::new())));
+            out.extend(bed.give(Input::Wake));
+        } else {
+            out.extend(bed.give(Input::Wake));
+            out.extend(bed.give(Input::AttemptEnded(attempt, OK, Vec::new())));
+        }
+        let want = if answer_first { Status::Served } else { Status::Failed };
+        let got = answers(&[out, bed.pass(S)].concat());
+        assert_eq!(got.iter().map(|a| (a.0, a.1)).collect::<Vec<_>>(), [(client.number, want)]);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_gets_nothing_and_its_unsent_attempt_is_taken_back() {
+    let mut bed = Bed::new(2);
+    let (_, out) = bed.ask(call("post"));
+    let attempt = runs(&out)[0].number;
+    let out = bed.give(Input::Left(1));
+    assert!(out.iter().any(|o| matches!(o, Output::Withdraw(_, a) if *a == attempt)));
+    let out = bed.give(Input::AttemptEnded(attempt, AttemptEnd::NotWritten, Vec::new()));
+    assert!(runs(&out).is_empty() && answers(&out).is_empty());
+    assert!(answers(&bed.pass(20 * S)).is_empty());
+    assert_eq!(bed.engine.counters().abandoned, 1);
+}
+
+#[test]
+fn a_deferred_call_outlives_its_connection_and_its_result_expires() {
+    let mut bed = Bed::new(2);
+    let (_, out) = bed.ask(Call { deferred: true, ..call("post") });
+    let id = accepted(&out);
+    let attempt = runs(&out)[0].number;
+    bed.give(Input::Left(1));
+    let ask = |n| Client { connection: 2, number: n };
+    assert_eq!(answers(&bed.give(Input::Await(ask(1), id.clone(), 0)))[0].1, Status::Pending);
+    assert!(answers(&bed.give(Input::Await(ask(2), id.clone(), S))).is_empty());
+    assert_eq!(answers(&bed.pass(2 * S)), [(2, Status::Pending, "pending")]);
+    bed.give(Input::Await(ask(3), id.clone(), 10 * S));
+    let out = bed.give(Input::AttemptEnded(attempt, OK, b"out".to_vec()));
+    assert_eq!(answers(&out), [(3, Status::Served, "")]);
+    assert_eq!(answers(&bed.give(Input::Await(ask(4), id.clone(), 0)))[0].1, Status::Served);
+    bed.pass(61 * S);
+    assert_eq!(answers(&bed.give(Input::Await(ask(5), id, 0)))[0].1, Status::Expired);
+    assert_eq!(answers(&bed.give(Input::Await(ask(6), "no".into(), 0)))[0].1, Status::Unknown);
+}
+
+#[test]
+fn results_stay_within_their_memory_the_oldest_go() {
+    let mut bed = Bed::new(2);
+    let mut ids = Vec::new();
+    for _ in 0..6 {
+        let (_, out) = bed.ask(Call { deferred: true, ..call("check") });
+        ids.push(accepted(&out));
+        bed.give(Input::AttemptEnded(runs(&out)[0].number, OK, vec![0; 300]));
+        assert!(bed.engine.result_bytes() <= 3_000);
+    }
+    let mut status = |n: u64| {
+        answers(&bed.give(Input::Await(Client { connection: 3, number: n }, ids[n as usize].clone(), 0)))[0].1
+    };
+    assert_eq!((status(0), status(5)), (Status::Expired, Status::Served));
+}
+
+#[test]
+fn a_repeat_by_key_joins_the_first_try_and_later_gets_its_result() {
+    let mut bed = Bed::new(2);
+    let keyed = Call { key: "k".into(), ..call("post") };
+    let (first, out) = bed.ask(keyed.clone());
+    let attempt = runs(&out)[0].number;
+    let (second, out) = bed.ask(keyed.clone());
+    assert!(runs(&out).is_empty());
+    let (hasty, out) = bed.ask(Call { time_left: 100 * MS, ..keyed.clone() });
+    assert!(runs(&out).is_empty());
+    assert_eq!(answers(&bed.pass(100 * MS)), [(hasty.number, Status::Failed, "still-running")]);
+    let (other, out) = bed.ask(Call { body: b"else".to_vec(), ..keyed.clone() });
+    assert_eq!(answers(&out), [(other.number, Status::Refused, "key-in-use")]);
+    let out = bed.give(Input::AttemptEnded(attempt, OK, b"out".to_vec()));
+    let both = [(first.number, Status::Served, ""), (second.number, Status::Served, "")];
+    assert_eq!(answers(&out), both);
+    let (late, out) = bed.ask(keyed);
+    assert_eq!(answers(&out), [(late.number, Status::Served, "")]);
+    assert!(runs(&out).is_empty());
+}
+
+#[test]
+fn a_refused_key_is_free_again_and_a_failed_one_is_not() {
+    let mut bed = Bed::new(0);
+    let keyed = Call { key: "k".into(), time_left: 100 * MS, ..call("post") };
+    bed.ask(keyed.clone());
+    assert_eq!(answers(&bed.pass(100 * MS))[0].1, Status::Refused);
+    let mut bed = Bed::new(1);
+    let (_, out) = bed.ask(keyed.clone());
+    assert_eq!(runs(&out).len(), 1);
+    assert_eq!(answers(&bed.pass(100 * MS))[0].1, Status::Failed);
+    let (_, out) = bed.ask(keyed);
+    assert!(runs(&out).is_empty(), "it may have run");
+    assert_eq!(answers(&out)[0].1, Status::Failed);
+}
+
+#[test]
+fn each_bound_has_its_reason() {
+    let mut bed = Bed::new(0);
+    let mut why = |call: Call| answers(&bed.ask(call).1).first().map(|a| (a.1, a.2));
+    assert_eq!(why(call("nonsense")), Some((Status::Refused, "unknown-class")));
+    assert_eq!(
+        why(Call { function: String::new(), ..call("check") }),
+        Some((Status::Refused, "no-function"))
+    );
+    assert_eq!(why(Call { time_left: 5 * MS, ..call("check") }), Some((Status::Refused, "no-time")));
+    assert_eq!(why(Call { body: vec![0; 1_001], ..call("check") }), Some((Status::Refused, "gateway-bytes")));
+    for _ in 0..20 {
+        assert_eq!(why(call("check")), None);
+    }
+    assert_eq!(why(call("check")), Some((Status::Refused, "connection-full")));
+    let mut bed = Bed::new(0);
+    for connection in 0..51 {
+        let client = Client { connection, number: 1 };
+        let out = bed.give(Input::Call(client, call("check")));
+        let full = answers(&out).first().is_some_and(|a| a.2 == "gateway-full");
+        assert_eq!(full, connection == 50);
+    }
+    let out = bed.give(Input::Call(Client { connection: 3, number: 1 }, call("check")));
+    assert!(matches!(out[..], [Output::Close(3, _)]));
+}
+
+#[test]
+fn a_stop_answers_all_by_the_rules_and_takes_nothing_new() {
+    let mut bed = Bed::new(2);
+    let (check, _) = bed.ask(call("check"));
+    let (post, _) = bed.ask(call("post"));
+    let mut lone = Bed::new(0);
+    let (unsent, _) = lone.ask(call("post"));
+    let mut got = answers(&bed.give(Input::Stop));
+    got.sort();
+    assert_eq!(got, [(check.number, Status::Refused, "stopping"), (post.number, Status::Failed, "stopping")]);
+    assert_eq!(answers(&lone.give(Input::Stop)), [(unsent.number, Status::Refused, "stopping")]);
+    assert_eq!(answers(&bed.ask(call("check")).1)[0].2, "stopping");
+}
--- /dev/null
+++ b/crates/engine/tests/sequences.rs
@@ -0,0 +1,267 @@
+//! Arbitrary sequences of inputs: doubled, late, absurd. Whatever comes, each waiter gets one answer in time, a
+//! post has at most one attempt that may have run, and nothing is left over.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cresswheel::{Class, ColdStart, Effect, Group, Settings, WhenAbsent};
+use cresswheel_engine::*;
+use cresswheel_protocol::{Ending, Listed, Shape, Standing, Status};
+use proptest::prelude::*;
+
+const MS: u64 = 1_000;
+const S: u64 = 1_000_000;
+const CLASSES: [&str; 3] = ["check", "post", "keyed"];
+
+#[derive(Clone, Debug)]
+enum Step {
+    Pass(u64),
+    Call { connection: u64, class: usize, deferred: bool, key: u8, time: u64 },
+    End { pick: usize, end: u8 },
+    Stale(u64, u8),
+    Order { pick: usize, end: u8 },
+    Left(u64),
+    Cancel { connection: u64, back: u64 },
+    Await { connection: u64, pick: usize, wait: u64 },
+    List { whole: bool, workers: Vec<(u8, u8, bool)> },
+    ListLost,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0u64..400).prop_map(|ms| Step::Pass(ms * MS)),
+        6 => (0u64..3, 0usize..3, any::<bool>(), 0u8..8, 0u64..3_000).prop_map(
+            |(connection, class, deferred, key, ms)| Step::Call { connection, class, deferred, key, time: ms * MS }
+        ),
+        6 => (any::<usize>(), 0u8..12).prop_map(|(pick, end)| Step::End { pick, end }),
+        1 => (0u64..50, 0u8..12).prop_map(|(number, end)| Step::Stale(number, end)),
+        2 => (any::<usize>(), 0u8..5).prop_map(|(pick, end)| Step::Order { pick, end }),
+        1 => (0u64..3).prop_map(Step::Left),
+        1 => (0u64..3, 0u64..5).prop_map(|(connection, back)| Step::Cancel { connection, back }),
+        1 => (0u64..3, any::<usize>(), 0u64..2_000).prop_map(|(connection, pick, ms)| Step::Await { connection, pick, wait: ms * MS }),
+        1 => (any::<bool>(), prop::collection::vec((0u8..6, 0u8..3, any::<bool>()), 0..6))
+            .prop_map(|(whole, workers)| Step::List { whole, workers }),
+        1 => Just(Step::ListLost),
+    ]
+}
+
+fn end(code: u8) -> AttemptEnd {
+    match code {
+        0 => AttemptEnd::NotConnected,
+        1 => AttemptEnd::NotWritten,
+        2 => AttemptEnd::Broken,
+        3 | 4 => AttemptEnd::Answered(Ending::Ok, 2),
+        5 => AttemptEnd::Answered(Ending::Error, 0),
+        6 => AttemptEnd::Answered(Ending::Full, 9),
+        7 => AttemptEnd::Answered(Ending::Miss, 0),
+        8 => AttemptEnd::Answered(Ending::LoadFailed, 0),
+        9 => AttemptEnd::Answered(Ending::Cancelled, 0),
+        _ => AttemptEnd::Silent,
+    }
+}
+
+#[derive(Default)]
+struct Checked {
+    deadlines: BTreeMap<Client, u64>,
+    calls: BTreeMap<String, (usize, Vec<(u64, Option<AttemptEnd>)>)>,
+    out: BTreeMap<u64, String>,
+    orders: BTreeSet<u64>,
+    deferred: Vec<String>,
+}
+
+impl Checked {
+    fn outputs(&mut self, now: u64, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Answer(client, _) => {
+                    let deadline = self.deadlines.remove(&client).expect("one answer for each that waits");
+                    assert!(now <= deadline, "answered {} us late", now - deadline);
+                }
+                Output::Accepted(client, id) => {
+                    assert!(self.deadlines.remove(&client).is_some());
+                    self.deferred.push(id);
+                }
+                Output::Run(attempt) => {
+                    let class = CLASSES.iter().position(|c| *c == attempt.call.class).unwrap();
+                    let (_, attempts) = self.calls.entry(attempt.id.clone()).or_insert((class, Vec::new()));
+                    assert_eq!(attempt.before as usize, attempts.len());
+                    assert!(attempts.iter().all(|(_, end)| end.is_some()), "two attempts out");
+                    if class == 1 {
+                        let free = |(_, end): &(u64, Option<AttemptEnd>)| {
+                            end.is_some_and(|e| e.outcome().never_ran())
+                        };
+                        assert!(attempts.iter().all(free), "a post goes again after {attempts:?}");
+                    }
+                    attempts.push((attempt.number, None));
+                    self.out.insert(attempt.number, attempt.id);
+                }
+                // Its time is up or its call is over: to the module it has ended.
+                Output::Withdraw(_, attempt) => {
+                    if let Some(id) = self.out.get(&attempt) {
+                        let attempts = &mut self.calls.get_mut(id).unwrap().1;
+                        let silent =
+                            |a: &mut (u64, Option<AttemptEnd>)| _ = a.1.get_or_insert(AttemptEnd::Silent);
+                        attempts.iter_mut().filter(|a| a.0 == attempt).for_each(silent);
+                    }
+                }
+                Output::Hold { order, .. } => {
+                    self.orders.insert(order);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn ended(&mut self, attempt: u64, how: AttemptEnd) {
+        if let Some(id) = self.out.remove(&attempt) {
+            let attempts = &mut self.calls.get_mut(&id).unwrap().1;
+            attempts.iter_mut().filter(|a| a.0 == attempt).for_each(|a| a.1 = Some(how));
+        }
+    }
+}
+
+fn settings() -> EngineSettings {
+    let effects = [Effect::Safe, Effect::Unsafe, Effect::Keyed { group: Group::All, memory: S }];
+    let class = |(name, effect): (&&str, Effect)| Class {
+        name: (*name).into(),
+        aim: 600 * MS,
+        give_up: 2 * S,
+        effect,
+        streamed: false,
+        worth: 1.0,
+        late_worth: 0.3,
+    };
+    EngineSettings {
+        module: Settings {
+            classes: CLASSES.iter().zip(effects).map(class).collect(),
+            keep_alive: 2 * S,
+            when_absent: WhenAbsent::Miss,
+            may_order: true,
+            max_attempts: 4,
+            order_timeout: S,
+            cold: ColdStart { from: 0.2, warm_up: 5 * S, multiple: 2.0, window: S },
+            ..Settings::default()
+        },
+        admission: AdmissionLimits { open_calls: 30, open_bytes: 200, per_connection: 12, functions: 4 },
+        results: ResultLimits { keep: 3 * S, bytes: 4_000 },
+        answer_margin: 5 * MS,
+        most_time: 4 * S,
+        deferred_time: 3 * S,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(300) })]
+    #[test]
+    fn the_engine_keeps_its_promises(steps in prop::collection::vec(step(), 1..250), life: u64) {
+        let mut engine = Engine::new(settings(), life).unwrap();
+        let mut again = Engine::new(settings(), life).unwrap();
+        let mut checked = Checked::default();
+        let mut now = 1_000 * S;
+        let mut numbers = [0u64; 3];
+        let mut give = |checked: &mut Checked, now: u64, input: Input| {
+            let (mut out, mut other) = (Vec::new(), Vec::new());
+            engine.handle(now, input.clone(), &mut out);
+            again.handle(now, input, &mut other);
+            assert_eq!(format!("{out:?}"), format!("{other:?}"), "same inputs, same outputs");
+            checked.outputs(now, out);
+            (engine.wake_at(), engine.open_calls(), engine.open_attempts())
+        };
+        let all = (0..4).map(|n| (n, 0, false)).collect();
+        let mut steps = [vec![Step::List { whole: true, workers: all }], steps].concat();
+        steps.push(Step::Pass(20 * S));
+        let mut left = (None, 0, 0);
+        for step in steps {
+            match step {
+                Step::Pass(span) => {
+                    let until = now + span;
+                    while let Some(at) = left.0.filter(|at| *at <= until) {
+                        now = now.max(at);
+                        left = give(&mut checked, now, Input::Wake);
+                    }
+                    now = until;
+                }
+                Step::Call { connection, class, deferred, key, time } => {
+                    numbers[connection as usize] += 1;
+                    let client = Client { connection, number: numbers[connection as usize] };
+                    let usual = if time == 0 { 2 * S } else { time };
+                    checked.deadlines.insert(client, now + usual);
+                    let call = Call {
+                        deferred,
+                        function: format!("f{}", class + usize::from(key) % 2),
+                        class: CLASSES[class].into(),
+                        tenant: String::new(),
+                        key: if key < 3 { format!("k{key}") } else { String::new() },
+                        trace: String::new(),
+                        time_left: time,
+                        shape: Shape { memory_mb: 1, lanes: 2, load_time: 0, work: 0 },
+                        body: vec![key % 4; 10],
+                    };
+                    left = give(&mut checked, now, Input::Call(client, call));
+                }
+                Step::End { pick, end: code } => {
+                    if let Some(attempt) = checked.out.keys().nth(pick % checked.out.len().max(1)).copied() {
+                        checked.ended(attempt, end(code));
+                        left = give(&mut checked, now, Input::AttemptEnded(attempt, end(code), vec![1]));
+                    }
+                }
+                Step::Stale(number, code) => {
+                    if !checked.out.contains_key(&number) {
+                        left = give(&mut checked, now, Input::AttemptEnded(number, end(code), vec![]));
+                    }
+                }
+                Step::Order { pick, end } => {
+                    let count = checked.orders.len().max(1);
+                    if let Some(order) = checked.orders.iter().nth(pick % count).copied() {
+                        checked.orders.remove(&order);
+                        let how = match end {
+                            0 => OrderEnd::NotConnected,
+                            1 => OrderEnd::Broken,
+                            2 => OrderEnd::Answered(Ending::Full),
+                            _ => OrderEnd::Answered(Ending::Ok),
+                        };
+                        left = give(&mut checked, now, Input::OrderEnded(order, how, 1));
+                    }
+                }
+                Step::Left(connection) => {
+                    checked.deadlines.retain(|client, _| client.connection != connection);
+                    left = give(&mut checked, now, Input::Left(connection));
+                }
+                Step::Cancel { connection, back } => {
+                    let number = numbers[connection as usize].saturating_sub(back);
+                    let client = Client { connection, number };
+                    checked.deadlines.remove(&client);
+                    left = give(&mut checked, now, Input::Cancel(client));
+                }
+                Step::Await { connection, pick, wait } => {
+                    if let Some(id) = checked.deferred.get(pick % checked.deferred.len().max(1)).cloned() {
+                        numbers[connection as usize] += 1;
+                        let client = Client { connection, number: numbers[connection as usize] };
+                        checked.deadlines.insert(client, now + wait);
+                        left = give(&mut checked, now, Input::Await(client, id, wait));
+                    }
+                }
+                Step::List { whole, workers } => {
+                    let entry = |(n, standing, cold): (u8, u8, bool)| Listed {
+                        id: if n == 5 { String::new() } else { format!("w{n}") },
+                        address: "127.0.0.1:1".into(),
+                        zone: "a".into(),
+                        kind: "std".into(),
+                        cell: 0,
+                        standing: [Standing::In, Standing::Draining, Standing::Out][usize::from(standing)],
+                        started: if cold { now } else { 0 },
+                    };
+                    let workers = workers.into_iter().map(entry).collect();
+                    left = give(&mut checked, now, Input::List { whole, workers });
+                }
+                Step::ListLost => left = give(&mut checked, now, Input::ListLost),
+            }
+        }
+        prop_assert!(checked.deadlines.is_empty(), "{:?} got no answer", checked.deadlines);
+        prop_assert_eq!((left.1, left.2), (0, 0), "calls and attempts that never end");
+    }
+}
+
+#[test]
+fn statuses_have_words() {
+    assert!(Status::ALL.iter().all(|s| Status::from_word(s.word()) == Some(*s)));
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -281,6 +281,13 @@
     Miss,
 }
 
+impl Outcome {
+    /// Whether an attempt that ended so provably never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Self::Full | Self::ConnectFailed | Self::Moot | Self::Miss)
+    }
+}
+
 /// One entry of the worker list.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct WorkerEntry {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -612,10 +612,7 @@
     ) {
         let Some(entry) = self.ledger.get_mut(id) else { return };
         let Some(attempt) = entry.attempts.get_mut(number).filter(|a| a.fate == Fate::Out) else { return };
-        attempt.fate = match outcome {
-            Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss => Fate::NeverRan,
-            _ => Fate::MayHaveRun,
-        };
+        attempt.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         // An error sends the next attempt elsewhere, a load that takes long or a 'miss' need not.
         attempt.avoid = outcome == Outcome::Error || (attempt.warm && outcome != Outcome::Miss);
         let sent = attempt.clone();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -253,7 +253,7 @@
                     Some(taken) => {
                         let whole = match self.effect(&taken.request) {
                             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
-                            _ => taken.attempts.iter().all(|a| a.2.is_some_and(never_ran)),
+                            _ => taken.attempts.iter().all(|a| a.2.is_some_and(Outcome::never_ran)),
                         };
                         if refused && !whole {
                             found.push(format!("refuses {request}, which may have run"));
@@ -301,7 +301,7 @@
             found.push(format!("has two attempts of {id} out"));
         }
         for (worker, sent, outcome) in &taken.attempts {
-            if outcome.is_some_and(never_ran) {
+            if outcome.is_some_and(Outcome::never_ran) {
                 continue;
             }
             match self.effect(&taken.request) {
@@ -341,10 +341,6 @@
     }
 }
 
-pub fn never_ran(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss)
-}
-
 impl Checker {
     /// Whether the request still lacks its final answer.
     pub fn open(&self, id: &RequestId) -> bool {
