--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -149,6 +149,9 @@
             }
             Input::AttemptEnded(attempt, end, body) => self.attempt_ended(attempt, end, body.into(), out),
             Input::OrderEnded(order, end, standing) => self.order_ended(order, end, standing),
+            Input::Probed(worker) => {
+                self.events.push_back(Event::Probed { worker, outcome: cresswheel::Outcome::Ok });
+            }
             Input::List { whole, workers } => self.list(whole, workers),
             Input::ListLost => self.events.push_back(Event::List(ListNews::Lost)),
             Input::Drain => self.draining = true,
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -72,6 +72,8 @@
     AttemptEnded(u64, AttemptEnd, Vec<u8>),
     /// An order ended, with the instances that stand.
     OrderEnded(u64, OrderEnd, u32),
+    /// A worker answered a probe.
+    Probed(WorkerId),
     /// The worker list: all of it, or changes.
     List {
         /// What is not named is gone.
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -323,4 +323,30 @@
         /// The entry.
         workers: Vec<Listed>,
     }
+    /// To a stand-in: play this fault. Gateways refuse it.
+    40 Control {
+        /// In words; see `docs/REHEARSAL.md`.
+        words: String,
+    }
+    /// From a stand-in: it does so now, or why not.
+    41 Controlled {
+        /// Empty, or what was wrong.
+        wrong: String,
+    }
+    /// Worker to model store: send the image of a function.
+    42 Fetch {
+        /// Names the fetch on this connection.
+        number: u64,
+        /// The function.
+        function: String,
+        /// How long an uncrowded fetch takes, in microseconds.
+        time: Micros,
+    }
+    /// Model store to worker: the image is there, or is not to be had now.
+    43 Fetched {
+        /// From `Fetch`.
+        number: u64,
+        /// It is there.
+        there: bool,
+    }
 }
--- /dev/null
+++ b/crates/standins/src/control.rs
@@ -0,0 +1,112 @@
+//! Faults in words: `hang 5000`, `lose 0.3 10000`, `cut block-b 8000`, ...
+
+use std::collections::BTreeMap;
+
+/// A fault that a worker plays for a time.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// Reads everything, answers nothing. Probes too go unanswered.
+    Hang,
+    /// This share of the answers is lost; probes pass.
+    Lose(f64),
+    /// This share of the connections with an answer due breaks instead.
+    Reset(f64),
+    /// This share of the calls fails at once.
+    Fail(f64),
+    /// This share of the loads fails.
+    LoadFail(f64),
+    /// Everything takes so many times as long.
+    Slow(f64),
+    /// All calls and orders are turned away.
+    Refuse,
+    /// Gateways of this zone don't get through, nor answers to them.
+    Cut(String),
+    /// This share of the answers is sent twice.
+    Twice(f64),
+    /// With each answer comes one to a call that it never got.
+    Stray,
+}
+
+/// The faults in force, each until its time.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    until: BTreeMap<&'static str, (u64, Fault)>,
+}
+
+impl Faults {
+    /// Reads `NAME [VALUE] MS` and puts it in force from `now` on.
+    pub fn begin(&mut self, now: u64, words: &str) -> Result<(), String> {
+        let parts: Vec<&str> = words.split_whitespace().collect();
+        let share = |text: &str| match text.parse::<f64>() {
+            Ok(share) if (0.0..=1.0).contains(&share) => Ok(share),
+            _ => Err(format!("{words}: {text} is no share from 0 to 1")),
+        };
+        let (name, fault, span) = match parts[..] {
+            ["hang", span] => ("hang", Fault::Hang, span),
+            ["lose", part, span] => ("lose", Fault::Lose(share(part)?), span),
+            ["reset", part, span] => ("reset", Fault::Reset(share(part)?), span),
+            ["fail", part, span] => ("fail", Fault::Fail(share(part)?), span),
+            ["load-fail", part, span] => ("load-fail", Fault::LoadFail(share(part)?), span),
+            ["twice", part, span] => ("twice", Fault::Twice(share(part)?), span),
+            ["stray", span] => ("stray", Fault::Stray, span),
+            ["refuse", span] => ("refuse", Fault::Refuse, span),
+            ["cut", zone, span] => ("cut", Fault::Cut(zone.into()), span),
+            ["slow", times, span] => match times.parse::<f64>() {
+                Ok(times) if (1.0..=1e3).contains(&times) => ("slow", Fault::Slow(times), span),
+                _ => return Err(format!("{words}: {times} is no factor from 1 to 1000")),
+            },
+            _ => return Err(format!("{words}: no such fault, or a part of it is missing")),
+        };
+        let span: u64 = span.parse().map_err(|_| format!("{words}: {span} are no milliseconds"))?;
+        self.until.insert(name, (now.saturating_add(span.saturating_mul(1_000)), fault));
+        Ok(())
+    }
+
+    /// The fault of this name, if it is in force.
+    pub fn get(&self, now: u64, name: &str) -> Option<&Fault> {
+        self.until.get(name).filter(|(until, _)| now < *until).map(|(_, fault)| fault)
+    }
+
+    /// The share of a fault that has one; 0 when it is not in force.
+    pub fn share(&self, now: u64, name: &str) -> f64 {
+        match self.get(now, name) {
+            Some(
+                Fault::Lose(s) | Fault::Reset(s) | Fault::Fail(s) | Fault::LoadFail(s) | Fault::Twice(s),
+            ) => *s,
+            _ => 0.0,
+        }
+    }
+
+    /// How many times as long everything takes.
+    pub fn slowness(&self, now: u64) -> f64 {
+        if let Some(Fault::Slow(times)) = self.get(now, "slow") { *times } else { 1.0 }
+    }
+
+    /// Whether gateways of this zone don't get through.
+    pub fn cuts(&self, now: u64, zone: &str) -> bool {
+        matches!(self.get(now, "cut"), Some(Fault::Cut(cut)) if cut == zone)
+    }
+
+    /// When the next fault ends.
+    pub fn next_end(&self, now: u64) -> Option<u64> {
+        self.until.values().map(|(until, _)| *until).filter(|until| *until > now).min()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn faults_hold_for_their_time_and_wrong_words_are_named() {
+        let mut faults = Faults::default();
+        faults.begin(1_000, "lose 0.3 10").unwrap();
+        faults.begin(1_000, "cut b 5").unwrap();
+        assert_eq!((faults.share(1_000, "lose"), faults.share(11_000, "lose")), (0.3, 0.0));
+        assert!(faults.cuts(5_999, "b") && !faults.cuts(5_999, "a") && !faults.cuts(6_000, "b"));
+        assert_eq!(faults.next_end(1_000), Some(6_000));
+        for wrong in ["", "lose 2 10", "lose 0.1", "slow 0 5", "hang soon", "dance 5"] {
+            assert!(faults.begin(0, wrong).unwrap_err().starts_with(wrong));
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,20 @@
-//! Small peers for tests and rehearsals: worker and worker list.
+//! Small peers for tests and rehearsals: a worker ([`Worker`]), the worker list ([`WorkerList`]), the model store
+//! ([`Store`]) and a lossy link ([`Link`]). Each plays faults on command and writes down what passed on its
+//! sockets ([`Record`]), for the auditor. They are models, not products: what a worker's function computes is an
+//! echo that takes time.
+
+mod control;
+mod link;
+mod list;
+mod records;
+mod store;
+mod worker;
+mod worker_model;
+
+pub use control::{Fault, Faults};
+pub use link::Link;
+pub use list::WorkerList;
+pub use records::{Record, Recorder, What};
+pub use store::Store;
+pub use worker::{Worker, WorkerSettings};
+pub use worker_model::{Effect, Job, Model, Profile};
--- /dev/null
+++ b/crates/standins/src/records.rs
@@ -0,0 +1,174 @@
+//! What passed on the sockets of clients and stand-ins, a JSON object a line. The auditor reads nothing else.
+
+use std::fs::File;
+use std::io::{self, BufWriter, Write};
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+/// One thing that passed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// When, in microseconds since 1970, by the clock of the one who saw it.
+    pub at: u64,
+    /// Who saw it.
+    pub by: String,
+    /// What it was.
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// What passed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "what", rename_all = "kebab-case")]
+pub enum What {
+    /// A worker process began.
+    Started {
+        /// When, as the list tells it.
+        started: u64,
+        /// Its cores.
+        cores: u32,
+        /// Cold: the share of its capacity that it begins with.
+        cold_from: f64,
+        /// Until it has all of it.
+        warm_up: u64,
+    },
+    /// A worker read an attempt.
+    Run {
+        /// The gateway.
+        gateway: String,
+        /// The call's trace.
+        trace: String,
+        /// The gateway's number for the attempt.
+        attempt: u64,
+        /// The class.
+        class: String,
+        /// The function.
+        function: String,
+        /// What the call would take of one core, in microseconds.
+        work: u64,
+    },
+    /// A worker began to run a call: its effect happens.
+    Began {
+        /// The call's trace.
+        trace: String,
+        /// The class.
+        class: String,
+    },
+    /// A worker answered an attempt.
+    Ran {
+        /// The call's trace.
+        trace: String,
+        /// How it ended.
+        ending: String,
+        /// The answer was not sent, on purpose.
+        lost: bool,
+    },
+    /// A worker read a hold order.
+    Hold {
+        /// The gateway.
+        gateway: String,
+        /// The function.
+        function: String,
+        /// Instances wanted.
+        count: u32,
+    },
+    /// A cold worker was pushed over.
+    Fell {
+        /// Work sent to it within the window, in core-microseconds.
+        sent: u64,
+        /// What it could have borne.
+        bearable: u64,
+    },
+    /// The list told a gateway of a worker.
+    Told {
+        /// The gateway.
+        gateway: String,
+        /// The worker.
+        worker: String,
+        /// What it said.
+        standing: String,
+    },
+    /// A client asked for a call.
+    Asked {
+        /// The call's trace.
+        trace: String,
+        /// The gateway asked.
+        gateway: String,
+        /// The class.
+        class: String,
+        /// Its answer is fetched later.
+        deferred: bool,
+        /// When the client gives up, on its clock.
+        deadline: u64,
+    },
+    /// A client was told that its deferred call was taken.
+    Accepted {
+        /// The call's trace.
+        trace: String,
+    },
+    /// A client got a final answer.
+    Answered {
+        /// The call's trace.
+        trace: String,
+        /// How it ended.
+        status: String,
+        /// Why.
+        reason: String,
+    },
+    /// A client stopped waiting, by its own will.
+    GaveUp {
+        /// The call's trace.
+        trace: String,
+    },
+    /// A client's gateway was killed, or could not be reached: the call is the client's to repeat.
+    GatewayGone {
+        /// The call's trace.
+        trace: String,
+        /// No connection stood, so it never got there.
+        unreached: bool,
+    },
+    /// Something done to the system under test.
+    Scene {
+        /// In words.
+        words: String,
+    },
+}
+
+/// Writes records to a file, each line whole.
+pub struct Recorder {
+    by: String,
+    out: Option<BufWriter<File>>,
+}
+
+impl Recorder {
+    /// Appends to `folder/NAME.jsonl`; without a folder it writes nothing.
+    pub fn new(folder: Option<&Path>, name: &str) -> io::Result<Self> {
+        let open = |folder: &Path| {
+            std::fs::create_dir_all(folder)?;
+            let safe = |c: char| if c.is_ascii_alphanumeric() || "-_.".contains(c) { c } else { '_' };
+            let file: String = name.chars().map(safe).collect();
+            File::options().create(true).append(true).open(folder.join(file + ".jsonl"))
+        };
+        let out = folder.map(open).transpose()?.map(BufWriter::new);
+        Ok(Self { by: name.into(), out })
+    }
+
+    /// Takes a record down.
+    pub fn write(&mut self, at: u64, what: What) {
+        let Some(out) = &mut self.out else { return };
+        let record = Record { at, by: self.by.clone(), what };
+        let written = serde_json::to_writer(&mut *out, &record).map_err(io::Error::from);
+        if let Err(error) = written.and_then(|()| out.write_all(b"\n")) {
+            // Without its records a run can't be judged: the auditor misses them and says so.
+            tracing::error!(%error, "a record could not be written");
+        }
+    }
+
+    /// Hands what was taken down to the kernel, so that it outlives this process.
+    pub fn flush(&mut self) {
+        if let Some(Err(error)) = self.out.as_mut().map(Write::flush) {
+            tracing::error!(%error, "records could not be written");
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/store.rs
@@ -0,0 +1,79 @@
+//! The model store that all workers share: slow when crowded, turns fetches away past a limit, can stop.
+
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+
+use cresswheel_protocol::{Message, Micros};
+use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
+
+/// A model store process.
+pub struct Store {
+    hub: Hub,
+    address: SocketAddr,
+    /// Fetches that it serves at full pace at once.
+    capacity: usize,
+    /// Fetches that it takes at once.
+    most: usize,
+    stopped_until: Micros,
+    due: BTreeSet<(Micros, Connection, u64)>,
+}
+
+impl Store {
+    /// Listens.
+    pub fn start(at: SocketAddr, capacity: usize, most: usize) -> io::Result<Self> {
+        let mut hub = Hub::new(HubLimits::default())?;
+        let (_, address) = hub.listen(at, Wire::Frames)?;
+        Ok(Self { hub, address, capacity: capacity.max(1), most, stopped_until: 0, due: BTreeSet::new() })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves until a control message ends it.
+    pub fn run(&mut self) -> io::Result<()> {
+        loop {
+            self.hub.wait(self.due.first().map(|(at, ..)| *at))?;
+            while let Some(notice) = self.hub.next() {
+                let Notice::Message(connection, message) = notice else { continue };
+                let now = self.hub.clock().now();
+                match message {
+                    Message::Fetch { number, time, .. } => {
+                        if now < self.stopped_until || self.due.len() >= self.most {
+                            self.hub.send(connection, &Message::Fetched { number, there: false }, None);
+                            continue;
+                        }
+                        let crowd = (self.due.len() + 1) as f64 / self.capacity as f64;
+                        let time = (time as f64 * crowd.max(1.0)) as Micros;
+                        self.due.insert((now + time, connection, number));
+                    }
+                    Message::Control { words } if words == "stop" => return Ok(()),
+                    Message::Control { words } => {
+                        let span = words.strip_prefix("down ").and_then(|ms| ms.parse::<u64>().ok());
+                        let wrong = match span {
+                            Some(ms) => {
+                                self.stopped_until = now + ms * 1_000;
+                                for (_, connection, number) in std::mem::take(&mut self.due) {
+                                    let lost = Message::Fetched { number, there: false };
+                                    self.hub.send(connection, &lost, None);
+                                }
+                                String::new()
+                            }
+                            None => format!("{words}: no such command"),
+                        };
+                        self.hub.send(connection, &Message::Controlled { wrong }, None);
+                    }
+                    _ => {}
+                }
+            }
+            let now = self.hub.clock().now();
+            while let Some((_, connection, number)) = self.due.first().filter(|(at, ..)| *at <= now).copied()
+            {
+                self.due.pop_first();
+                self.hub.send(connection, &Message::Fetched { number, there: true }, None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/worker.rs
@@ -0,0 +1,379 @@
+//! A worker on sockets: the model behind the main protocol, with faults on command.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use cresswheel_protocol::{Ending, Listed, Message, Micros, Role, Standing};
+use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::Rng;
+
+use crate::control::Faults;
+use crate::records::{Recorder, What};
+use crate::worker_model::{Effect, Job, Model, Profile};
+
+/// What a worker process is told.
+#[derive(Clone, Debug)]
+pub struct WorkerSettings {
+    /// Its id on the list; empty: its address.
+    pub id: String,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// The list that it registers with.
+    pub list: Option<SocketAddr>,
+    /// The store that it fetches from; none: a fetch just takes its time.
+    pub store: Option<SocketAddr>,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind.
+    pub kind: String,
+    /// Its cell.
+    pub cell: u64,
+    /// It counts as started long ago: warm from the first call on.
+    pub warm: bool,
+    /// The model.
+    pub profile: Profile,
+    /// Where records go.
+    pub records: Option<PathBuf>,
+}
+
+struct Out {
+    connection: Connection,
+    attempt: u64,
+    trace: String,
+    class: String,
+}
+
+/// A worker process.
+pub struct Worker {
+    settings: WorkerSettings,
+    hub: Hub,
+    address: SocketAddr,
+    started: Micros,
+    model: Model,
+    recorder: Recorder,
+    rng: Pcg32,
+    faults: Faults,
+    draining: bool,
+    /// Gateways by connection: name and zone.
+    gateways: HashMap<Connection, (String, String)>,
+    list: Option<Connection>,
+    list_retry: Option<Micros>,
+    store: Option<Connection>,
+    fetches: BTreeMap<u64, String>,
+    local_fetches: BTreeSet<(Micros, u64)>,
+    jobs: HashMap<u64, Out>,
+    orders: HashMap<u64, (Connection, u64)>,
+    next: u64,
+    effects: Vec<Effect>,
+}
+
+const CONNECT_WITHIN: Micros = 500_000;
+const RETRY: Micros = 100_000;
+
+impl Worker {
+    /// Listens.
+    pub fn start(mut settings: WorkerSettings) -> io::Result<Self> {
+        let limits = HubLimits { out: 256 << 20, ..HubLimits::default() };
+        let mut hub = Hub::new(limits)?;
+        let (_, address) = hub.listen(settings.listen, Wire::Frames)?;
+        if settings.id.is_empty() {
+            settings.id = address.to_string();
+        }
+        let now = hub.clock().now();
+        let mut recorder = Recorder::new(settings.records.as_deref(), &settings.id)?;
+        let started = if settings.warm { 0 } else { now };
+        let (cores, cold_from, warm_up) =
+            (settings.profile.cores, settings.profile.cold_from, settings.profile.warm_up);
+        recorder.write(now, What::Started { started, cores, cold_from, warm_up });
+        recorder.flush();
+        Ok(Self {
+            model: Model::new(settings.profile.clone(), started),
+            rng: Pcg32::new(settings.profile.seed, 0xfa17),
+            hub,
+            address,
+            started,
+            recorder,
+            faults: Faults::default(),
+            draining: false,
+            gateways: HashMap::new(),
+            list: None,
+            list_retry: settings.list.map(|_| now),
+            store: None,
+            fetches: BTreeMap::new(),
+            local_fetches: BTreeSet::new(),
+            jobs: HashMap::new(),
+            orders: HashMap::new(),
+            next: 0,
+            effects: Vec::new(),
+            settings,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves until a control message ends it.
+    pub fn run(&mut self) -> io::Result<()> {
+        loop {
+            let now = self.hub.clock().now();
+            let fetch = self.local_fetches.first().map(|(at, _)| *at);
+            let fault = self.faults.next_end(now);
+            let due = [self.model.next(), fetch, self.list_retry, fault];
+            // Records are with the kernel before an answer is: a kill can't take them.
+            self.recorder.flush();
+            self.hub.wait(due.into_iter().flatten().min())?;
+            while let Some(notice) = self.hub.next() {
+                if !self.notice(notice) {
+                    self.recorder.flush();
+                    return Ok(());
+                }
+            }
+            self.pass();
+        }
+    }
+
+    fn pass(&mut self) {
+        let now = self.hub.clock().now();
+        self.model.slowness = self.faults.slowness(now);
+        self.model.fail = self.faults.share(now, "fail");
+        self.model.load_fail = self.faults.share(now, "load-fail");
+        self.model.refusing = self.draining || self.faults.get(now, "refuse").is_some();
+        while let Some((_, fetch)) = self.local_fetches.first().filter(|(at, _)| *at <= now).copied() {
+            self.local_fetches.pop_first();
+            self.fetched(fetch, true);
+        }
+        if self.list_retry.is_some_and(|at| at <= now) {
+            self.list_retry = None;
+            self.register();
+        }
+        let mut effects = std::mem::take(&mut self.effects);
+        self.model.pass(now, &mut effects);
+        self.effects = effects;
+        self.carry_out();
+    }
+
+    fn register(&mut self) {
+        let Some(at) = self.settings.list else { return };
+        let list = self.hub.connect(at, Wire::Frames, CONNECT_WITHIN);
+        self.list = Some(list);
+        let hello = self.hello();
+        self.hub.send(list, &hello, None);
+        let entry = Listed {
+            id: self.settings.id.clone(),
+            address: self.address.to_string(),
+            zone: self.settings.zone.clone(),
+            kind: self.settings.kind.clone(),
+            cell: self.settings.cell,
+            standing: if self.draining { Standing::Draining } else { Standing::In },
+            started: self.started,
+        };
+        self.hub.send(list, &Message::Register { workers: vec![entry] }, None);
+    }
+
+    fn hello(&self) -> Message {
+        let (name, zone) = (self.settings.id.clone(), self.settings.zone.clone());
+        Message::Hello { role: Role::Worker, name, zone }
+    }
+
+    /// False: end the process.
+    fn notice(&mut self, notice: Notice) -> bool {
+        match notice {
+            Notice::Message(connection, message) => return self.message(connection, message),
+            Notice::Closed { connection, .. } => {
+                self.gateways.remove(&connection);
+                if self.list == Some(connection) {
+                    self.list = None;
+                    self.list_retry = Some(self.hub.clock().now() + RETRY);
+                }
+                if self.store == Some(connection) {
+                    self.store = None;
+                    for fetch in std::mem::take(&mut self.fetches).into_keys().collect::<Vec<_>>() {
+                        self.fetched(fetch, false);
+                    }
+                }
+            }
+            _ => {}
+        }
+        true
+    }
+
+    fn message(&mut self, connection: Connection, message: Message) -> bool {
+        let now = self.hub.clock().now();
+        let gateway = self.gateways.get(&connection).cloned();
+        if let Some((_, zone)) = &gateway
+            && self.faults.cuts(now, zone)
+        {
+            return true;
+        }
+        let name = gateway.map(|(name, _)| name).unwrap_or_default();
+        let hangs = self.faults.get(now, "hang").is_some();
+        match message {
+            Message::Hello { role: Role::Gateway, name, zone } => {
+                self.gateways.insert(connection, (name, zone));
+            }
+            Message::Run { attempt, trace, class, function, time_left, shape, .. } => {
+                let work = Model::work(&shape);
+                let (gateway, t, c, f) = (name, trace.clone(), class.clone(), function.clone());
+                self.recorder
+                    .write(now, What::Run { gateway, trace: t, attempt, class: c, function: f, work });
+                if hangs {
+                    return true;
+                }
+                self.next += 1;
+                self.jobs.insert(self.next, Out { connection, attempt, trace, class });
+                let job = Job { number: self.next, function, shape, deadline: now.saturating_add(time_left) };
+                self.model.run(now, job, &mut self.effects);
+            }
+            Message::CancelRun { attempt } => {
+                let here = |(_, o): &(&u64, &Out)| o.connection == connection && o.attempt == attempt;
+                if let Some(number) = self.jobs.iter().find(here).map(|(number, _)| *number) {
+                    self.model.cancel(number, &mut self.effects);
+                }
+            }
+            Message::Hold { order, function, count, shape } => {
+                let f = function.clone();
+                self.recorder.write(now, What::Hold { gateway: name, function: f, count });
+                if hangs {
+                    return true;
+                }
+                self.next += 1;
+                self.orders.insert(self.next, (connection, order));
+                self.model.hold(now, self.next, &function, count, shape, &mut self.effects);
+            }
+            Message::Drop { function } => self.model.drop_idle(&function),
+            Message::Probe { number } if !hangs => {
+                let (held, queued) = self.model.held();
+                self.hub.send(connection, &Message::Probed { number, held, queued }, None);
+            }
+            Message::Fetched { number, there } => self.fetched(number, there),
+            Message::Control { words } => return self.control(connection, &words),
+            _ => {}
+        }
+        self.carry_out();
+        true
+    }
+
+    fn control(&mut self, connection: Connection, words: &str) -> bool {
+        let now = self.hub.clock().now();
+        self.recorder.write(now, What::Scene { words: words.into() });
+        let mut wrong = String::new();
+        match words {
+            "stop" => return false,
+            "drain" | "undrain" => {
+                self.draining = words == "drain";
+                // The list hears it from the worker itself, as it would from a deploy.
+                self.list.take().into_iter().for_each(|list| self.hub.close(list, "registers anew"));
+                self.list_retry = None;
+                self.register();
+            }
+            _ => {
+                if let Err(error) = self.faults.begin(now, words) {
+                    wrong = error;
+                }
+            }
+        }
+        self.pass();
+        self.hub.send(connection, &Message::Controlled { wrong }, None);
+        true
+    }
+
+    fn fetched(&mut self, fetch: u64, there: bool) {
+        if let Some(name) = self.fetches.remove(&fetch) {
+            self.model.fetched(self.hub.clock().now(), &name, there, &mut self.effects);
+            self.carry_out();
+        }
+    }
+
+    fn lot(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
+    }
+
+    fn carry_out(&mut self) {
+        for effect in std::mem::take(&mut self.effects) {
+            let now = self.hub.clock().now();
+            match effect {
+                Effect::Began(number) => {
+                    if let Some(out) = self.jobs.get(&number) {
+                        let (trace, class) = (out.trace.clone(), out.class.clone());
+                        self.recorder.write(now, What::Began { trace, class });
+                    }
+                }
+                Effect::Ended(number, ending, crowd) => self.ended(now, number, ending, crowd),
+                Effect::Held(number, ending, standing) => {
+                    if let Some((connection, order)) = self.orders.remove(&number)
+                        && !self.cut_off(now, connection)
+                    {
+                        self.hub.send(connection, &Message::Held { order, ending, standing }, None);
+                    }
+                }
+                Effect::Fetch(name, time) => self.fetch(now, name, time),
+                Effect::Fell(sent, bearable) => {
+                    tracing::warn!(sent, bearable, "pushed over");
+                    self.recorder.write(now, What::Fell { sent, bearable });
+                }
+            }
+        }
+    }
+
+    fn cut_off(&self, now: Micros, connection: Connection) -> bool {
+        self.gateways.get(&connection).is_some_and(|(_, zone)| self.faults.cuts(now, zone))
+            || self.faults.get(now, "hang").is_some()
+    }
+
+    fn ended(&mut self, now: Micros, number: u64, ending: Ending, crowd: u32) {
+        let Some(Out { connection, attempt, trace, .. }) = self.jobs.remove(&number) else { return };
+        let (lose, reset, twice) = (
+            self.faults.share(now, "lose"),
+            self.faults.share(now, "reset"),
+            self.faults.share(now, "twice"),
+        );
+        // Draws only where a fault is in force: without one the run is not disturbed.
+        let lost = self.cut_off(now, connection) || (lose > 0.0 && self.lot() < lose);
+        let breaks = !lost && reset > 0.0 && self.lot() < reset;
+        let word = ending.word().into();
+        self.recorder.write(now, What::Ran { trace, ending: word, lost: lost || breaks });
+        if breaks {
+            return self.hub.close(connection, "reset on purpose");
+        }
+        if lost {
+            return;
+        }
+        let body = self.settings.id.clone().into_bytes();
+        let answer = Message::Ran { attempt, ending, crowd, body };
+        self.hub.send(connection, &answer, None);
+        if twice > 0.0 && self.lot() < twice {
+            self.hub.send(connection, &answer, None);
+        }
+        if self.faults.get(now, "stray").is_some() {
+            let stray =
+                Message::Ran { attempt: attempt ^ 1 << 40, ending: Ending::Ok, crowd: 0, body: vec![] };
+            self.hub.send(connection, &stray, None);
+        }
+    }
+
+    fn fetch(&mut self, now: Micros, function: String, time: Micros) {
+        self.next += 1;
+        let number = self.next;
+        self.fetches.insert(number, function.clone());
+        let Some(at) = self.settings.store else {
+            self.local_fetches.insert((now + time, number));
+            return;
+        };
+        let store = match self.store {
+            Some(store) => store,
+            None => {
+                let store = self.hub.connect(at, Wire::Frames, CONNECT_WITHIN);
+                let hello = self.hello();
+                self.hub.send(store, &hello, None);
+                self.store = Some(store);
+                store
+            }
+        };
+        self.hub.send(store, &Message::Fetch { number, function, time }, None);
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,1 +1,18 @@
-//! Framed connections on non-blocking sockets, driven by calloop.
+//! Connections on non-blocking sockets, driven by calloop: the part that gateways, stand-ins and clients share.
+//!
+//! A [`Hub`] owns listeners and connections. [`Hub::wait`] sleeps until something happened or a time has come;
+//! [`Hub::next`] then gives what happened, one [`Notice`] after the other. It decides nothing: what to send, when
+//! to pause a reader, what a closed connection means is the program's.
+//!
+//! What it promises:
+//! - no connection can make it hold more than its bounds, and none waits for another;
+//! - a closed connection tells which marked frames provably never left ([`Notice::Closed`]): not one byte of them
+//!   was handed to the kernel;
+//! - when descriptors run out accepting pauses and goes on later; connections that stand are not touched.
+
+mod clock;
+mod hub;
+mod out;
+
+pub use clock::Clock;
+pub use hub::{Connection, Hub, HubLimits, Notice, Wire};
--- /dev/null
+++ b/crates/transport/src/out.rs
@@ -0,0 +1,102 @@
+//! Bytes on their way out, and which frames among them have not begun to leave.
+
+use std::collections::VecDeque;
+
+#[derive(Debug, Default)]
+pub struct Out {
+    buffer: Vec<u8>,
+    /// Bytes at the front of the buffer that the kernel has.
+    sent: usize,
+    /// Bytes that left the buffer for good before its first one.
+    base: u64,
+    /// Marked frames that have not wholly left: first byte, end, mark.
+    marks: VecDeque<(u64, u64, u64)>,
+}
+
+impl Out {
+    pub fn len(&self) -> usize {
+        self.buffer.len() - self.sent
+    }
+
+    /// Appends what `write` appends, as one frame.
+    pub fn push(&mut self, mark: Option<u64>, write: impl FnOnce(&mut Vec<u8>)) {
+        let start = self.base + self.buffer.len() as u64;
+        write(&mut self.buffer);
+        let end = self.base + self.buffer.len() as u64;
+        self.marks.extend(mark.map(|mark| (start, end, mark)));
+    }
+
+    pub fn rest(&self) -> &[u8] {
+        &self.buffer[self.sent..]
+    }
+
+    /// The kernel took so many bytes.
+    pub fn took(&mut self, count: usize) {
+        self.sent += count;
+        let at = self.base + self.sent as u64;
+        while self.marks.front().is_some_and(|(_, end, _)| *end <= at) {
+            self.marks.pop_front();
+        }
+        if self.sent == self.buffer.len() {
+            self.base = at;
+            self.sent = 0;
+            // A buffer that was large once is not kept for an idle connection.
+            if self.buffer.capacity() > 4 << 10 { self.buffer = Vec::new() } else { self.buffer.clear() }
+        } else if self.sent > 256 << 10 {
+            self.buffer.drain(..self.sent);
+            self.base = at;
+            self.sent = 0;
+        }
+    }
+
+    /// Takes a frame back if no byte of it has left.
+    pub fn withdraw(&mut self, mark: u64) -> bool {
+        let at = self.base + self.sent as u64;
+        let Some(place) = self.marks.iter().position(|(start, _, m)| *m == mark && *start >= at) else {
+            return false;
+        };
+        let Some((start, end, _)) = self.marks.remove(place) else { return false };
+        let range = (start - self.base) as usize..(end - self.base) as usize;
+        self.buffer.drain(range);
+        for (later, end_later, _) in self.marks.iter_mut().skip(place) {
+            *later -= end - start;
+            *end_later -= end - start;
+        }
+        true
+    }
+
+    /// Marks of the frames of which no byte has left.
+    pub fn unsent(&self) -> Vec<u64> {
+        let at = self.base + self.sent as u64;
+        self.marks.iter().filter(|(start, ..)| *start >= at).map(|(.., mark)| *mark).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Out;
+
+    #[test]
+    fn frames_are_unsent_until_their_first_byte_leaves() {
+        let mut out = Out::default();
+        for mark in 1..=4 {
+            out.push(Some(mark), |b| b.extend([mark as u8; 10]));
+        }
+        assert_eq!(out.unsent(), [1, 2, 3, 4]);
+        out.took(10);
+        assert_eq!(out.unsent(), [2, 3, 4], "whole frames that left are not unsent");
+        out.took(1);
+        assert_eq!(out.unsent(), [3, 4], "one byte is enough");
+        assert!(!out.withdraw(2) && !out.withdraw(1) && out.withdraw(3));
+        assert_eq!(out.rest(), [[2u8; 9].as_slice(), [4u8; 10].as_slice()].concat());
+        out.took(9);
+        assert_eq!(out.unsent(), [4]);
+        out.took(10);
+        assert_eq!((out.len(), out.unsent()), (0, vec![]));
+        out.push(Some(5), |b| b.extend([5; 3]));
+        out.took(2);
+        assert!(!out.withdraw(5));
+        out.took(1);
+        assert_eq!(out.len(), 0);
+    }
+}
