Settings as a Starlark script with every fault placed, and the command cresswheel

A gateway needs settings that are checked whole and a command line. crates/settings runs a script that does nothing but put down sections, then reports every unknown name (with the near one), wrong type, bare number and contradiction with file, line, column and value in one run; loads in a circle are named as a chain. crates/cli has gateway, check, call, worker, list, store, fault.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,109 @@
-//! The command.
-fn main() {}
+//! The command `cresswheel`. Exit codes: 0 served or held, 1 failed, 2 usage or settings.
+
+mod call;
+mod logs;
+mod peers;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use cresswheel_gateway::Gateway;
+
+/// A gateway that runs calls on workers which load functions on demand.
+///
+/// Begin with `cresswheel rehearse month-end`: it starts a small fleet on this machine, plays a bad day against
+/// it and tells whether the five rules held. docs/OPERATIONS.md is for whoever runs a gateway.
+#[derive(Parser)]
+#[command(version, propagate_version = true)]
+struct Cli {
+    /// What is logged: error, warn, info, debug, or a filter such as `cresswheel_gateway=debug`.
+    #[arg(long, global = true, default_value = "info", env = "CRESSWHEEL_LOG")]
+    log: String,
+    /// Log a JSON object a line instead of text.
+    #[arg(long, global = true)]
+    json: bool,
+    /// Log to this file; if it can't be written, logs are dropped and the program goes on.
+    #[arg(long, global = true, value_name = "FILE")]
+    log_file: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a gateway with the settings in FILE.
+    ///
+    /// When it listens it prints `ready main=ADDRESS http=ADDRESS` on standard output. TERM or INT: it takes
+    /// nothing new, lets calls finish for `stop_within`, answers the rest and exits 0. HUP: it reads FILE again;
+    /// with a fault in it the old settings stay in force.
+    Gateway {
+        /// A settings script, such as deploy/gateway.star.
+        file: PathBuf,
+    },
+    /// Read the settings in FILE and tell every fault with its line.
+    Check {
+        /// A settings script.
+        file: PathBuf,
+    },
+    /// Make one call and print its answer.
+    ///
+    /// Exits 0 if it was served, 1 if it was refused, failed or not answered.
+    Call(call::CallArgs),
+    /// Run a stand-in worker: it answers calls with its own name after about the work they tell.
+    Worker(peers::WorkerArgs),
+    /// Run a stand-in worker list.
+    List(peers::ListArgs),
+    /// Run a stand-in model store.
+    Store(peers::StoreArgs),
+    /// Tell a stand-in to play a fault, such as `hang 5000` or `lose 0.3 10000`.
+    Fault(peers::FaultArgs),
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    if let Err(error) = logs::start(&cli.log, cli.json, cli.log_file.as_deref()) {
+        eprintln!("cresswheel: {error:#}");
+        return ExitCode::from(2);
+    }
+    let done = match cli.command {
+        Command::Gateway { file } => gateway(&file),
+        Command::Check { file } => match cresswheel_settings::read(&file) {
+            Ok(settings) => {
+                println!("{}: sound; gateway {}", file.display(), settings.name);
+                Ok(ExitCode::SUCCESS)
+            }
+            Err(faults) => {
+                eprintln!("{faults}");
+                Ok(ExitCode::from(2))
+            }
+        },
+        Command::Call(args) => call::run(args),
+        Command::Worker(args) => peers::worker(args),
+        Command::List(args) => peers::list(args),
+        Command::Store(args) => peers::store(args),
+        Command::Fault(args) => peers::fault(args),
+    };
+    done.unwrap_or_else(|error| {
+        eprintln!("cresswheel: {error:#}");
+        ExitCode::FAILURE
+    })
+}
+
+fn gateway(file: &std::path::Path) -> anyhow::Result<ExitCode> {
+    let settings = match cresswheel_settings::read(file) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return Ok(ExitCode::from(2));
+        }
+    };
+    let again = file.to_path_buf();
+    let reload = Box::new(move || cresswheel_settings::read(&again).map_err(|faults| faults.to_string()));
+    let mut gateway = Gateway::start(settings, reload)?;
+    let ready = gateway.ready();
+    let http = ready.http.map_or(String::new(), |at| format!(" http={at}"));
+    peers::say(&format!("ready main={}{http}", ready.main))?;
+    gateway.run()?;
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/cli/src/peers.rs
@@ -0,0 +1,178 @@
+//! The stand-ins as commands.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Args;
+use cresswheel_protocol::Message;
+use cresswheel_rehearsal::Client;
+use cresswheel_standins::{Profile, Store, Worker, WorkerList, WorkerSettings};
+
+/// Prints a line that a parent process waits for.
+pub fn say(line: &str) -> std::io::Result<()> {
+    let mut out = std::io::stdout();
+    writeln!(out, "{line}")?;
+    out.flush()
+}
+
+#[derive(Args)]
+pub struct WorkerArgs {
+    /// Where it listens; port 0 finds one.
+    #[arg(long, default_value = "127.0.0.1:7201")]
+    listen: SocketAddr,
+    /// Its id; absent: its address.
+    #[arg(long, default_value = "")]
+    id: String,
+    /// The worker list that it registers with.
+    #[arg(long)]
+    list: Option<SocketAddr>,
+    /// The model store that it fetches from.
+    #[arg(long)]
+    store: Option<SocketAddr>,
+    /// Its zone.
+    #[arg(long, default_value = "")]
+    zone: String,
+    /// Its kind of machine.
+    #[arg(long, default_value = "std")]
+    kind: String,
+    /// Its cell.
+    #[arg(long, default_value_t = 0)]
+    cell: u64,
+    /// It counts as started long ago.
+    #[arg(long)]
+    warm: bool,
+    /// Answer 'miss' where a function is not loaded, instead of loading it.
+    #[arg(long)]
+    miss: bool,
+    /// Cores.
+    #[arg(long, default_value_t = 4)]
+    cores: u32,
+    /// Memory, in MB.
+    #[arg(long, default_value_t = 16_000)]
+    memory_mb: u32,
+    /// Calls that may wait.
+    #[arg(long, default_value_t = 32)]
+    queue: usize,
+    /// An idle instance is unloaded after so many milliseconds.
+    #[arg(long, default_value_t = 10_000)]
+    keep_alive_ms: u64,
+    /// Share of its capacity that it begins with.
+    #[arg(long, default_value_t = 0.2)]
+    cold_from: f64,
+    /// Milliseconds until it has all of it.
+    #[arg(long, default_value_t = 10_000)]
+    warm_up_ms: u64,
+    /// Sent more than this multiple of its present capacity ...
+    #[arg(long, default_value_t = 2.0)]
+    fall_multiple: f64,
+    /// ... for so many milliseconds it falls over; 0: never.
+    #[arg(long, default_value_t = 3_000)]
+    fall_window_ms: u64,
+    /// Of its random draws.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Write down what passes on its sockets, in this folder.
+    #[arg(long, value_name = "FOLDER")]
+    records: Option<PathBuf>,
+}
+
+pub fn worker(args: WorkerArgs) -> anyhow::Result<ExitCode> {
+    let profile = Profile {
+        cores: args.cores.max(1),
+        memory_mb: args.memory_mb,
+        queue: args.queue,
+        keep_alive: args.keep_alive_ms.saturating_mul(1_000),
+        load_on_call: !args.miss,
+        cold_from: args.cold_from,
+        warm_up: args.warm_up_ms.saturating_mul(1_000),
+        fall_multiple: args.fall_multiple,
+        fall_window: args.fall_window_ms.saturating_mul(1_000),
+        seed: args.seed,
+        ..Profile::default()
+    };
+    let mut worker = Worker::start(WorkerSettings {
+        id: args.id,
+        listen: args.listen,
+        list: args.list,
+        store: args.store,
+        zone: args.zone,
+        kind: args.kind,
+        cell: args.cell,
+        warm: args.warm,
+        profile,
+        records: args.records,
+    })?;
+    say(&format!("ready main={}", worker.address()))?;
+    worker.run()?;
+    Ok(ExitCode::SUCCESS)
+}
+
+#[derive(Args)]
+pub struct ListArgs {
+    /// Where it listens; port 0 finds one.
+    #[arg(long, default_value = "127.0.0.1:7000")]
+    listen: SocketAddr,
+    /// Changes go out so many milliseconds late.
+    #[arg(long, default_value_t = 0)]
+    delay_ms: u64,
+    /// A worker that is gone stays listed for so many milliseconds.
+    #[arg(long, default_value_t = 1_000)]
+    notice_ms: u64,
+    /// Write down what it told whom, in this folder.
+    #[arg(long, value_name = "FOLDER")]
+    records: Option<PathBuf>,
+}
+
+pub fn list(args: ListArgs) -> anyhow::Result<ExitCode> {
+    let (delay, notice) = (args.delay_ms.saturating_mul(1_000), args.notice_ms.saturating_mul(1_000));
+    let mut list = WorkerList::start(args.listen, args.records.as_deref(), delay, notice)?;
+    say(&format!("ready main={}", list.address()))?;
+    list.run()?;
+    Ok(ExitCode::SUCCESS)
+}
+
+#[derive(Args)]
+pub struct StoreArgs {
+    /// Where it listens; port 0 finds one.
+    #[arg(long, default_value = "127.0.0.1:7300")]
+    listen: SocketAddr,
+    /// Fetches that it serves at full pace at once.
+    #[arg(long, default_value_t = 8)]
+    capacity: usize,
+    /// Fetches that it takes at once; the next are turned away.
+    #[arg(long, default_value_t = 64)]
+    most: usize,
+}
+
+pub fn store(args: StoreArgs) -> anyhow::Result<ExitCode> {
+    let mut store = Store::start(args.listen, args.capacity, args.most)?;
+    say(&format!("ready main={}", store.address()))?;
+    store.run()?;
+    Ok(ExitCode::SUCCESS)
+}
+
+#[derive(Args)]
+pub struct FaultArgs {
+    /// The stand-in's address.
+    to: SocketAddr,
+    /// The fault in words; docs/REHEARSAL.md lists them.
+    #[arg(required = true)]
+    words: Vec<String>,
+}
+
+pub fn fault(args: FaultArgs) -> anyhow::Result<ExitCode> {
+    let mut client = Client::connect(args.to, "fault")?;
+    client.send(&Message::Control { words: args.words.join(" ") })?;
+    loop {
+        match client.next()? {
+            Message::Controlled { wrong } if wrong.is_empty() => return Ok(ExitCode::SUCCESS),
+            Message::Controlled { wrong } => {
+                eprintln!("{wrong}");
+                return Ok(ExitCode::from(2));
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/gateway.rs
@@ -0,0 +1,280 @@
+//! Sections to a gateway's settings.
+
+use std::path::Path;
+
+use cresswheel::{Class, ColdStart, Effect, Group, OrderRation, Settings, Tenant, WhenAbsent};
+use cresswheel_engine::{AdmissionLimits, EngineSettings, ResultLimits};
+use cresswheel_gateway::{GatewaySettings, ShellLimits};
+use cresswheel_protocol::{Limits, Listed, Standing, http};
+use cresswheel_transport::HubLimits;
+
+use crate::Fault;
+use crate::fields::Fields;
+use crate::raw::{Place, Raw, Section};
+
+const S: u64 = 1_000_000;
+const MS: u64 = 1_000;
+
+pub fn check(path: &Path, sections: Vec<Section>) -> Result<GatewaySettings, Vec<Fault>> {
+    let mut faults = Vec::new();
+    let mut settings = absent();
+    let mut seen: Vec<(String, Place)> = Vec::new();
+    for section in sections {
+        let (kind, place) = (section.kind.clone(), section.place.clone());
+        let once = !matches!(kind.as_str(), "call_class" | "tenant" | "worker");
+        if let Some((_, first)) = seen.iter().find(|(other, _)| *other == kind).filter(|_| once) {
+            let what = format!("{kind}: a second one, the first stands at {first}");
+            faults.push(Fault { place: place.clone(), what });
+        }
+        seen.push((kind.clone(), place));
+        let mut fields = Fields::new(section, &mut faults);
+        match kind.as_str() {
+            "gateway" => gateway(&mut fields, &mut settings),
+            "fleet" => fleet(&mut fields, &mut settings.engine.module),
+            "call_class" => class(&mut fields, &mut settings.engine.module),
+            "tenant" => tenant(&mut fields, &mut settings.engine.module),
+            "cold_start" => cold_start(&mut fields, &mut settings.engine.module),
+            "ration" => ration(&mut fields, &mut settings.engine.module),
+            "worker" => worker(&mut fields, &mut settings.workers),
+            _ => limits(&mut fields, &mut settings),
+        }
+        fields.end();
+    }
+    let top = Place { file: path.display().to_string(), line: 1, column: 1 };
+    for needed in ["gateway", "call_class"] {
+        if !seen.iter().any(|(kind, _)| kind == needed) {
+            faults.push(Fault { place: top.clone(), what: format!("there is no {needed}(...)") });
+        }
+    }
+    if faults.is_empty() {
+        whole(&settings, &seen, &top, &mut faults);
+    }
+    if faults.is_empty() { Ok(settings) } else { Err(faults) }
+}
+
+/// What holds where nothing is said.
+fn absent() -> GatewaySettings {
+    let module = Settings {
+        tick: MS,
+        keep_alive: 10 * S,
+        when_absent: WhenAbsent::Miss,
+        may_order: true,
+        tells_crowd: true,
+        order_timeout: 10 * S,
+        may_cancel: true,
+        may_probe: true,
+        max_attempts: 4,
+        connect_timeout: 250 * MS,
+        drain_grace: S,
+        ask_within: 10 * S,
+        ..Settings::default()
+    };
+    GatewaySettings {
+        name: String::new(),
+        engine: EngineSettings {
+            module,
+            admission: AdmissionLimits::default(),
+            results: ResultLimits::default(),
+            answer_margin: 10 * MS,
+            most_time: 600 * S,
+            deferred_time: 60 * S,
+        },
+        listen: ([127, 0, 0, 1], 0).into(),
+        http: None,
+        list: Vec::new(),
+        workers: Vec::new(),
+        state: None,
+        shell: ShellLimits::default(),
+    }
+}
+
+fn gateway(f: &mut Fields, to: &mut GatewaySettings) {
+    to.name = f.needed_text("name");
+    to.listen = f.needed_address("listen");
+    to.http = f.address("http");
+    to.list = f.addresses("list");
+    to.state = f.text("state").map(Into::into);
+    let module = &mut to.engine.module;
+    module.zone = f.text("zone").unwrap_or_default();
+    module.tick = f.time("tick", module.tick);
+    to.engine.answer_margin = f.time("answer_margin", to.engine.answer_margin);
+    to.engine.most_time = f.time("most_time", to.engine.most_time);
+    to.engine.deferred_time = f.time("deferred_time", to.engine.deferred_time);
+    let (tick, margin) = (module.tick, to.engine.answer_margin);
+    f.must(tick > 0 && tick <= S, "tick must be above zero and at most s(1)");
+    f.must(margin >= 2 * tick, "answer_margin must be two ticks at least, or last answers come late");
+    f.must(to.engine.deferred_time <= to.engine.most_time, "deferred_time is longer than most_time");
+    f.must(!to.name.is_empty() && to.name.len() <= 100, "name must have 1 to 100 bytes");
+}
+
+fn fleet(f: &mut Fields, to: &mut Settings) {
+    to.gateways = f.count("gateways", 1, (1, 1_000_000)) as u32;
+    to.keep_alive = f.time("keep_alive", to.keep_alive);
+    let words = [("load", WhenAbsent::Load), ("miss", WhenAbsent::Miss)];
+    to.when_absent = f.word("when_absent", &words).unwrap_or(to.when_absent);
+    to.may_order = f.flag("may_order", to.may_order);
+    to.may_cancel = f.flag("may_cancel", to.may_cancel);
+    to.may_probe = f.flag("may_probe", to.may_probe);
+    to.may_duplicate = f.flag("may_duplicate", to.may_duplicate);
+    to.tells_crowd = f.flag("tells_crowd", to.tells_crowd);
+    to.must_follow = f.flag("must_follow", to.must_follow);
+    to.ask_within = f.time("ask_within", to.ask_within);
+    to.order_timeout = f.time("order_timeout", to.order_timeout);
+    to.connect_timeout = f.time("connect_timeout", to.connect_timeout);
+    to.drain_grace = f.time("drain_grace", to.drain_grace);
+    to.max_attempts = f.count("max_attempts", to.max_attempts, (1, 100));
+    to.retry_after = f.flag("retry_after", to.retry_after);
+    to.max_retry_after = f.time("max_retry_after", to.max_retry_after);
+    to.over_quota_worth = f.number("over_quota_worth", to.over_quota_worth, (0.0, 1.0));
+    to.kind_memory_mb = f.memories("kind_memory").into_iter().collect();
+    let loads = to.when_absent == WhenAbsent::Load || to.may_order;
+    f.must(loads, "when_absent = \"miss\" with may_order = False: nothing would ever be loaded");
+    f.must(to.keep_alive > 0, "keep_alive must be above zero");
+    f.must(to.connect_timeout > 0, "connect_timeout must be above zero");
+    f.must(to.order_timeout > 0, "order_timeout must be above zero");
+}
+
+fn class(f: &mut Fields, to: &mut Settings) {
+    let name = f.needed_text("name");
+    let (aim, give_up) = (f.needed_time("aim"), f.needed_time("give_up"));
+    let effect = match f.any("effect") {
+        None => {
+            f.must(false, "effect is missing: \"safe\", \"unsafe\" or keyed(group = ..., memory = ...)");
+            Effect::Unsafe
+        }
+        Some((value, place)) => match &value {
+            Raw::Text(word) if word == "safe" => Effect::Safe,
+            Raw::Text(word) if word == "unsafe" => Effect::Unsafe,
+            Raw::Keyed(group, memory) if *memory > 0 => {
+                let group = match group.as_str() {
+                    "all" => Some(Group::All),
+                    "zone" => Some(Group::Zone),
+                    "cell" => Some(Group::Cell),
+                    _ => None,
+                };
+                if group.is_none() {
+                    let wanted = "a group of \"all\", \"zone\" or \"cell\" is wanted";
+                    f.fault(place, format!("effect = {value}: {wanted}"));
+                }
+                Effect::Keyed { group: group.unwrap_or(Group::Cell), memory: *memory }
+            }
+            _ => {
+                let wanted = "\"safe\", \"unsafe\" or keyed(group = ..., memory = s(5)) is wanted";
+                f.fault(place, format!("effect = {value}: {wanted}"));
+                Effect::Unsafe
+            }
+        },
+    };
+    let streamed = false;
+    let worth = f.number("worth", 1.0, (0.0, 1e9));
+    let late_worth = f.number("late_worth", 0.0, (0.0, 1.0));
+    f.must(aim <= give_up, "aim is longer than give_up");
+    f.must(aim > 0, "aim must be above zero");
+    let twice = to.classes.iter().any(|class| class.name == name);
+    f.must(!twice, &format!("a second class of the name {name:?}"));
+    to.classes.push(Class { name, aim, give_up, effect, streamed, worth, late_worth });
+}
+
+fn tenant(f: &mut Fields, to: &mut Settings) {
+    let name = f.needed_text("name");
+    let quota_per_s = f.number("quota_per_s", f64::INFINITY, (0.0, f64::INFINITY));
+    let twice = to.tenants.iter().any(|tenant| tenant.name == name);
+    f.must(!twice, &format!("a second tenant of the name {name:?}"));
+    to.tenants.push(Tenant { name, quota_per_s });
+}
+
+fn cold_start(f: &mut Fields, to: &mut Settings) {
+    let cold = &to.cold;
+    to.cold = ColdStart {
+        from: f.number("from_share", cold.from, (0.001, 1.0)),
+        warm_up: f.time("warm_up", cold.warm_up),
+        multiple: f.number("multiple", cold.multiple, (0.001, 1e6)),
+        window: f.time("window", cold.window),
+    };
+}
+
+fn ration(f: &mut Fields, to: &mut Settings) {
+    let ration = OrderRation {
+        window: f.needed_time("window"),
+        free: f.number("free", 0.0, (0.0, 1e9)),
+        per_request: f.number("per_call", 0.0, (0.0, 1e9)),
+    };
+    f.must(ration.window > 0, "window must be above zero");
+    to.ration = Some(ration);
+}
+
+fn worker(f: &mut Fields, to: &mut Vec<Listed>) {
+    let address = f.needed_address("address").to_string();
+    let id = f.text("id").unwrap_or_else(|| address.clone());
+    let twice = to.iter().any(|worker| worker.id == id);
+    f.must(!twice, &format!("a second worker of the id {id:?}"));
+    to.push(Listed {
+        id,
+        address,
+        zone: f.text("zone").unwrap_or_default(),
+        kind: f.text("kind").unwrap_or_default(),
+        cell: f.count("cell", 0, (0, usize::MAX >> 1)) as u64,
+        standing: Standing::In,
+        started: 0,
+    });
+}
+
+fn limits(f: &mut Fields, to: &mut GatewaySettings) {
+    const MOST: usize = 1 << 40;
+    let admission = &mut to.engine.admission;
+    admission.open_calls = f.count("open_calls", admission.open_calls, (1, MOST));
+    admission.open_bytes = f.size("open_bytes", admission.open_bytes);
+    admission.per_connection = f.count("calls_per_connection", admission.per_connection, (1, MOST));
+    admission.functions = f.count("functions", admission.functions, (1, MOST));
+    let results = &mut to.engine.results;
+    results.keep = f.time("results_keep", results.keep);
+    results.bytes = f.size("results_bytes", results.bytes);
+    let shell = &mut to.shell;
+    let frame = f.size("frame", shell.hub.frame.frame);
+    f.must((1_024..=1 << 30).contains(&frame), "frame must be from kb(1) to mb(1024)");
+    let head = f.size("http_head", shell.hub.http.head);
+    let headers = f.count("http_headers", shell.hub.http.headers, (1, 10_000));
+    let body = f.size("http_body", shell.hub.http.body);
+    shell.hub = HubLimits {
+        frame: Limits { frame },
+        http: http::Limits { head, headers, body },
+        out: f.size("out_buffer", shell.hub.out),
+        accepted: f.count("connections", shell.hub.accepted, (1, MOST)),
+    };
+    shell.worker_connections = f.count("worker_connections", shell.worker_connections, (1, 1_000));
+    shell.worker_streams = f.count("worker_streams", shell.worker_streams, (1, 100_000));
+    shell.worker_idle = f.time("worker_idle", shell.worker_idle);
+    shell.client_idle = f.time("client_idle", shell.client_idle);
+    shell.half_request = f.time("half_request", shell.half_request);
+    shell.client_backlog = f.size("client_backlog", shell.client_backlog);
+    shell.stop_within = f.time("stop_within", shell.stop_within);
+    shell.list_retry = f.time("list_retry", shell.list_retry);
+    f.must(shell.client_backlog < shell.hub.out, "client_backlog must be below out_buffer");
+    f.must(shell.half_request > 0, "half_request must be above zero");
+}
+
+/// What no section can see alone.
+fn whole(settings: &GatewaySettings, seen: &[(String, Place)], top: &Place, faults: &mut Vec<Fault>) {
+    let at =
+        |kind: &str| seen.iter().find(|(k, _)| k == kind).map_or(top.clone(), |(_, place)| place.clone());
+    let mut fault = |kind: &str, what: String| faults.push(Fault { place: at(kind), what });
+    let engine = &settings.engine;
+    let shortest = engine.module.classes.iter().map(|class| class.aim).min().unwrap_or(u64::MAX);
+    if engine.answer_margin * 2 > shortest {
+        let shortest = Raw::Time(shortest);
+        let margin = Raw::Time(engine.answer_margin);
+        fault("gateway", format!("answer_margin = {margin} takes over half of the shortest aim, {shortest}"));
+    }
+    for class in &engine.module.classes {
+        if class.give_up > engine.most_time {
+            let (name, give_up, most) = (&class.name, Raw::Time(class.give_up), Raw::Time(engine.most_time));
+            fault("call_class", format!("{name:?}: give_up = {give_up} is longer than most_time, {most}"));
+        }
+    }
+    if settings.list.is_empty() && settings.workers.is_empty() {
+        fault("gateway", "neither a list nor a worker(...): there is nothing to send calls to".into());
+    }
+    if let Err(error) = engine.module.check() {
+        fault("gateway", error.to_string());
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,40 @@
-//! A Starlark script to checked, typed settings.
+//! A gateway's settings from a Starlark script. `docs/SETTINGS.md` has every name.
+//!
+//! Two steps: [`script`] runs the script, which does nothing but put down sections with their places; [`gateway`]
+//! checks them all and gives either typed settings or every fault found, each with file, line, column and value.
+//! No other crate depends on Starlark.
+
+mod fields;
+mod gateway;
+mod raw;
+mod script;
+
+use std::path::Path;
+
+use cresswheel_gateway::GatewaySettings;
+
+pub use raw::Place;
+
+/// Something wrong with the settings.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{place}: {what}")]
+pub struct Fault {
+    /// Where it stands.
+    pub place: Place,
+    /// What is wrong, with the value.
+    pub what: String,
+}
+
+/// All that is wrong with the settings, in the order of their places.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
+pub struct Faults(pub Vec<Fault>);
+
+/// Reads a gateway's settings.
+pub fn read(path: &Path) -> Result<GatewaySettings, Faults> {
+    let sections = script::run(path).map_err(|fault| Faults(vec![fault]))?;
+    gateway::check(path, sections).map_err(|mut faults| {
+        faults.sort_by(|a, b| a.place.cmp(&b.place));
+        Faults(faults)
+    })
+}
