--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod call;
 mod logs;
 mod peers;
+mod rehearse;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -50,6 +51,11 @@
     ///
     /// Exits 0 if it was served, 1 if it was refused, failed or not answered.
     Call(call::CallArgs),
+    /// Start a small fleet on this machine, play a bad day against it and tell whether the five rules held.
+    ///
+    /// What is judged is what passed on the sockets of clients and workers, never the gateways' own word. Exits 0
+    /// if every rule held, 1 if one broke or the scene could not be played, 2 on a scene with a fault.
+    Rehearse(rehearse::RehearseArgs),
     /// Run a stand-in worker: it answers calls with its own name after about the work they tell.
     Worker(peers::WorkerArgs),
     /// Run a stand-in worker list.
@@ -79,6 +85,7 @@
             }
         },
         Command::Call(args) => call::run(args),
+        Command::Rehearse(args) => rehearse::run(args),
         Command::Worker(args) => peers::worker(args),
         Command::List(args) => peers::list(args),
         Command::Store(args) => peers::store(args),
--- /dev/null
+++ b/crates/cli/src/rehearse.rs
@@ -0,0 +1,101 @@
+//! `cresswheel rehearse`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::Context;
+use clap::Args;
+use cresswheel_rehearsal::{SCENES, Scene, Terms, Verdict, audit, day, read_records, rehearse, scene};
+
+#[derive(Args)]
+pub struct RehearseArgs {
+    /// `list`, a ready scene's name, or a scene file (JSON; `--print` gives one to begin with).
+    #[arg(required_unless_present_any = ["day", "judge"])]
+    scene: Option<String>,
+    /// Play the kinds of trouble of a bench day's file, scaled to this machine.
+    #[arg(long, value_name = "FILE", conflicts_with_all = ["scene", "judge"])]
+    day: Option<PathBuf>,
+    /// Judge the records of an earlier rehearsal in FOLDER again.
+    #[arg(long, value_name = "FOLDER", conflicts_with = "scene")]
+    judge: Option<PathBuf>,
+    /// Of all random draws.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Keep records, logs and settings in FOLDER; absent: in a folder that is removed if every rule held.
+    #[arg(long, value_name = "FOLDER")]
+    keep: Option<PathBuf>,
+    /// Print the scene as JSON and play nothing.
+    #[arg(long)]
+    print: bool,
+}
+
+pub fn run(args: RehearseArgs) -> anyhow::Result<ExitCode> {
+    if args.scene.as_deref() == Some("list") {
+        for (name, about) in SCENES {
+            println!("{name:12}{about}");
+        }
+        return Ok(ExitCode::SUCCESS);
+    }
+    if let Some(folder) = &args.judge {
+        return judge(folder);
+    }
+    let wanted = match find(&args) {
+        Ok(wanted) => wanted,
+        Err(error) => {
+            eprintln!("cresswheel: {error:#}");
+            return Ok(ExitCode::from(2));
+        }
+    };
+    if args.print {
+        println!("{}", serde_json::to_string_pretty(&wanted)?);
+        return Ok(ExitCode::SUCCESS);
+    }
+    println!("{}: {} (seed {}, {} s)", wanted.name, wanted.about, wanted.seed, wanted.length_ms / 1_000);
+    for unplayed in &wanted.unplayed {
+        println!("not played: {unplayed}");
+    }
+    let (folder, temporary) = match args.keep {
+        Some(folder) => (folder, false),
+        None => (std::env::temp_dir().join(format!("cresswheel-rehearsal-{}", std::process::id())), true),
+    };
+    let exe = std::env::current_exe().context("this program's own path")?;
+    let outcome = rehearse(&exe, &folder, &wanted, &mut |line| println!("{line}"))?;
+    println!("\n{}", outcome.verdict);
+    outcome.bad_ends.iter().for_each(|end| println!("{end}"));
+    if temporary && outcome.held() {
+        std::fs::remove_dir_all(&folder).with_context(|| folder.display().to_string())?;
+    } else {
+        println!("records, logs and settings: {}", folder.display());
+    }
+    let word = if outcome.held() { "all rules held" } else { "NOT all is well" };
+    println!("{word}, {:.0} s", outcome.took.as_secs_f64());
+    Ok(if outcome.held() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn find(args: &RehearseArgs) -> anyhow::Result<Scene> {
+    if let Some(file) = &args.day {
+        let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
+        return day::read(&text, args.seed).map_err(|why| anyhow::anyhow!("{}: {why}", file.display()));
+    }
+    let name = args.scene.as_deref().unwrap_or_default();
+    if let Some(ready) = scene(name, args.seed) {
+        return Ok(ready);
+    }
+    let names: Vec<_> = SCENES.iter().map(|(name, _)| *name).collect();
+    let text = std::fs::read_to_string(name)
+        .with_context(|| format!("{name} is no ready scene ({}) and no file", names.join(", ")))?;
+    let scene: Scene = serde_json::from_str(&text).with_context(|| name.to_owned())?;
+    let faults = scene.faults();
+    anyhow::ensure!(faults.is_empty(), "{name}: {}", faults.join("; "));
+    Ok(scene)
+}
+
+fn judge(folder: &std::path::Path) -> anyhow::Result<ExitCode> {
+    let text = std::fs::read_to_string(folder.join("scene.json"));
+    let text = text.with_context(|| folder.join("scene.json").display().to_string())?;
+    let scene: Scene = serde_json::from_str(&text).context("scene.json")?;
+    let (records, unreadable) = read_records(&folder.join("records"))?;
+    let verdict = Verdict { unreadable, ..audit(&records, &Terms::of(&scene)) };
+    println!("{verdict}");
+    Ok(if verdict.held() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- /dev/null
+++ b/crates/rehearsal/src/traffic.rs
@@ -0,0 +1,391 @@
+//! The clients of a rehearsal: calls at times drawn ahead, whatever the answers do; one connection to each gateway.
+//!
+//! Each client's call has a trace of its own, by which the auditor finds it at the workers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::mpsc::Receiver;
+
+use cresswheel_protocol::{Message, Micros, Role, Shape, Status};
+use cresswheel_standins::{Recorder, What};
+use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::Rng;
+
+use crate::fleet::Fleet;
+use crate::scene::{Event, Scene};
+
+const MS: Micros = 1_000;
+const CONNECT_WITHIN: Micros = 250 * MS;
+const RETRY_CONNECT: Micros = 100 * MS;
+/// After its deadline a call is waited for so long yet, to see what comes late.
+const GRACE: Micros = 500 * MS;
+
+struct Door {
+    at: SocketAddr,
+    name: String,
+    zone: String,
+    connection: Option<Connection>,
+    stands: bool,
+    retry_at: Micros,
+    /// Clients think that it lives until then.
+    believed: Micros,
+}
+
+struct Open {
+    trace: String,
+    class: usize,
+    function: usize,
+    hot: bool,
+    deadline: Micros,
+    /// The call's id, once it was accepted.
+    id: Option<String>,
+    door: usize,
+    tries_left: u32,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    /// A hasty client leaves.
+    Leave(u64),
+    /// A call's deadline, with what is waited beyond it, has passed.
+    Over(u64),
+}
+
+/// The clients.
+pub struct Clients {
+    scene: Scene,
+    hub: Hub,
+    recorder: Recorder,
+    rng: Pcg32,
+    doors: Vec<Door>,
+    open: BTreeMap<u64, Open>,
+    /// Calls that hasty clients left: an answer to one may have been on its way.
+    left: BTreeSet<u64>,
+    due: BTreeSet<(Micros, Due)>,
+    next: u64,
+    traces: u64,
+    start: Micros,
+    hot: (f64, usize, Micros),
+    heavy: (usize, f64, f64, Micros),
+    give_up: (f64, f64, Micros),
+    /// Cumulated shares of classes, and of ranks in a class by its number of functions.
+    class_shares: Vec<f64>,
+    ranks: BTreeMap<usize, Vec<f64>>,
+}
+
+fn cumulated(weights: impl Iterator<Item = f64>) -> Vec<f64> {
+    let mut sum = 0.0;
+    let sums: Vec<f64> = weights
+        .map(|w| {
+            sum += w;
+            sum
+        })
+        .collect();
+    sums.into_iter().map(|s| s / sum).collect()
+}
+
+impl Clients {
+    /// Clients of these gateways, which write down what they see in `records`.
+    pub fn new(scene: &Scene, gateways: &[SocketAddr], records: &Path) -> anyhow::Result<Self> {
+        let hub = Hub::new(HubLimits::default())?;
+        let start = hub.clock().now();
+        let door = |(n, at): (usize, &SocketAddr)| Door {
+            at: *at,
+            name: Fleet::gateway_name(n),
+            zone: scene.gateways[n].zone.clone(),
+            connection: None,
+            stands: false,
+            retry_at: start,
+            believed: Micros::MAX,
+        };
+        let ranks = |class: &crate::ClassSpec| {
+            let zipf = scene.traffic.zipf;
+            (class.functions, cumulated((1..=class.functions).map(|rank| (rank as f64).powf(-zipf))))
+        };
+        Ok(Self {
+            recorder: Recorder::new(Some(records), "clients")?,
+            rng: Pcg32::new(scene.seed, 0xc11e),
+            doors: gateways.iter().enumerate().map(door).collect(),
+            open: BTreeMap::new(),
+            left: BTreeSet::new(),
+            due: BTreeSet::new(),
+            next: 0,
+            traces: 0,
+            start,
+            hot: (0.0, 0, 0),
+            heavy: (0, 0.0, 0.0, 0),
+            give_up: (0.0, 1.0, 0),
+            class_shares: cumulated(scene.classes.iter().map(|class| class.share)),
+            ranks: scene.classes.iter().map(ranks).collect(),
+            scene: scene.clone(),
+            hub,
+        })
+    }
+
+    fn lot(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
+    }
+
+    /// Calls for the scene's length, then waits for what is open. Events for clients come over `events`.
+    pub fn run(mut self, events: &Receiver<Event>) -> anyhow::Result<()> {
+        // All connections first: a call before them would only tell of the start.
+        let settled = self.hub.clock().now() + 2_000 * MS;
+        while self.doors.iter().any(|d| !d.stands) && self.hub.clock().now() < settled {
+            self.connect();
+            self.step(Some(settled))?;
+        }
+        self.start = self.hub.clock().now();
+        let end = self.start + self.scene.length_ms * MS;
+        let mut arrival = self.start;
+        let mut drained = false;
+        loop {
+            while let Ok(event) = events.try_recv() {
+                self.event(&event);
+            }
+            let now = self.hub.clock().now();
+            while arrival <= now && arrival < end {
+                self.arrive(arrival);
+                arrival += self.gap(arrival);
+            }
+            self.connect();
+            self.pass_due(now);
+            if arrival >= end && self.open.is_empty() {
+                drained = true;
+            }
+            self.recorder.flush();
+            if drained {
+                return Ok(());
+            }
+            let due = self.due.first().map(|(at, _)| *at);
+            let again = self.doors.iter().filter(|d| d.connection.is_none()).map(|d| d.retry_at).min();
+            let next = (arrival < end).then_some(arrival);
+            // Events come over a channel that wakes nobody: look every few milliseconds.
+            let until = [due, again, next, Some(now + 20 * MS)].into_iter().flatten().min();
+            self.step(until)?;
+        }
+    }
+
+    fn gap(&mut self, at: Micros) -> Micros {
+        let into = (at - self.start) / MS;
+        let curve = &self.scene.traffic.curve;
+        let factor = curve.iter().rev().find(|(from, _)| *from <= into).map_or(1.0, |(_, factor)| *factor);
+        let rate = (self.scene.traffic.rate * factor).max(1e-3);
+        let lot = self.lot();
+        (-(1.0 - lot).ln() / rate * 1e6) as Micros
+    }
+
+    fn event(&mut self, event: &Event) {
+        let now = self.hub.clock().now();
+        match event {
+            Event::Hot { share, functions, ms } => self.hot = (*share, *functions, now + ms * MS),
+            Event::Heavy { class, share, times, ms } => self.heavy = (*class, *share, *times, now + ms * MS),
+            Event::GiveUp { share, part, ms } => self.give_up = (*share, *part, now + ms * MS),
+            _ => {}
+        }
+    }
+
+    fn connect(&mut self) {
+        let now = self.hub.clock().now();
+        for door in &mut self.doors {
+            if door.connection.is_none() && door.retry_at <= now {
+                let connection = self.hub.connect(door.at, Wire::Frames, CONNECT_WITHIN);
+                let hello =
+                    Message::Hello { role: Role::Client, name: "clients".into(), zone: door.zone.clone() };
+                self.hub.send(connection, &hello, None);
+                door.connection = Some(connection);
+            }
+        }
+    }
+
+    fn step(&mut self, until: Option<Micros>) -> anyhow::Result<()> {
+        self.hub.wait(until)?;
+        while let Some(notice) = self.hub.next() {
+            match notice {
+                Notice::Connected(connection) => {
+                    if let Some(door) = self.doors.iter_mut().find(|d| d.connection == Some(connection)) {
+                        door.stands = true;
+                        door.believed = Micros::MAX;
+                    }
+                }
+                Notice::Closed { connection, unsent, .. } => self.closed(connection, &unsent),
+                Notice::Message(_, message) => self.message(message),
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn closed(&mut self, connection: Connection, unsent: &[u64]) {
+        let now = self.hub.clock().now();
+        let Some(at) = self.doors.iter().position(|d| d.connection == Some(connection)) else { return };
+        let notice = self.scene.traffic.front_notice_ms * MS;
+        let door = &mut self.doors[at];
+        if door.stands {
+            door.believed = now + notice;
+        }
+        (door.connection, door.stands, door.retry_at) = (None, false, now + RETRY_CONNECT);
+        let lost: Vec<u64> = self.open.iter().filter(|(_, o)| o.door == at).map(|(n, _)| *n).collect();
+        for number in lost {
+            let Some(open) = self.open.remove(&number) else { continue };
+            let unreached = unsent.contains(&number);
+            self.recorder.write(now, What::GatewayGone { trace: open.trace.clone(), unreached });
+            // What the gateway held is the client's to repeat, where a repeat does no harm.
+            self.repeat(open, unreached);
+        }
+    }
+
+    fn repeat(&mut self, open: Open, harmless: bool) {
+        let safe = self.scene.classes[open.class].effect == "safe";
+        if open.tries_left > 0 && (safe || harmless) {
+            self.call(open.class, open.function, open.hot, open.tries_left - 1);
+        }
+    }
+
+    fn arrive(&mut self, at: Micros) {
+        let lot = self.lot();
+        let class = self.class_shares.iter().position(|sum| lot < *sum).unwrap_or(0);
+        let hot = at < self.hot.2 && self.lot() < self.hot.0;
+        let function = if hot {
+            self.rng.next_u32() as usize % self.hot.1.max(1)
+        } else {
+            let lot = self.lot();
+            let ranks = &self.ranks[&self.scene.classes[class].functions];
+            ranks.iter().position(|sum| lot < *sum).unwrap_or(0)
+        };
+        self.call(class, function, hot, self.scene.traffic.retries);
+    }
+
+    fn call(&mut self, class: usize, function: usize, hot: bool, tries_left: u32) {
+        let now = self.hub.clock().now();
+        let believed: Vec<usize> =
+            self.doors.iter().enumerate().filter(|(_, d)| now < d.believed).map(|(n, _)| n).collect();
+        let pick = self.rng.next_u32() as usize;
+        let door = match believed.len() {
+            0 => pick % self.doors.len(),
+            count => believed[pick % count],
+        };
+        self.traces += 1;
+        let trace = format!("{}-{}", self.scene.seed, self.traces);
+        let spec = self.scene.classes[class].clone();
+        let short = now < self.give_up.2 && self.lot() < self.give_up.0;
+        let part = self.scene.traffic.try_share * if short { self.give_up.1 } else { 1.0 };
+        let time = (spec.give_up_ms as f64 * part) as Micros * MS;
+        let deferred = self.lot() < self.scene.traffic.deferred;
+        let hasty = !deferred && self.lot() < self.scene.traffic.hasty;
+        let leaves = hasty.then(|| (self.lot() * time as f64) as Micros);
+        let heavy = now < self.heavy.3 && class == self.heavy.0 && self.lot() < self.heavy.1;
+        let work = spec.work_ms * if heavy { self.heavy.2 } else { 1.0 };
+        let open = Open {
+            trace: trace.clone(),
+            class,
+            function,
+            hot,
+            deadline: now + time,
+            id: None,
+            door,
+            tries_left,
+        };
+        let asked = What::Asked {
+            trace: trace.clone(),
+            gateway: self.doors[door].name.clone(),
+            class: spec.name.clone(),
+            deferred,
+            deadline: open.deadline,
+        };
+        self.recorder.write(now, asked);
+        let kind = if hot { "hot" } else { "f" };
+        self.next += 1;
+        let number = self.next;
+        let message = Message::Call {
+            number,
+            deferred,
+            function: format!("{}/{kind}{function}", spec.name),
+            class: spec.name,
+            tenant: String::new(),
+            key: String::new(),
+            trace: trace.clone(),
+            time_left: time,
+            shape: Shape {
+                memory_mb: spec.memory_mb,
+                lanes: spec.lanes,
+                load_time: spec.load_ms * MS,
+                work: (work * 1e3) as Micros,
+            },
+            body: trace.into_bytes(),
+        };
+        let connection = self.doors[door].connection;
+        let sent = connection.is_some_and(|connection| self.hub.send(connection, &message, Some(number)));
+        if !sent {
+            self.recorder.write(now, What::GatewayGone { trace: open.trace.clone(), unreached: true });
+            return self.repeat(open, true);
+        }
+        self.due.extend(leaves.map(|after| (now + after, Due::Leave(number))));
+        self.due.insert((open.deadline + GRACE, Due::Over(number)));
+        self.open.insert(number, open);
+    }
+
+    fn message(&mut self, message: Message) {
+        let now = self.hub.clock().now();
+        match message {
+            Message::Accepted { number, id } => {
+                let Some(open) = self.open.get_mut(&number) else { return };
+                self.recorder.write(now, What::Accepted { trace: open.trace.clone() });
+                open.id = Some(id.clone());
+                let wait = open.deadline.saturating_sub(now);
+                if let Some(connection) = self.doors[open.door].connection {
+                    // The call's own number is free again: the answer to it was 'accepted'.
+                    self.hub.send(connection, &Message::Await { number, id, wait }, None);
+                }
+            }
+            Message::Answer { number, status, reason, .. } => {
+                if self.left.contains(&number) {
+                    return;
+                }
+                let Some(open) = self.open.remove(&number) else {
+                    // An answer to nothing: the auditor is to see it.
+                    let trace = format!("number {number}");
+                    let status = status.word().to_owned();
+                    return self.recorder.write(now, What::Answered { trace, status, reason });
+                };
+                if status == Status::Pending && now < open.deadline + GRACE / 2 {
+                    // The await ended with the deadline; the result is due now.
+                    let (id, door) = (open.id.clone().unwrap_or_default(), open.door);
+                    self.open.insert(number, open);
+                    if let Some(connection) = self.doors[door].connection {
+                        self.hub.send(connection, &Message::Await { number, id, wait: 20 * MS }, None);
+                    }
+                    return;
+                }
+                let word = status.word().to_owned();
+                self.recorder.write(now, What::Answered { trace: open.trace.clone(), status: word, reason });
+                match status {
+                    Status::Refused => self.repeat(open, true),
+                    Status::Failed => self.repeat(open, false),
+                    _ => {}
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn pass_due(&mut self, now: Micros) {
+        while let Some((_, due)) = self.due.first().filter(|(at, _)| *at <= now).copied() {
+            self.due.pop_first();
+            match due {
+                Due::Leave(number) => {
+                    if let Some(open) = self.open.remove(&number) {
+                        self.recorder.write(now, What::GaveUp { trace: open.trace });
+                        self.left.insert(number);
+                        if let Some(connection) = self.doors[open.door].connection {
+                            self.hub.send(connection, &Message::Cancel { number }, None);
+                        }
+                    }
+                }
+                // Nothing came: the auditor sees a call without an answer.
+                Due::Over(number) => _ = self.open.remove(&number),
+            }
+        }
+    }
+}
--- a/crates/standins/src/control.rs
+++ b/crates/standins/src/control.rs
@@ -9,6 +9,8 @@
     Hang,
     /// This share of the answers is lost; probes pass.
     Lose(f64),
+    /// This share of the answers of one class is lost.
+    LoseClass(String, f64),
     /// This share of the connections with an answer due breaks instead.
     Reset(f64),
     /// This share of the calls fails at once.
@@ -44,6 +46,9 @@
         let (name, fault, span) = match parts[..] {
             ["hang", span] => ("hang", Fault::Hang, span),
             ["lose", part, span] => ("lose", Fault::Lose(share(part)?), span),
+            ["lose-class", class, part, span] => {
+                ("lose-class", Fault::LoseClass(class.into(), share(part)?), span)
+            }
             ["reset", part, span] => ("reset", Fault::Reset(share(part)?), span),
             ["fail", part, span] => ("fail", Fault::Fail(share(part)?), span),
             ["load-fail", part, span] => ("load-fail", Fault::LoadFail(share(part)?), span),
@@ -77,6 +82,14 @@
         }
     }
 
+    /// The share of a class's answers that is lost.
+    pub fn class_share(&self, now: u64, class: &str) -> f64 {
+        match self.get(now, "lose-class") {
+            Some(Fault::LoseClass(struck, share)) if struck == class => *share,
+            _ => 0.0,
+        }
+    }
+
     /// How many times as long everything takes.
     pub fn slowness(&self, now: u64) -> f64 {
         if let Some(Fault::Slow(times)) = self.get(now, "slow") { *times } else { 1.0 }
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -177,10 +177,8 @@
     fn tell(&mut self, follower: Connection, whole: bool, workers: Vec<Listed>) {
         let now = self.hub.clock().now();
         let gateway = self.followers.get(&follower).cloned().unwrap_or_default();
-        for worker in &workers {
-            let (worker, standing) = (worker.id.clone(), worker.standing.word().into());
-            self.recorder.write(now, What::Told { gateway: gateway.clone(), worker, standing });
-        }
+        let said = workers.iter().map(|w| (w.id.clone(), w.standing.word().to_owned())).collect();
+        self.recorder.write(now, What::Told { gateway, whole, workers: said });
         let version = self.version;
         self.hub.send(follower, &Message::List { whole, version, workers }, None);
     }
--- a/crates/standins/src/records.rs
+++ b/crates/standins/src/records.rs
@@ -14,20 +14,27 @@
     /// Who saw it.
     pub by: String,
     /// What it was.
-    #[serde(flatten)]
     pub what: What,
 }
 
 /// What passed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "what", rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
 pub enum What {
     /// A worker process began.
     Started {
         /// When, as the list tells it.
         started: u64,
-        /// Its cores.
-        cores: u32,
+        /// Its zone.
+        zone: String,
+        /// Its cell.
+        cell: u64,
+        /// Work that it can do when warm, in cores of standard speed.
+        power: f64,
+        /// Cold: sent more than this multiple of its capacity ...
+        fall_multiple: f64,
+        /// ... for so long, it falls over; 0: never.
+        fall_window: u64,
         /// Cold: the share of its capacity that it begins with.
         cold_from: f64,
         /// Until it has all of it.
@@ -80,14 +87,14 @@
         /// What it could have borne.
         bearable: u64,
     },
-    /// The list told a gateway of a worker.
+    /// The list told a gateway of workers.
     Told {
         /// The gateway.
         gateway: String,
-        /// The worker.
-        worker: String,
-        /// What it said.
-        standing: String,
+        /// Workers that are not named are gone.
+        whole: bool,
+        /// Each worker and what was said of it.
+        workers: Vec<(String, String)>,
     },
     /// A client asked for a call.
     Asked {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use cresswheel_protocol::{Ending, Listed, Message, Micros, Role, Standing};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
@@ -57,6 +58,7 @@
     rng: Pcg32,
     faults: Faults,
     draining: bool,
+    paused: Option<u64>,
     /// Gateways by connection: name and zone.
     gateways: HashMap<Connection, (String, String)>,
     list: Option<Connection>,
@@ -85,9 +87,18 @@
         let now = hub.clock().now();
         let mut recorder = Recorder::new(settings.records.as_deref(), &settings.id)?;
         let started = if settings.warm { 0 } else { now };
-        let (cores, cold_from, warm_up) =
-            (settings.profile.cores, settings.profile.cold_from, settings.profile.warm_up);
-        recorder.write(now, What::Started { started, cores, cold_from, warm_up });
+        let p = &settings.profile;
+        let began = What::Started {
+            started,
+            zone: settings.zone.clone(),
+            cell: settings.cell,
+            power: f64::from(p.cores) * p.speed,
+            fall_multiple: p.fall_multiple,
+            fall_window: p.fall_window,
+            cold_from: p.cold_from,
+            warm_up: p.warm_up,
+        };
+        recorder.write(now, began);
         recorder.flush();
         Ok(Self {
             model: Model::new(settings.profile.clone(), started),
@@ -98,6 +109,7 @@
             recorder,
             faults: Faults::default(),
             draining: false,
+            paused: None,
             gateways: HashMap::new(),
             list: None,
             list_retry: settings.list.map(|_| now),
@@ -127,6 +139,9 @@
             // Records are with the kernel before an answer is: a kill can't take them.
             self.recorder.flush();
             self.hub.wait(due.into_iter().flatten().min())?;
+            if let Some(ms) = self.paused.take() {
+                std::thread::sleep(Duration::from_millis(ms));
+            }
             while let Some(notice) = self.hub.next() {
                 if !self.notice(notice) {
                     self.recorder.flush();
@@ -264,6 +279,7 @@
         let mut wrong = String::new();
         match words {
             "stop" => return false,
+            "flush" => self.model.flush(),
             "drain" | "undrain" => {
                 self.draining = words == "drain";
                 // The list hears it from the worker itself, as it would from a deploy.
@@ -271,11 +287,15 @@
                 self.list_retry = None;
                 self.register();
             }
-            _ => {
-                if let Err(error) = self.faults.begin(now, words) {
-                    wrong = error;
+            _ => match words.strip_prefix("pause ").map(str::parse::<u64>) {
+                // The whole process stands still, as under a collector or a frozen disk; sockets fill meanwhile.
+                Some(Ok(ms)) if ms <= 10_000 => {
+                    self.hub.send(connection, &Message::Controlled { wrong }, None);
+                    self.paused = Some(ms);
+                    return true;
                 }
-            }
+                _ => wrong = self.faults.begin(now, words).err().unwrap_or_default(),
+            },
         }
         self.pass();
         self.hub.send(connection, &Message::Controlled { wrong }, None);
@@ -326,13 +346,14 @@
     }
 
     fn ended(&mut self, now: Micros, number: u64, ending: Ending, crowd: u32) {
-        let Some(Out { connection, attempt, trace, .. }) = self.jobs.remove(&number) else { return };
+        let Some(Out { connection, attempt, trace, class }) = self.jobs.remove(&number) else { return };
         let (lose, reset, twice) = (
             self.faults.share(now, "lose"),
             self.faults.share(now, "reset"),
             self.faults.share(now, "twice"),
         );
         // Draws only where a fault is in force: without one the run is not disturbed.
+        let lose = lose.max(self.faults.class_share(now, &class));
         let lost = self.cut_off(now, connection) || (lose > 0.0 && self.lot() < lose);
         let breaks = !lost && reset > 0.0 && self.lot() < reset;
         let word = ending.word().into();
--- a/crates/standins/src/worker_model.rs
+++ b/crates/standins/src/worker_model.rs
@@ -289,6 +289,13 @@
         }
     }
 
+    /// All functions are released anew: idle instances are void.
+    pub fn flush(&mut self) {
+        for function in self.functions.values_mut() {
+            function.standing = function.standing.min(function.at_work());
+        }
+    }
+
     /// A fetch ended.
     pub fn fetched(&mut self, now: u64, name: &str, there: bool, out: &mut Vec<Effect>) {
         self.pass(now, out);
