--- a/crates/cli/src/call.rs
+++ b/crates/cli/src/call.rs
@@ -61,7 +61,7 @@
         body,
     })?;
     loop {
-        match client.next()? {
+        match client.receive()? {
             Message::Accepted { id, .. } => {
                 eprintln!("accepted as {id}");
                 client.send(&Message::Await { number: 2, id, wait: 600_000_000 })?;
--- a/crates/cli/src/peers.rs
+++ b/crates/cli/src/peers.rs
@@ -166,7 +166,7 @@
     let mut client = Client::connect(args.to, "fault")?;
     client.send(&Message::Control { words: args.words.join(" ") })?;
     loop {
-        match client.next()? {
+        match client.receive()? {
             Message::Controlled { wrong } if wrong.is_empty() => return Ok(ExitCode::SUCCESS),
             Message::Controlled { wrong } => {
                 eprintln!("{wrong}");
--- /dev/null
+++ b/crates/cli/tests/rehearsals.rs
@@ -0,0 +1,49 @@
+//! The short rehearsal, with real processes; and what the command says of wrong scenes.
+
+mod common;
+
+use std::process::Command;
+
+use common::EXE;
+
+#[test]
+fn every_rule_holds_through_the_short_rehearsal() {
+    let folder = tempfile::tempdir().unwrap();
+    let keep = folder.path().join("run");
+    let done = Command::new(EXE).args(["rehearse", "short", "--keep"]).arg(&keep).output().unwrap();
+    let said = String::from_utf8_lossy(&done.stdout);
+    assert_eq!(done.status.code(), Some(0), "{said}{}", String::from_utf8_lossy(&done.stderr));
+    assert_eq!(said.matches("\nheld ").count(), 5, "{said}");
+    // The records are there and are judged alike a second time.
+    let again = Command::new(EXE).args(["rehearse", "--judge"]).arg(&keep).output().unwrap();
+    assert_eq!(again.status.code(), Some(0));
+    let table = String::from_utf8_lossy(&again.stdout);
+    assert!(said.contains(table.trim()), "{table}");
+}
+
+#[test]
+fn a_scene_with_a_fault_is_named_and_nothing_is_started() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("scene.json");
+    let cases = [("{", "EOF while parsing"), ("{\"name\": \"x\", \"colour\": 1}", "unknown field `colour`")];
+    for (text, words) in cases {
+        std::fs::write(&file, text).unwrap();
+        let done = Command::new(EXE).arg("rehearse").arg(&file).output().unwrap();
+        assert_eq!(done.status.code(), Some(2));
+        assert!(String::from_utf8_lossy(&done.stderr).contains(words), "{done:?}");
+    }
+    let none = Command::new(EXE).args(["rehearse", "nowhere"]).output().unwrap();
+    assert_eq!(none.status.code(), Some(2));
+    assert!(
+        String::from_utf8_lossy(&none.stderr).contains("nowhere is no ready scene (month-end, short, quiet)")
+    );
+}
+
+#[test]
+fn the_example_settings_are_sound() {
+    let deploy = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    for name in ["gateway.star", "fleet.star"] {
+        let done = Command::new(EXE).arg("check").arg(deploy.join(name)).output().unwrap();
+        assert_eq!(done.status.code(), Some(0), "{name}: {done:?}");
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -142,8 +142,8 @@
             Input::Await(client, id, wait) => self.wait_for(client, id, wait, out),
             Input::Cancel(client) => self.cancel(client, out),
             Input::Left(connection) => {
-                let numbers = self.clients.get(&connection).map(|held| held.keys().copied().collect());
-                for number in numbers.unwrap_or_else(Vec::new) {
+                let held = self.clients.get(&connection).into_iter().flatten();
+                for number in held.map(|(number, _)| *number).collect::<Vec<_>>() {
                     self.cancel(Client { connection, number }, out);
                 }
             }
--- a/crates/engine/tests/sequences.rs
+++ b/crates/engine/tests/sequences.rs
@@ -59,10 +59,12 @@
     }
 }
 
+type Ends = Vec<(u64, Option<AttemptEnd>)>;
+
 #[derive(Default)]
 struct Checked {
     deadlines: BTreeMap<Client, u64>,
-    calls: BTreeMap<String, (usize, Vec<(u64, Option<AttemptEnd>)>)>,
+    calls: BTreeMap<String, (usize, Ends)>,
     out: BTreeMap<u64, String>,
     orders: BTreeSet<u64>,
     deferred: Vec<String>,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,7 @@
     pub accept_starved: u64,
     pub connections_turned_away: u64,
     pub list_stale: bool,
+    pub paused_clients: usize,
 }
 
 pub fn text(engine: &Engine, shell: &ShellCounts) -> String {
@@ -59,6 +60,7 @@
         ("workers_listed", "Workers on the list held", engine.workers().count()),
         ("connections", "Connections open", shell.connections),
         ("worker_connections", "Connections to workers open", shell.worker_connections),
+        ("paused_clients", "Clients not read because they do not read", shell.paused_clients),
         ("list_stale", "1 while the list service can't be reached", usize::from(shell.list_stale)),
     ];
     for (name, help, value) in gauges {
--- a/crates/gateway/src/saved_list.rs
+++ b/crates/gateway/src/saved_list.rs
@@ -43,7 +43,7 @@
         };
         let mut decoder = Decoder::new(Limits { frame: MOST });
         decoder.push(&bytes);
-        match decoder.next() {
+        match decoder.decode() {
             Ok(Some(Message::List { workers, .. })) => Ok(Some(workers)),
             Ok(Some(other)) => Err(wrong(format!("holds no list but {}", other.kind()))),
             Ok(None) => Err(wrong("cut short".into())),
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -174,7 +174,7 @@
                 _ => {}
             }
             self.hub.wait(Some(self.next_due()))?;
-            while let Some(notice) = self.hub.next() {
+            while let Some(notice) = self.hub.take_notice() {
                 self.notice(notice);
             }
             let now = self.hub.clock().now();
@@ -389,6 +389,7 @@
                     accept_starved: self.hub.starved,
                     connections_turned_away: self.hub.turned_away,
                     list_stale: self.list_stale,
+                    paused_clients: self.clients.values().filter(|client| client.paused).count(),
                 };
                 let text = metrics::text(&self.engine, &counts);
                 self.respond_now(connection, http::words(200, text.trim_end(), keep_alive), keep_alive);
@@ -516,7 +517,7 @@
             Output::Hold { worker, order, function, count, shape } => {
                 tracing::debug!(%worker, %function, count, "hold");
                 let message = Message::Hold { order, function: function.to_string(), count, shape };
-                if !self.to_worker(&worker, (order, true), &message) {
+                if !self.hand_to(&worker, (order, true), &message) {
                     self.inputs.push_back(Input::OrderEnded(order, OrderEnd::NotConnected, 0));
                 }
             }
@@ -555,13 +556,13 @@
         };
         self.hub.send(client.connection, &message, None);
         let backlog = self.hub.backlog(client.connection);
-        if backlog > self.settings.shell.client_backlog {
-            if let Some(connection) = self.clients.get_mut(&client.connection) {
-                connection.paused = true;
-                self.hub.pause(client.connection, true);
-                // Look again soon: it may read on, or be gone.
-                self.look_again(client.connection, self.hub.clock().now() + LOOK_AT_PAUSED);
-            }
+        if backlog > self.settings.shell.client_backlog
+            && let Some(connection) = self.clients.get_mut(&client.connection)
+        {
+            connection.paused = true;
+            self.hub.pause(client.connection, true);
+            // Look again soon: it may read on, or be gone.
+            self.look_again(client.connection, self.hub.clock().now() + LOOK_AT_PAUSED);
         }
     }
 
@@ -582,13 +583,13 @@
             shape: call.shape.clone(),
             body: call.body.clone(),
         };
-        if !self.to_worker(&attempt.worker, (attempt.number, false), &message) {
+        if !self.hand_to(&attempt.worker, (attempt.number, false), &message) {
             let end = AttemptEnd::NotConnected;
             self.inputs.push_back(Input::AttemptEnded(attempt.number, end, Vec::new()));
         }
     }
 
-    fn to_worker(&mut self, worker: &WorkerId, number: (u64, bool), message: &Message) -> bool {
+    fn hand_to(&mut self, worker: &WorkerId, number: (u64, bool), message: &Message) -> bool {
         let Some(address) = self.addresses.get(worker).copied() else { return false };
         let limits = PoolLimits {
             connections: self.settings.shell.worker_connections,
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -116,7 +116,7 @@
     }
 
     /// The next whole message; `None`: more bytes are needed.
-    pub fn next(&mut self) -> Result<Option<Message>, FrameError> {
+    pub fn decode(&mut self) -> Result<Option<Message>, FrameError> {
         if let Some(error) = &self.failed {
             return Err(error.clone());
         }
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -119,7 +119,7 @@
     }
 
     /// The next step; after an error that error for ever.
-    pub fn next(&mut self) -> Result<Step, HttpError> {
+    pub fn decode(&mut self) -> Result<Step, HttpError> {
         if let Some(error) = &self.failed {
             return Err(error.clone());
         }
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -86,7 +86,7 @@
         let mut read = Vec::new();
         for part in bytes.chunks(cut) {
             decoder.push(part);
-            while let Some(message) = decoder.next().unwrap() {
+            while let Some(message) = decoder.decode().unwrap() {
                 read.push(message);
             }
         }
@@ -98,10 +98,10 @@
     fn any_bytes_end_in_an_error_or_a_wait(bytes in body(), limit in 6usize..400) {
         let mut decoder = Decoder::new(Limits { frame: limit });
         decoder.push(&bytes);
-        while let Ok(Some(_)) = decoder.next() {}
-        let last = decoder.next();
+        while let Ok(Some(_)) = decoder.decode() {}
+        let last = decoder.decode();
         prop_assert!(last.is_err() || decoder.held() <= bytes.len());
-        prop_assert_eq!(decoder.next(), last, "an error stays");
+        prop_assert_eq!(decoder.decode(), last, "an error stays");
     }
 
     #[test]
@@ -112,14 +112,14 @@
         bytes[at] = with;
         let mut decoder = Decoder::new(Limits::default());
         decoder.push(&bytes);
-        while let Ok(Some(_)) = decoder.next() {}
+        while let Ok(Some(_)) = decoder.decode() {}
     }
 }
 
 fn fails(bytes: &[u8]) -> String {
     let mut decoder = Decoder::new(Limits { frame: 100 });
     decoder.push(bytes);
-    decoder.next().unwrap_err().to_string()
+    decoder.decode().unwrap_err().to_string()
 }
 
 #[test]
@@ -142,7 +142,7 @@
     bytes.extend([0, 0, 0, 12, VERSION, 4, 0, 0, 0, 0, 0, 0, 0, 7, 9, 9]);
     let mut decoder = Decoder::new(Limits::default());
     decoder.push(&bytes);
-    assert_eq!(decoder.next(), Ok(Some(Message::Probe { number: 7 })));
+    assert_eq!(decoder.decode(), Ok(Some(Message::Probe { number: 7 })));
     assert_eq!(decoder.skipped, 1);
-    assert_eq!(decoder.next(), Ok(None));
+    assert_eq!(decoder.decode(), Ok(None));
 }
--- a/crates/protocol/tests/http.rs
+++ b/crates/protocol/tests/http.rs
@@ -9,7 +9,7 @@
     for part in bytes.chunks(cut) {
         decoder.push(part);
         loop {
-            match decoder.next() {
+            match decoder.decode() {
                 Ok(Step::More) => break,
                 Ok(step) => steps.push(step),
                 Err(error) => return (steps, Some(error)),
--- a/crates/rehearsal/src/audit.rs
+++ b/crates/rehearsal/src/audit.rs
@@ -392,10 +392,8 @@
                     verdict.broken.push(format!("{} was sent {of:.2} times what it bears", record.by));
                 }
             }
-            What::Fell { .. } => {
-                if lives.get(record.by.as_str()).is_none_or(|life| !life.fell) {
-                    verdict.broken.push(format!("{} fell over", record.by));
-                }
+            What::Fell { .. } if lives.get(record.by.as_str()).is_none_or(|life| !life.fell) => {
+                verdict.broken.push(format!("{} fell over", record.by));
             }
             _ => {}
         }
--- a/crates/rehearsal/src/client.rs
+++ b/crates/rehearsal/src/client.rs
@@ -39,15 +39,15 @@
     }
 
     /// Waits for the next message for so long at most.
-    pub fn next_within(&mut self, within: Duration) -> io::Result<Message> {
+    pub fn receive_within(&mut self, within: Duration) -> io::Result<Message> {
         self.socket.set_read_timeout(Some(within))?;
-        self.next()
+        self.receive()
     }
 
     /// Waits for the next message.
-    pub fn next(&mut self) -> io::Result<Message> {
+    pub fn receive(&mut self) -> io::Result<Message> {
         loop {
-            match self.decoder.next() {
+            match self.decoder.decode() {
                 Ok(Some(message)) => return Ok(message),
                 Ok(None) => {}
                 Err(error) => return Err(io::Error::new(ErrorKind::InvalidData, error)),
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -275,7 +275,7 @@
     let mut client = Client::connect(at, "rehearsal")?;
     client.send(&Message::Control { words: words.into() })?;
     loop {
-        if let Message::Controlled { wrong } = client.next_within(Duration::from_secs(15))? {
+        if let Message::Controlled { wrong } = client.receive_within(Duration::from_secs(15))? {
             anyhow::ensure!(wrong.is_empty(), wrong);
             return Ok(());
         }
--- a/crates/rehearsal/src/traffic.rs
+++ b/crates/rehearsal/src/traffic.rs
@@ -201,7 +201,7 @@
 
     fn step(&mut self, until: Option<Micros>) -> anyhow::Result<()> {
         self.hub.wait(until)?;
-        while let Some(notice) = self.hub.next() {
+        while let Some(notice) = self.hub.take_notice() {
             match notice {
                 Notice::Connected(connection) => {
                     if let Some(door) = self.doors.iter_mut().find(|d| d.connection == Some(connection)) {
--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -53,7 +53,7 @@
             let cut = (self.cut.0..self.cut.1).contains(&now);
             let late = self.late.front().map(|(at, ..)| if cut { self.cut.1 } else { *at });
             self.hub.wait([Some(end), late, self.reset].into_iter().flatten().min())?;
-            while let Some(notice) = self.hub.next() {
+            while let Some(notice) = self.hub.take_notice() {
                 match notice {
                     Notice::Opened(connection, _) => {
                         let far = self.hub.connect(self.to, Wire::Raw, 1_000_000);
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -61,15 +61,17 @@
             let due = self.changes.iter().map(|(at, _)| *at).min().map(|at| at.max(self.frozen_until));
             self.recorder.flush();
             self.hub.wait(due)?;
-            while let Some(notice) = self.hub.next() {
-                match notice {
-                    Notice::Message(connection, message) => {
-                        if !self.message(connection, message) {
-                            return Ok(());
-                        }
+            while let Some(notice) = self.hub.take_notice() {
+                let goes_on = match notice {
+                    Notice::Message(connection, message) => self.message(connection, message),
+                    Notice::Closed { connection, .. } => {
+                        self.closed(connection);
+                        true
                     }
-                    Notice::Closed { connection, .. } => self.closed(connection),
-                    _ => {}
+                    _ => true,
+                };
+                if !goes_on {
+                    return Ok(());
                 }
             }
             self.tell_changes();
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -36,7 +36,7 @@
     pub fn run(&mut self) -> io::Result<()> {
         loop {
             self.hub.wait(self.due.first().map(|(at, ..)| *at))?;
-            while let Some(notice) = self.hub.next() {
+            while let Some(notice) = self.hub.take_notice() {
                 let Notice::Message(connection, message) = notice else { continue };
                 let now = self.hub.clock().now();
                 match message {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -142,7 +142,7 @@
             if let Some(ms) = self.paused.take() {
                 std::thread::sleep(Duration::from_millis(ms));
             }
-            while let Some(notice) = self.hub.next() {
+            while let Some(notice) = self.hub.take_notice() {
                 if !self.notice(notice) {
                     self.recorder.flush();
                     return Ok(());
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -431,7 +431,7 @@
     }
 
     /// The next thing that happened.
-    pub fn next(&mut self) -> Option<Notice> {
+    pub fn take_notice(&mut self) -> Option<Notice> {
         self.notices.pop_front()
     }
 
@@ -569,7 +569,7 @@
             let notice = match &mut conn.decode {
                 Decode::Raw(bytes) if bytes.is_empty() => return,
                 Decode::Raw(bytes) => Notice::Bytes(id, std::mem::take(bytes)),
-                Decode::Frames(decoder) => match decoder.next() {
+                Decode::Frames(decoder) => match decoder.decode() {
                     Ok(None) => return,
                     Ok(Some(message)) => Notice::Message(id, message),
                     Err(error) => {
@@ -579,7 +579,7 @@
                         return self.finish(id);
                     }
                 },
-                Decode::Http(decoder) => match decoder.next() {
+                Decode::Http(decoder) => match decoder.decode() {
                     Ok(http::Step::More) => return,
                     Ok(http::Step::Continue) => {
                         self.send_bytes(id, http::CONTINUE);
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,7 +1,7 @@
 //! Connections on non-blocking sockets, driven by calloop: the part that gateways, stand-ins and clients share.
 //!
 //! A [`Hub`] owns listeners and connections. [`Hub::wait`] sleeps until something happened or a time has come;
-//! [`Hub::next`] then gives what happened, one [`Notice`] after the other. It decides nothing: what to send, when
+//! [`Hub::take_notice`] then gives what happened, one [`Notice`] after the other. It decides nothing: what to send, when
 //! to pause a reader, what a closed connection means is the program's.
 //!
 //! What it promises:
