--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -62,6 +62,17 @@
     List(peers::ListArgs),
     /// Run a stand-in model store.
     Store(peers::StoreArgs),
+    /// Measure what a gateway costs, beside a bare relay of the same frames and no gateway at all.
+    ///
+    /// Starts all that it needs on this machine; takes about a minute. Quote ratios and medians: machines differ
+    /// and are noisy.
+    Load(rehearse::LoadArgs),
+    /// Run a worker that answers at once; for measurements.
+    #[command(hide = true)]
+    Echo(peers::EchoArgs),
+    /// Run a relay that decides nothing; for measurements.
+    #[command(hide = true)]
+    Relay(peers::RelayArgs),
     /// Tell a stand-in to play a fault, such as `hang 5000` or `lose 0.3 10000`.
     Fault(peers::FaultArgs),
 }
@@ -89,6 +100,9 @@
         Command::Worker(args) => peers::worker(args),
         Command::List(args) => peers::list(args),
         Command::Store(args) => peers::store(args),
+        Command::Load(args) => rehearse::load(args),
+        Command::Echo(args) => peers::echo(args),
+        Command::Relay(args) => peers::relay(args),
         Command::Fault(args) => peers::fault(args),
     };
     done.unwrap_or_else(|error| {
--- a/crates/cli/src/peers.rs
+++ b/crates/cli/src/peers.rs
@@ -8,7 +8,7 @@
 use clap::Args;
 use cresswheel_protocol::Message;
 use cresswheel_rehearsal::Client;
-use cresswheel_standins::{Profile, Store, Worker, WorkerList, WorkerSettings};
+use cresswheel_standins::{Echo, Profile, Relay, Store, Worker, WorkerList, WorkerSettings};
 
 /// Prints a line that a parent process waits for.
 pub fn say(line: &str) -> std::io::Result<()> {
@@ -153,6 +153,40 @@
     Ok(ExitCode::SUCCESS)
 }
 
+#[derive(Args)]
+pub struct EchoArgs {
+    /// Where it listens; port 0 finds one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// Answer no calls.
+    #[arg(long)]
+    silent: bool,
+}
+
+pub fn echo(args: EchoArgs) -> anyhow::Result<ExitCode> {
+    let mut echo = Echo::start(args.listen, args.silent)?;
+    say(&format!("ready main={}", echo.address()))?;
+    echo.run()?;
+    Ok(ExitCode::SUCCESS)
+}
+
+#[derive(Args)]
+pub struct RelayArgs {
+    /// Where it listens; port 0 finds one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// The worker.
+    #[arg(long)]
+    to: SocketAddr,
+}
+
+pub fn relay(args: RelayArgs) -> anyhow::Result<ExitCode> {
+    let mut relay = Relay::start(args.listen, args.to)?;
+    say(&format!("ready main={}", relay.address()))?;
+    relay.run()?;
+    Ok(ExitCode::SUCCESS)
+}
+
 #[derive(Args)]
 pub struct FaultArgs {
     /// The stand-in's address.
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -1,11 +1,13 @@
-//! `cresswheel rehearse`.
+//! `cresswheel rehearse` and `cresswheel load`.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use anyhow::Context;
 use clap::Args;
-use cresswheel_rehearsal::{SCENES, Scene, Terms, Verdict, audit, day, read_records, rehearse, scene};
+use cresswheel_rehearsal::{
+    LoadSettings, SCENES, Scene, Terms, Verdict, audit, day, read_records, rehearse, scene,
+};
 
 #[derive(Args)]
 pub struct RehearseArgs {
@@ -99,3 +101,40 @@
     println!("{verdict}");
     Ok(if verdict.held() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
+
+#[derive(Args)]
+pub struct LoadArgs {
+    /// Seconds of each stretch.
+    #[arg(long, default_value_t = 3)]
+    seconds: u64,
+    /// Stretches of each kind, in turn; medians are printed.
+    #[arg(long, default_value_t = 3)]
+    rounds: usize,
+    /// Client connections.
+    #[arg(long, default_value_t = 8)]
+    connections: usize,
+    /// Calls out at once on each connection, where as many as possible are carried.
+    #[arg(long, default_value_t = 32)]
+    window: usize,
+    /// Bytes of a call's body.
+    #[arg(long, default_value_t = 200)]
+    body: usize,
+    /// Calls open at once for the memory of one.
+    #[arg(long, default_value_t = 20_000)]
+    open: usize,
+}
+
+pub fn load(args: LoadArgs) -> anyhow::Result<ExitCode> {
+    let LoadArgs { seconds, rounds, connections, window, body, open } = args;
+    if seconds == 0 || rounds == 0 || connections == 0 || window == 0 || open == 0 {
+        eprintln!("cresswheel: seconds, rounds, connections, window and open must be above zero");
+        return Ok(ExitCode::from(2));
+    }
+    let settings = LoadSettings { seconds, rounds, connections, window, body, open };
+    let folder = std::env::temp_dir().join(format!("cresswheel-load-{}", std::process::id()));
+    let exe = std::env::current_exe().context("this program's own path")?;
+    let report = cresswheel_rehearsal::load(&exe, &folder, &settings, &mut |line| eprintln!("{line}"))?;
+    println!("{report}");
+    std::fs::remove_dir_all(&folder).with_context(|| folder.display().to_string())?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -1,6 +1,6 @@
 //! What is taken at all: bounds on open calls, bytes and names, each with a reason that clients and counters see.
 
-use std::collections::HashSet;
+use foldhash::{HashSet, HashSetExt};
 
 /// Bounds on what the gateway holds for its clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/engine/src/counters.rs
+++ b/crates/engine/src/counters.rs
@@ -2,13 +2,18 @@
 
 use std::collections::BTreeMap;
 
+use cresswheel::Class;
+use cresswheel_protocol::Status;
+
 /// Counts since the start.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
+    /// Names of the classes, in the order of the settings.
+    pub classes: Vec<String>,
     /// Calls taken, by class.
-    pub taken: BTreeMap<String, u64>,
+    pub taken: Vec<u64>,
     /// Final answers, by class, status and reason.
-    pub answers: BTreeMap<(String, &'static str, &'static str), u64>,
+    pub answers: BTreeMap<(usize, Status, &'static str), u64>,
     /// Calls turned away before they were taken, by reason.
     pub turned_away: BTreeMap<&'static str, u64>,
     /// Attempts, by how they ended.
@@ -27,6 +32,13 @@
     pub list_passed_over: u64,
 }
 
+impl Counters {
+    pub(crate) fn new(classes: &[Class]) -> Self {
+        let names = classes.iter().map(|class| class.name.clone()).collect();
+        Self { classes: names, taken: vec![0; classes.len()], ..Self::default() }
+    }
+}
+
 /// Adds one.
 pub fn count<K: Ord>(map: &mut BTreeMap<K, u64>, key: K) {
     *map.entry(key).or_insert(0) += 1;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,6 +1,6 @@
 //! The engine: from inputs to the module's events, from its actions to outputs.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use cresswheel::{
@@ -8,6 +8,7 @@
     SettingsError, WorkerEntry, WorkerId, WorkerState,
 };
 use cresswheel_protocol::{Listed, Shape, Standing, Status};
+use foldhash::{HashMap, HashMapExt};
 
 use crate::admission::Admission;
 use crate::counters::{Counters, count};
@@ -25,8 +26,8 @@
     deadline: Micros,
     /// Who waits, each until a time of its own.
     waiters: BTreeMap<Client, Micros>,
-    /// The numbers of its attempts, in the order of sending.
-    attempts: u32,
+    /// Its attempts, in the order of sending; those among them that ended are no longer in flight.
+    attempts: Vec<u64>,
     /// All attempts so far are over and provably never ran.
     never_ran: bool,
     last: Option<(AttemptEnd, Arc<[u8]>)>,
@@ -78,8 +79,6 @@
     tenants: HashMap<String, usize>,
     open: HashMap<RequestId, Open>,
     flights: HashMap<u64, Flight>,
-    /// By call and attempt, for the module's `Cancel`.
-    flight_numbers: HashMap<(RequestId, usize), u64>,
     orders: HashMap<u64, Order>,
     shapes: HashMap<FunctionId, Shape>,
     results: Results,
@@ -113,7 +112,6 @@
             tenants: tenants.collect(),
             open: HashMap::new(),
             flights: HashMap::new(),
-            flight_numbers: HashMap::new(),
             orders: HashMap::new(),
             shapes: HashMap::new(),
             results: Results::new(settings.results),
@@ -128,7 +126,7 @@
             listed: BTreeMap::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
-            counters: Counters::default(),
+            counters: Counters::new(&settings.module.classes),
             now: 0,
             settings,
         })
@@ -235,7 +233,8 @@
             return self.turn_away(client, why, out);
         }
         self.next += 1;
-        let id = RequestId::from(format!("{:016x}-{}", self.life, self.next).as_str());
+        // The part that differs comes first: ids are compared often.
+        let id = RequestId::from(format!("{:x}-{:x}", self.next, self.life).as_str());
         let function = FunctionId::from(call.function.as_str());
         let told = |value: u32| (value > 0).then_some(value);
         let shape = call.shape.clone();
@@ -249,9 +248,11 @@
             lanes: told(shape.lanes),
             load_time: (shape.load_time > 0).then_some(shape.load_time),
         };
-        self.shapes.insert(function, shape);
+        if self.shapes.get(&function) != Some(&shape) {
+            self.shapes.insert(function, shape);
+        }
         self.keys.put(&call, &id.0);
-        count(&mut self.counters.taken, call.class.clone());
+        self.counters.taken[class] += 1;
         let mut waiters = BTreeMap::new();
         if call.deferred {
             out.push(Output::Accepted(client, id.0.to_string()));
@@ -264,7 +265,7 @@
             class,
             deadline: self.now + time,
             waiters,
-            attempts: 0,
+            attempts: Vec::new(),
             never_ran: true,
             last: None,
         };
@@ -372,11 +373,8 @@
 
     /// Attempts of a call that is over are taken back where no byte of them has left.
     fn withdraw(&mut self, id: &RequestId, out: &mut Vec<Output>) {
-        let attempts = self.open.get(id).map_or(0, |open| open.attempts as usize);
-        for number in 0..attempts {
-            if let Some(attempt) = self.flight_numbers.get(&(id.clone(), number))
-                && let Some(flight) = self.flights.get(attempt)
-            {
+        for attempt in self.open.get(id).map_or(&[][..], |open| &open.attempts) {
+            if let Some(flight) = self.flights.get(attempt) {
                 out.push(Output::Withdraw(flight.worker.clone(), *attempt));
             }
         }
@@ -391,7 +389,7 @@
     /// The final answer of a call, to all who wait for it.
     fn finish(&mut self, id: &RequestId, answer: Answer, out: &mut Vec<Output>) {
         let Some(open) = self.close(id) else { return };
-        count(&mut self.counters.answers, (open.call.class.clone(), answer.status.word(), answer.reason));
+        count(&mut self.counters.answers, (open.class, answer.status, answer.reason));
         for client in open.waiters.into_keys() {
             self.forget_client(client);
             out.push(Output::Answer(client, answer.clone()));
@@ -418,7 +416,6 @@
             return;
         };
         self.due.remove(&(flight.due, Due::Attempt(attempt)));
-        self.flight_numbers.remove(&(flight.id.clone(), flight.number));
         count(&mut self.counters.attempts, end.word());
         let outcome = end.outcome();
         let served = outcome == cresswheel::Outcome::Ok;
@@ -509,8 +506,7 @@
         for id in left {
             self.withdraw(&id, out);
             let Some(open) = self.open.get(&id) else { continue };
-            let out_still = (0..open.attempts as usize)
-                .any(|number| self.flight_numbers.contains_key(&(id.clone(), number)));
+            let out_still = open.attempts.iter().any(|attempt| self.flights.contains_key(attempt));
             let harmless = match self.settings.module.classes[open.class].effect {
                 Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
                 _ => open.never_ran && !out_still,
@@ -569,7 +565,8 @@
         match action {
             Action::Send { request, worker, timeout } => self.send(request, worker, timeout, out),
             Action::Cancel { request, attempt } => {
-                if let Some(number) = self.flight_numbers.get(&(request, attempt)).copied()
+                let number = self.open.get(&request).and_then(|open| open.attempts.get(attempt).copied());
+                if let Some(number) = number
                     && let Some(flight) = self.flights.get(&number)
                 {
                     out.push(Output::CancelRun(flight.worker.clone(), number));
@@ -618,7 +615,7 @@
         match self.open.get(id).and_then(|open| open.last.as_ref()) {
             Some((end, body)) => Answer { body: body.clone(), ..Answer::bare(status, end.word()) },
             // No attempt ended: either none began, or one is out still.
-            None if self.open.get(id).is_some_and(|open| open.attempts > 0) => {
+            None if self.open.get(id).is_some_and(|open| !open.attempts.is_empty()) => {
                 Answer::bare(status, "timeout")
             }
             None => Answer::bare(status, "no-worker"),
@@ -643,18 +640,17 @@
         };
         self.next += 1;
         let due = self.now.saturating_add(timeout);
-        let number = open.attempts as usize;
+        let number = open.attempts.len();
         let attempt = Attempt {
             number: self.next,
             worker: worker.clone(),
             id: id.0.to_string(),
-            before: open.attempts,
+            before: number as u32,
             time_left: open.deadline.saturating_sub(self.now),
             call: open.call.clone(),
         };
-        open.attempts += 1;
+        open.attempts.push(self.next);
         self.due.insert((due, Due::Attempt(self.next)));
-        self.flight_numbers.insert((id.clone(), number), self.next);
         self.flights.insert(self.next, Flight { id, number, worker, sent: self.now, due });
         out.push(Output::Run(attempt));
     }
--- a/crates/engine/src/keys.rs
+++ b/crates/engine/src/keys.rs
@@ -33,8 +33,10 @@
 
 impl Keys {
     pub fn find(&self, call: &Call) -> Match {
+        if call.key.is_empty() {
+            return Match::None;
+        }
         match self.calls.get(&key(call)) {
-            _ if call.key.is_empty() => Match::None,
             None => Match::None,
             Some((id, seen)) if *seen == digest(call) => Match::Repeat(id.clone()),
             Some(_) => Match::Other,
--- a/crates/engine/src/results.rs
+++ b/crates/engine/src/results.rs
@@ -2,7 +2,9 @@
 //!
 //! A result that had to go leaves its id for a while, so that a client hears 'no longer kept' and not 'unknown'.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::VecDeque;
+
+use foldhash::{HashMap, HashSet};
 
 use cresswheel::Micros;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,10 +32,15 @@
     let by = |map: &std::collections::BTreeMap<&'static str, u64>, label: &'static str| {
         map.iter().map(|(word, n)| (vec![(label, (*word).to_owned())], *n)).collect::<Vec<_>>()
     };
-    let taken = counts.taken.iter().map(|(class, n)| (vec![("class", class.clone())], *n)).collect();
+    let taken = counts.classes.iter().zip(&counts.taken);
+    let taken = taken.map(|(class, n)| (vec![("class", class.clone())], *n)).collect();
     counter("calls_taken", "Calls taken, by class", taken);
     let answers = counts.answers.iter().map(|((class, status, reason), n)| {
-        let labels = [("class", class.clone()), ("status", (*status).into()), ("reason", (*reason).into())];
+        let labels = [
+            ("class", counts.classes[*class].clone()),
+            ("status", status.word().into()),
+            ("reason", (*reason).into()),
+        ];
         (labels.to_vec(), *n)
     });
     counter("answers", "Final answers, by class, status and reason", answers.collect());
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -3,13 +3,14 @@
 //! The pool knows no calls. It opens a connection when those that stand are full, up to a bound, and tells for a
 //! closed one how each attempt and order on it ended.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use cresswheel::WorkerId;
 use cresswheel_engine::{AttemptEnd, Input, OrderEnd};
 use cresswheel_protocol::{Message, Micros, Role};
 use cresswheel_transport::{Connection, Hub, Wire};
+use foldhash::HashMap;
 
 /// One connection to a worker.
 struct Carrier {
@@ -25,7 +26,7 @@
 #[derive(Default)]
 pub struct Pool {
     carriers: HashMap<Connection, Carrier>,
-    by_worker: BTreeMap<WorkerId, Vec<Connection>>,
+    by_worker: HashMap<WorkerId, Vec<Connection>>,
     /// Where each attempt and order is out.
     places: HashMap<u64, Connection>,
 }
@@ -42,13 +43,16 @@
         &mut self,
         hub: &mut Hub,
         limits: &PoolLimits,
-        hello: &Message,
+        hello: impl FnOnce() -> Message,
         (worker, address): (&WorkerId, SocketAddr),
         (number, order): (u64, bool),
         message: &Message,
     ) -> bool {
         let now = hub.clock().now();
-        let here = self.by_worker.entry(worker.clone()).or_default();
+        if !self.by_worker.contains_key(worker) {
+            self.by_worker.insert(worker.clone(), Vec::new());
+        }
+        let Some(here) = self.by_worker.get_mut(worker) else { return false };
         let load = |c: &Carrier| c.attempts.len() + c.orders.len();
         let usable = here.iter().copied().filter(|c| !self.carriers[c].leaving);
         let least = usable.min_by_key(|c| load(&self.carriers[c]));
@@ -71,7 +75,7 @@
                 };
                 self.carriers.insert(connection, carrier);
                 here.push(connection);
-                hub.send(connection, hello, None);
+                hub.send(connection, &hello(), None);
                 connection
             }
         };
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -1,6 +1,6 @@
 //! The gateway's loop.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 
@@ -10,6 +10,7 @@
 use cresswheel_engine::{Answer, Attempt, AttemptEnd, Call, Client, Engine, Input, OrderEnd, Output};
 use cresswheel_protocol::{Listed, Message, Micros, Role, http::Request};
 use cresswheel_transport::{Connection, Hub, Notice, Wire};
+use foldhash::{HashMap, HashMapExt};
 
 use crate::http::{self, Asked};
 use crate::metrics::{self, ShellCounts};
@@ -567,7 +568,7 @@
     }
 
     fn run_attempt(&mut self, attempt: Attempt) {
-        let span = tracing::info_span!("call", id = %attempt.id, trace = %attempt.call.trace);
+        let span = tracing::debug_span!("call", id = %attempt.id, trace = %attempt.call.trace);
         let _in = span.enter();
         tracing::debug!(worker = %attempt.worker, attempt = attempt.number, before = attempt.before, "run");
         let call = &attempt.call;
@@ -596,8 +597,8 @@
             streams: self.settings.shell.worker_streams,
             connect_timeout: self.settings.engine.module.connect_timeout,
         };
-        let hello = pool::hello(&self.settings.name, &self.settings.engine.module.zone);
-        self.pool.give(&mut self.hub, &limits, &hello, (worker, address), number, message)
+        let hello = || pool::hello(&self.settings.name, &self.settings.engine.module.zone);
+        self.pool.give(&mut self.hub, &limits, hello, (worker, address), number, message)
     }
 
     /// Looks at what has a time: the list service, idle and half-sent connections.
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -11,13 +11,16 @@
 mod client;
 pub mod day;
 mod fleet;
+mod load;
 mod run;
 mod scene;
+mod split;
 mod traffic;
 
 pub use audit::{RULES, RuleVerdict, Terms, Verdict, audit, read_records};
 pub use catalogue::{SCENES, scene};
 pub use client::Client;
 pub use fleet::{Fleet, Process};
+pub use load::{LoadSettings, load};
 pub use run::{Outcome, rehearse};
 pub use scene::{ClassSpec, Event, GatewaySpec, Scene, Timed, WorkerSpec};
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -72,6 +72,7 @@
     pub fn needed_text(&mut self, name: &'static str) -> String {
         let there = self.there(name);
         let text = self.text(name);
+        self.must(text.as_deref() != Some(""), &format!("{name} is empty"));
         self.needed(name, text, there)
     }
 
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -104,7 +104,7 @@
     f.must(tick > 0 && tick <= S, "tick must be above zero and at most s(1)");
     f.must(margin >= 2 * tick, "answer_margin must be two ticks at least, or last answers come late");
     f.must(to.engine.deferred_time <= to.engine.most_time, "deferred_time is longer than most_time");
-    f.must(!to.name.is_empty() && to.name.len() <= 100, "name must have 1 to 100 bytes");
+    f.must(to.name.len() <= 100, "name must have 100 bytes at most");
 }
 
 fn fleet(f: &mut Fields, to: &mut Settings) {
--- /dev/null
+++ b/crates/standins/src/echo.rs
@@ -0,0 +1,130 @@
+//! The least that can stand at either side of a gateway in a measurement: a worker that answers at once, and a
+//! relay that carries the same frames as a gateway and decides nothing.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+
+use cresswheel_protocol::{Ending, Message, Role, Status};
+use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
+
+/// A worker that answers every call at once, or never.
+pub struct Echo {
+    hub: Hub,
+    address: SocketAddr,
+    silent: bool,
+}
+
+impl Echo {
+    /// Listens. A silent one answers orders only.
+    pub fn start(at: SocketAddr, silent: bool) -> io::Result<Self> {
+        let mut hub = Hub::new(HubLimits::default())?;
+        let (_, address) = hub.listen(at, Wire::Frames)?;
+        Ok(Self { hub, address, silent })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves until a control message ends it.
+    pub fn run(&mut self) -> io::Result<()> {
+        loop {
+            self.hub.wait(None)?;
+            while let Some(notice) = self.hub.take_notice() {
+                let Notice::Message(connection, message) = notice else { continue };
+                match message {
+                    Message::Run { attempt, body, .. } if !self.silent => {
+                        let ran = Message::Ran { attempt, ending: Ending::Ok, crowd: 0, body };
+                        self.hub.send(connection, &ran, None);
+                    }
+                    Message::Hold { order, .. } => {
+                        let held = Message::Held { order, ending: Ending::Ok, standing: 1 };
+                        self.hub.send(connection, &held, None);
+                    }
+                    Message::Control { words } if words == "stop" => return Ok(()),
+                    _ => {}
+                }
+            }
+        }
+    }
+}
+
+/// A gateway without an engine: each call goes to the one worker as it comes.
+pub struct Relay {
+    hub: Hub,
+    address: SocketAddr,
+    to: SocketAddr,
+    worker: Option<Connection>,
+    open: HashMap<u64, (Connection, u64)>,
+    next: u64,
+}
+
+impl Relay {
+    /// Listens; calls go to `to`.
+    pub fn start(at: SocketAddr, to: SocketAddr) -> io::Result<Self> {
+        let mut hub = Hub::new(HubLimits::default())?;
+        let (_, address) = hub.listen(at, Wire::Frames)?;
+        Ok(Self { hub, address, to, worker: None, open: HashMap::new(), next: 0 })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Relays until a control message ends it.
+    pub fn run(&mut self) -> io::Result<()> {
+        loop {
+            self.hub.wait(None)?;
+            while let Some(notice) = self.hub.take_notice() {
+                match notice {
+                    Notice::Closed { connection, .. } if self.worker == Some(connection) => {
+                        self.worker = None
+                    }
+                    Notice::Message(connection, message) => {
+                        if !self.message(connection, message) {
+                            return Ok(());
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn message(&mut self, connection: Connection, message: Message) -> bool {
+        match message {
+            Message::Call { number, function, class, key, trace, time_left, shape, body, .. } => {
+                let worker = match self.worker {
+                    Some(worker) => worker,
+                    None => {
+                        let worker = self.hub.connect(self.to, Wire::Frames, 1_000_000);
+                        let hello =
+                            Message::Hello { role: Role::Gateway, name: "relay".into(), zone: String::new() };
+                        self.hub.send(worker, &hello, None);
+                        self.worker = Some(worker);
+                        worker
+                    }
+                };
+                self.next += 1;
+                self.open.insert(self.next, (connection, number));
+                let attempt = self.next;
+                let run =
+                    Message::Run { attempt, trace, before: 0, function, class, key, time_left, shape, body };
+                self.hub.send(worker, &run, None);
+            }
+            Message::Ran { attempt, body, .. } => {
+                if let Some((client, number)) = self.open.remove(&attempt) {
+                    let (status, reason, retry_after) = (Status::Served, String::new(), 0);
+                    let answer = Message::Answer { number, status, reason, retry_after, body };
+                    self.hub.send(client, &answer, None);
+                }
+            }
+            Message::Control { words } if words == "stop" => return false,
+            _ => {}
+        }
+        true
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! echo that takes time.
 
 mod control;
+mod echo;
 mod link;
 mod list;
 mod records;
@@ -12,6 +13,7 @@
 mod worker_model;
 
 pub use control::{Fault, Faults};
+pub use echo::{Echo, Relay};
 pub use link::Link;
 pub use list::WorkerList;
 pub use records::{Record, Recorder, What};
