--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -9,7 +9,7 @@
 
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
-use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use calloop::{Dispatcher, EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use cresswheel_protocol::{Decoder, Limits, Message, Micros, encode, http};
 use slab::Slab;
 
@@ -86,10 +86,16 @@
     Raw(Vec<u8>),
 }
 
+/// A socket in the loop. It is watched by level: a read that took all there was needs no second one to prove it.
+type Watched = Dispatcher<'static, Generic<Rc<TcpStream>>, Woken>;
+
 struct Conn {
     id: Connection,
     socket: Rc<TcpStream>,
+    watched: Watched,
     token: Option<RegistrationToken>,
+    /// What it is watched for now.
+    interest: (bool, bool),
     decode: Decode,
     out: Out,
     accepted: bool,
@@ -106,9 +112,14 @@
 }
 
 impl Conn {
-    fn reads(&self) -> bool {
+    /// Whether bytes that come are to be read.
+    fn wants_to_read(&self) -> bool {
         let wanted = self.lingering.is_some() || (!self.paused && !self.close_when_flushed);
-        self.readable && self.connecting.is_none() && wanted
+        self.connecting.is_none() && wanted
+    }
+
+    fn reads(&self) -> bool {
+        self.readable && self.wants_to_read()
     }
 }
 
@@ -266,14 +277,14 @@
         self.serial += 1;
         let entry = self.conns.vacant_entry();
         let id = self.serial << 32 | entry.key() as u64;
-        let source = Generic::new(socket.clone(), Interest::BOTH, Mode::Edge);
-        let token = self
-            .handle
-            .insert_source(source, move |readiness, _, woken| {
-                woken.connections.push((id, readiness));
-                Ok(PostAction::Continue)
-            })
-            .map_err(|e| io::Error::other(e.error))?;
+        let stands = connecting.is_none();
+        let first = if stands { Interest::READ } else { Interest::WRITE };
+        let source = Generic::new(socket.clone(), first, Mode::Level);
+        let watched = Dispatcher::new(source, move |readiness, _, woken: &mut Woken| {
+            woken.connections.push((id, readiness));
+            Ok(PostAction::Continue)
+        });
+        let token = self.handle.register_dispatcher(watched.clone()).map_err(io::Error::other)?;
         let decode = match wire {
             Wire::Frames => Decode::Frames(Decoder::new(self.limits.frame)),
             Wire::Http => Decode::Http(http::Decoder::new(self.limits.http)),
@@ -282,14 +293,16 @@
         entry.insert(Conn {
             id,
             socket,
+            watched,
             token: Some(token),
+            interest: (stands, !stands),
             decode,
             out: Out::default(),
-            accepted: connecting.is_none(),
+            accepted: stands,
             connecting,
             lingering: None,
             readable: false,
-            writable: connecting.is_none(),
+            writable: stands,
             paused: false,
             close_when_flushed: false,
             last_read: self.clock.now(),
@@ -358,9 +371,7 @@
     pub fn pause(&mut self, id: Connection, paused: bool) {
         if let Some(conn) = self.get(id) {
             conn.paused = paused;
-            if !paused {
-                self.turn.insert(id);
-            }
+            self.turn.insert(id);
         }
     }
 
@@ -409,11 +420,15 @@
             self.listeners[number].ready = true;
         }
         for (id, readiness) in woken.connections {
-            if let Some(conn) = self.get(id) {
-                conn.readable |= readiness.readable || readiness.error;
-                conn.writable |= readiness.writable || readiness.error;
-                self.turn.insert(id);
+            let Some(conn) = self.get(id) else { continue };
+            if !conn.interest.0 && readiness.readable && conn.connecting.is_none() {
+                // Not watched for bytes, so it is the end: both sides are closed, or it broke.
+                self.close(id, "hung up");
+                continue;
             }
+            conn.readable |= readiness.readable || readiness.error;
+            conn.writable |= readiness.writable || readiness.error;
+            self.turn.insert(id);
         }
         let now = self.clock.now();
         while let Some((_, id)) = self.due.first().filter(|(at, _)| *at <= now).copied() {
@@ -482,6 +497,22 @@
         for id in std::mem::take(&mut self.turn) {
             self.write_out(id);
             self.read_in(id);
+            self.watch(id);
+        }
+    }
+
+    /// Watches a connection for what it waits for, and nothing else.
+    fn watch(&mut self, id: Connection) {
+        let handle = self.handle.clone();
+        let Some(conn) = self.get(id) else { return };
+        let wanted = (conn.wants_to_read(), !conn.writable);
+        if conn.interest == wanted {
+            return;
+        }
+        conn.interest = wanted;
+        conn.watched.as_source_mut().interest = Interest { readable: wanted.0, writable: wanted.1 };
+        if let Some(Err(error)) = conn.token.as_ref().map(|token| handle.update(token)) {
+            self.close(id, &error.to_string());
         }
     }
 
@@ -539,14 +570,13 @@
                 Ok(0) => over = Some("closed by the other side".to_owned()),
                 Ok(_) if conn.lingering.is_some() => {}
                 Ok(count) => {
+                    conn.readable = count == scratch.len();
                     conn.last_read = now;
                     match &mut conn.decode {
                         Decode::Frames(decoder) => decoder.push(&scratch[..count]),
                         Decode::Http(decoder) => decoder.push(&scratch[..count]),
                         Decode::Raw(bytes) => bytes.extend_from_slice(&scratch[..count]),
                     }
-                    // Not before the kernel says so is the socket empty: bytes and the end may have come
-                    // together, with one edge for both.
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => conn.readable = false,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
