--- /dev/null
+++ b/crates/transport/tests/hub.rs
@@ -0,0 +1,133 @@
+//! The hub alone: what it says of connections that never stood, of crowds, of closed ones.
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+use cresswheel_protocol::{Limits, Message, encode};
+use cresswheel_transport::{Hub, HubLimits, Notice, Wire};
+
+/// The next notice, within ten seconds.
+fn next(hub: &mut Hub) -> Notice {
+    let end = hub.clock().now() + 10_000_000;
+    loop {
+        if let Some(notice) = hub.take_notice() {
+            return notice;
+        }
+        assert!(hub.clock().now() < end, "nothing happened");
+        hub.wait(Some(end)).unwrap();
+    }
+}
+
+fn probe(number: u64) -> Message {
+    Message::Probe { number }
+}
+
+#[test]
+fn a_connection_that_never_stood_gives_all_its_frames_back() {
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut hub = Hub::new(HubLimits::default()).unwrap();
+    let connection = hub.connect(closed, Wire::Frames, 1_000_000);
+    (1..=3).for_each(|mark| assert!(hub.send(connection, &probe(mark), Some(mark))));
+    assert!(hub.withdraw(connection, 2));
+    match next(&mut hub) {
+        Notice::Closed { connection: which, never_stood: true, unsent, .. } => {
+            assert_eq!((which, unsent), (connection, vec![1, 3]));
+        }
+        other => panic!("{other:?}"),
+    }
+    assert!(!hub.is_open(connection) && !hub.send(connection, &probe(4), None));
+}
+
+#[test]
+fn frames_that_left_are_not_given_back() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut hub = Hub::new(HubLimits::default()).unwrap();
+    let connection = hub.connect(listener.local_addr().unwrap(), Wire::Frames, 1_000_000);
+    hub.send(connection, &probe(1), Some(1));
+    let (mut peer, _) = listener.accept().unwrap();
+    assert!(matches!(next(&mut hub), Notice::Connected(c) if c == connection));
+    let mut header = [0; 6];
+    while hub.backlog(connection) > 0 {
+        hub.wait(Some(0)).unwrap();
+    }
+    peer.read_exact(&mut header).unwrap();
+    drop(peer);
+    match next(&mut hub) {
+        Notice::Closed { never_stood: false, unsent, .. } => assert!(unsent.is_empty()),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn the_last_message_before_an_end_is_not_lost() {
+    let mut hub = Hub::new(HubLimits::default()).unwrap();
+    let (_, at) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Frames).unwrap();
+    let mut peer = TcpStream::connect(at).unwrap();
+    let mut bytes = Vec::new();
+    encode(&probe(7), &mut bytes);
+    peer.write_all(&bytes).unwrap();
+    drop(peer);
+    assert!(matches!(next(&mut hub), Notice::Opened(..)));
+    assert!(matches!(next(&mut hub), Notice::Message(_, Message::Probe { number: 7 })));
+    assert!(matches!(next(&mut hub), Notice::Closed { .. }));
+    assert_eq!(hub.connections(), 0);
+}
+
+#[test]
+fn a_paused_connection_is_not_read_and_its_end_is_seen() {
+    let mut hub = Hub::new(HubLimits { frame: Limits { frame: 1 << 20 }, ..HubLimits::default() }).unwrap();
+    let (_, at) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Frames).unwrap();
+    let mut peer = TcpStream::connect(at).unwrap();
+    let Notice::Opened(connection, _) = next(&mut hub) else { panic!() };
+    hub.pause(connection, true);
+    let mut bytes = Vec::new();
+    encode(&probe(1), &mut bytes);
+    peer.write_all(&bytes).unwrap();
+    for _ in 0..20 {
+        hub.wait(Some(hub.clock().now() + 1_000)).unwrap();
+        assert!(hub.take_notice().is_none());
+    }
+    hub.pause(connection, false);
+    assert!(matches!(next(&mut hub), Notice::Message(..)));
+}
+
+#[test]
+fn a_crowd_beyond_the_bound_is_closed_and_those_inside_stay() {
+    let mut hub = Hub::new(HubLimits { accepted: 2, ..HubLimits::default() }).unwrap();
+    let (_, at) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Frames).unwrap();
+    let mut peers: Vec<TcpStream> = (0..3).map(|_| TcpStream::connect(at).unwrap()).collect();
+    assert!(matches!(next(&mut hub), Notice::Opened(..)));
+    assert!(matches!(next(&mut hub), Notice::Opened(..)));
+    while hub.turned_away == 0 {
+        hub.wait(Some(hub.clock().now() + 10_000)).unwrap();
+    }
+    peers[2].set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    assert!(matches!(peers[2].read(&mut [0; 1]), Ok(0) | Err(_)));
+    peers.remove(0);
+    assert!(matches!(next(&mut hub), Notice::Closed { .. }));
+    let _next = TcpStream::connect(at).unwrap();
+    assert!(matches!(next(&mut hub), Notice::Opened(..)));
+}
+
+#[test]
+fn a_peer_that_never_reads_is_closed_at_the_bound() {
+    let mut hub = Hub::new(HubLimits { out: 1 << 20, ..HubLimits::default() }).unwrap();
+    let (_, at) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Frames).unwrap();
+    let _peer = TcpStream::connect(at).unwrap();
+    let Notice::Opened(connection, _) = next(&mut hub) else { panic!() };
+    let bulky = Message::Answer {
+        number: 1,
+        status: cresswheel_protocol::Status::Served,
+        reason: String::new(),
+        retry_after: 0,
+        body: vec![0; 100_000],
+    };
+    let mut sent = 0;
+    while hub.send(connection, &bulky, None) {
+        hub.wait(Some(0)).unwrap();
+        sent += 1;
+        assert!(sent < 10_000, "the kernel takes no gigabyte");
+    }
+    assert!(matches!(next(&mut hub), Notice::Closed { why, .. } if why == "too much waits to be written"));
+}
