What a rehearsal or a measurement starts ends with it, however that ends

A killed rehearsal left its gateways and workers running. Processes that it starts now read their standard input and end when it ends; a test kills a rehearsal and waits for its list to go.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -27,6 +27,9 @@
     /// Log to this file; if it can't be written, logs are dropped and the program goes on.
     #[arg(long, global = true, value_name = "FILE")]
     log_file: Option<PathBuf>,
+    /// End when standard input ends: for processes that another one starts and must not outlive.
+    #[arg(long, global = true, hide = true, env = "CRESSWHEEL_TIED")]
+    tied: bool,
     #[command(subcommand)]
     command: Command,
 }
@@ -84,7 +87,7 @@
         return ExitCode::from(2);
     }
     let done = match cli.command {
-        Command::Gateway { file } => gateway(&file),
+        Command::Gateway { file } => gateway(&file, cli.tied),
         Command::Check { file } => match cresswheel_settings::read(&file) {
             Ok(settings) => {
                 println!("{}: sound; gateway {}", file.display(), settings.name);
@@ -97,12 +100,12 @@
         },
         Command::Call(args) => call::run(args),
         Command::Rehearse(args) => rehearse::run(args),
-        Command::Worker(args) => peers::worker(args),
-        Command::List(args) => peers::list(args),
-        Command::Store(args) => peers::store(args),
+        Command::Worker(args) => peers::worker(args, cli.tied),
+        Command::List(args) => peers::list(args, cli.tied),
+        Command::Store(args) => peers::store(args, cli.tied),
         Command::Load(args) => rehearse::load(args),
-        Command::Echo(args) => peers::echo(args),
-        Command::Relay(args) => peers::relay(args),
+        Command::Echo(args) => peers::echo(args, cli.tied),
+        Command::Relay(args) => peers::relay(args, cli.tied),
         Command::Fault(args) => peers::fault(args),
     };
     done.unwrap_or_else(|error| {
@@ -111,7 +114,7 @@
     })
 }
 
-fn gateway(file: &std::path::Path) -> anyhow::Result<ExitCode> {
+fn gateway(file: &std::path::Path, tied: bool) -> anyhow::Result<ExitCode> {
     let settings = match cresswheel_settings::read(file) {
         Ok(settings) => settings,
         Err(faults) => {
@@ -124,7 +127,7 @@
     let mut gateway = Gateway::start(settings, reload)?;
     let ready = gateway.ready();
     let http = ready.http.map_or(String::new(), |at| format!(" http={at}"));
-    peers::say(&format!("ready main={}{http}", ready.main))?;
+    peers::ready(&format!("ready main={}{http}", ready.main), tied)?;
     gateway.run()?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/peers.rs
+++ b/crates/cli/src/peers.rs
@@ -10,8 +10,15 @@
 use cresswheel_rehearsal::Client;
 use cresswheel_standins::{Echo, Profile, Relay, Store, Worker, WorkerList, WorkerSettings};
 
-/// Prints a line that a parent process waits for.
-pub fn say(line: &str) -> std::io::Result<()> {
+/// Prints the line that a parent process waits for. A tied process ends when its parent does, however that ends.
+pub fn ready(line: &str, tied: bool) -> std::io::Result<()> {
+    if tied {
+        // Begun only now: signals that the process takes over are blocked in all threads that come after.
+        std::thread::spawn(|| {
+            let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+            std::process::exit(1);
+        });
+    }
     let mut out = std::io::stdout();
     writeln!(out, "{line}")?;
     out.flush()
@@ -78,7 +85,7 @@
     records: Option<PathBuf>,
 }
 
-pub fn worker(args: WorkerArgs) -> anyhow::Result<ExitCode> {
+pub fn worker(args: WorkerArgs, tied: bool) -> anyhow::Result<ExitCode> {
     let profile = Profile {
         cores: args.cores.max(1),
         memory_mb: args.memory_mb,
@@ -104,7 +111,7 @@
         profile,
         records: args.records,
     })?;
-    say(&format!("ready main={}", worker.address()))?;
+    ready(&format!("ready main={}", worker.address()), tied)?;
     worker.run()?;
     Ok(ExitCode::SUCCESS)
 }
@@ -125,10 +132,10 @@
     records: Option<PathBuf>,
 }
 
-pub fn list(args: ListArgs) -> anyhow::Result<ExitCode> {
+pub fn list(args: ListArgs, tied: bool) -> anyhow::Result<ExitCode> {
     let (delay, notice) = (args.delay_ms.saturating_mul(1_000), args.notice_ms.saturating_mul(1_000));
     let mut list = WorkerList::start(args.listen, args.records.as_deref(), delay, notice)?;
-    say(&format!("ready main={}", list.address()))?;
+    ready(&format!("ready main={}", list.address()), tied)?;
     list.run()?;
     Ok(ExitCode::SUCCESS)
 }
@@ -146,9 +153,9 @@
     most: usize,
 }
 
-pub fn store(args: StoreArgs) -> anyhow::Result<ExitCode> {
+pub fn store(args: StoreArgs, tied: bool) -> anyhow::Result<ExitCode> {
     let mut store = Store::start(args.listen, args.capacity, args.most)?;
-    say(&format!("ready main={}", store.address()))?;
+    ready(&format!("ready main={}", store.address()), tied)?;
     store.run()?;
     Ok(ExitCode::SUCCESS)
 }
@@ -163,9 +170,9 @@
     silent: bool,
 }
 
-pub fn echo(args: EchoArgs) -> anyhow::Result<ExitCode> {
+pub fn echo(args: EchoArgs, tied: bool) -> anyhow::Result<ExitCode> {
     let mut echo = Echo::start(args.listen, args.silent)?;
-    say(&format!("ready main={}", echo.address()))?;
+    ready(&format!("ready main={}", echo.address()), tied)?;
     echo.run()?;
     Ok(ExitCode::SUCCESS)
 }
@@ -180,9 +187,9 @@
     to: SocketAddr,
 }
 
-pub fn relay(args: RelayArgs) -> anyhow::Result<ExitCode> {
+pub fn relay(args: RelayArgs, tied: bool) -> anyhow::Result<ExitCode> {
     let mut relay = Relay::start(args.listen, args.to)?;
-    say(&format!("ready main={}", relay.address()))?;
+    ready(&format!("ready main={}", relay.address()), tied)?;
     relay.run()?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/tests/rehearsals.rs
+++ b/crates/cli/tests/rehearsals.rs
@@ -47,3 +47,27 @@
         assert_eq!(done.status.code(), Some(0), "{name}: {done:?}");
     }
 }
+
+#[test]
+fn what_a_killed_rehearsal_started_ends_with_it() {
+    use std::io::{BufRead, BufReader};
+    let folder = tempfile::tempdir().unwrap();
+    let mut rehearsal = Command::new(EXE)
+        .args(["rehearse", "quiet", "--keep"])
+        .arg(folder.path().join("run"))
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut said = BufReader::new(rehearsal.stdout.take().unwrap()).lines();
+    while !said.next().unwrap().unwrap().contains("workers run") {}
+    let script = std::fs::read_to_string(folder.path().join("run/gateway-0.star")).unwrap();
+    let list = script.split("list = [\"").nth(1).unwrap().split('"').next().unwrap().to_owned();
+    assert!(std::net::TcpStream::connect(&list).is_ok(), "the list runs");
+    rehearsal.kill().unwrap();
+    rehearsal.wait().unwrap();
+    let end = std::time::Instant::now() + common::PATIENCE;
+    while std::net::TcpStream::connect(&list).is_ok() {
+        assert!(std::time::Instant::now() < end, "the list outlives the rehearsal");
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+}
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -31,7 +31,9 @@
         let log_file = File::options().create(true).append(true).open(log);
         let log_file = log_file.with_context(|| log.display().to_string())?;
         let mut command = Command::new(exe);
-        command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log_file);
+        // The other end of its standard input closes with this process, and it ends with that.
+        command.args(args).env("CRESSWHEEL_TIED", "true").stdin(Stdio::piped());
+        command.stdout(Stdio::piped()).stderr(log_file);
         let mut child = command.spawn().with_context(|| format!("start {}", exe.display()))?;
         let line = ready_line(&mut child);
         let line = match line {
--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -338,8 +338,8 @@
     }
     for (n, name) in [(1, "relay"), (2, "gateway")] {
         write!(report, "{:10}", format!("+{name}"))?;
-        for at in 0..3 {
-            let rounds = found[n][at].iter().zip(&found[0][at]).map(|(with, without)| with - without);
+        for (with, without) in found[n].iter().zip(&found[0]).take(3) {
+            let rounds = with.iter().zip(without).map(|(with, without)| with - without);
             write!(report, "{:9.0}", median(rounds.collect()))?;
         }
         writeln!(report, "   added over direct, median of the rounds")?;
--- a/crates/standins/src/echo.rs
+++ b/crates/standins/src/echo.rs
@@ -79,16 +79,16 @@
         loop {
             self.hub.wait(None)?;
             while let Some(notice) = self.hub.take_notice() {
-                match notice {
-                    Notice::Closed { connection, .. } if self.worker == Some(connection) => {
-                        self.worker = None
+                let goes_on = match notice {
+                    Notice::Closed { connection, .. } => {
+                        self.worker = self.worker.filter(|worker| *worker != connection);
+                        true
                     }
-                    Notice::Message(connection, message) => {
-                        if !self.message(connection, message) {
-                            return Ok(());
-                        }
-                    }
-                    _ => {}
+                    Notice::Message(connection, message) => self.message(connection, message),
+                    _ => true,
+                };
+                if !goes_on {
+                    return Ok(());
                 }
             }
         }
