--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -292,7 +292,10 @@
             return self.turn_away(client, "connection-full", out);
         }
         let id = RequestId::from(id.as_str());
-        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(open) = self.open.get_mut(&id) else {
+            debug_assert!(false, "a key without its call or result");
+            return self.turn_away(client, "key-in-use", out);
+        };
         let give_up = self.settings.module.classes[open.class].give_up;
         let asked = if call.time_left == 0 { give_up } else { call.time_left };
         let until = self.now + asked.saturating_sub(self.settings.answer_margin);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -76,6 +76,7 @@
             ("listen", self.listen == other.listen),
             ("http", self.http == other.http),
             ("state", self.state == other.state),
+            ("worker(...)", self.workers == other.workers),
             ("the decision module's part", self.engine.module == other.engine.module),
         ];
         same.iter().filter(|(_, same)| !same).map(|(name, _)| *name).collect()
--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -7,12 +7,16 @@
 use cresswheel_protocol::Micros;
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 
+/// From when to when bytes wait, and when connections break.
+type Plan = (Option<(Micros, Micros)>, Option<Micros>);
+
 /// A relay from its own address to another one.
 pub struct Link {
     hub: Hub,
     address: SocketAddr,
     to: SocketAddr,
     delay: Micros,
+    planned: Option<Plan>,
     /// Bytes pass no further from one time to another; they wait.
     cut: (Micros, Micros),
     /// All connections break then.
@@ -27,7 +31,8 @@
         let mut hub = Hub::new(HubLimits::default())?;
         let (_, address) = hub.listen(at, Wire::Raw)?;
         let (other, late) = (HashMap::new(), VecDeque::new());
-        Ok(Self { hub, address, to, delay, cut: (0, 0), reset: None, other, late })
+        let (planned, cut, reset) = (None, (0, 0), None);
+        Ok(Self { hub, address, to, delay, planned, cut, reset, other, late })
     }
 
     /// Where it listens.
@@ -35,11 +40,17 @@
         self.address
     }
 
-    /// Plans a cut and a reset, in microseconds from now.
+    /// Plans a cut and a reset, in microseconds from the first bytes on that come.
     pub fn plan(&mut self, cut: Option<(Micros, Micros)>, reset: Option<Micros>) {
+        self.planned = Some((cut, reset));
+    }
+
+    fn begin(&mut self) {
         let now = self.hub.clock().now();
-        self.cut = cut.map_or((0, 0), |(from, until)| (now + from, now + until));
-        self.reset = reset.map(|at| now + at);
+        if let Some((cut, reset)) = self.planned.take() {
+            self.cut = cut.map_or((0, 0), |(from, until)| (now + from, now + until));
+            self.reset = reset.map(|at| now + at);
+        }
     }
 
     /// Relays for so long.
@@ -61,6 +72,7 @@
                         self.other.insert(far, connection);
                     }
                     Notice::Bytes(connection, bytes) => {
+                        self.begin();
                         if let Some(other) = self.other.get(&connection) {
                             self.late.push_back((self.hub.clock().now() + self.delay, *other, bytes));
                         }
