--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -87,7 +87,7 @@
     Drain,
     /// Answer all that is still open, now.
     Stop,
-    /// Time has passed; [`Engine::wake_at`] is due.
+    /// Time has passed; [`crate::Engine::wake_at`] is due.
     Wake,
 }
 
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,7 +1,7 @@
 //! Rehearsals: a small fleet of real processes, a scripted bad day, clients, and an auditor that judges the five
 //! rules from what passed on the sockets of clients and stand-ins, never from the gateways' own word.
 //!
-//! - [`Scene`] says what is there and what happens when; [`catalogue`] holds the ready ones, [`day`] makes one
+//! - [`Scene`] says what is there and what happens when; [`scene`] gives the ready ones, [`day`] makes one
 //!   from a bench day's file;
 //! - [`rehearse`] starts the fleet, plays the scene and leaves the records in a folder;
 //! - [`audit`] judges a folder of records.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,6 @@
 //! A gateway's settings from a Starlark script. `docs/SETTINGS.md` has every name.
 //!
-//! Two steps: [`script`] runs the script, which does nothing but put down sections with their places; [`gateway`]
+//! Two steps: `script` runs the script, which does nothing but put down sections with their places; `gateway`
 //! checks them all and gives either typed settings or every fault found, each with file, line, column and value.
 //! No other crate depends on Starlark.
 
