What is taken back or breaks after its time is not counted as a late answer

late_answers_total is read as a sign of slow or lying workers; an attempt that timed out before it left was counted there too. Only answers count now; a test takes one back after its end.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -415,7 +415,8 @@
 
     fn attempt_ended(&mut self, attempt: u64, end: AttemptEnd, body: Arc<[u8]>, out: &mut Vec<Output>) {
         let Some(flight) = self.flights.remove(&attempt) else {
-            self.counters.late_answers += 1;
+            // It was over before; what was taken back or broke after that is no answer.
+            self.counters.late_answers += u64::from(matches!(end, AttemptEnd::Answered(..)));
             return;
         };
         self.due.remove(&(flight.due, Due::Attempt(attempt)));
@@ -456,7 +457,7 @@
 
     fn order_ended(&mut self, number: u64, end: OrderEnd, standing: u32) {
         let Some(order) = self.orders.remove(&number) else {
-            self.counters.late_answers += 1;
+            self.counters.late_answers += u64::from(matches!(end, OrderEnd::Answered(_)));
             return;
         };
         self.due.remove(&(order.due, Due::Order(number)));
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -128,7 +128,8 @@
     let again = bed.give(Input::AttemptEnded(attempt, OK, b"out".to_vec()));
     let unknown = bed.give(Input::AttemptEnded(999, OK, Vec::new()));
     assert!(answers(&again).is_empty() && answers(&unknown).is_empty());
-    assert_eq!(bed.engine.counters().late_answers, 2);
+    bed.give(Input::AttemptEnded(attempt, AttemptEnd::NotWritten, Vec::new()));
+    assert_eq!(bed.engine.counters().late_answers, 2, "what is taken back is no answer");
     assert_eq!((bed.engine.open_calls(), bed.engine.open_attempts()), (0, 0));
 }
 
