Scenes slow workers before killing them, so that posts are in hand when they die

With 25 ms of work few posts were in flight when a worker was killed: a gateway built to call broken connections 'never ran' was found by month-end through a receipt note only. Workers are slow for 0.3 to 0.5 s before their kill now.

--- a/crates/rehearsal/src/catalogue.rs
+++ b/crates/rehearsal/src/catalogue.rs
@@ -106,7 +106,10 @@
     // The month ends: twice the calls for ten seconds, then more than usual.
     scene.traffic.curve = vec![(0, 0.7), (8_000, 1.0), (14_000, 2.0), (24_000, 1.2), (40_000, 1.0)];
     scene.events = vec![
-        // Two workers die with payment posts in hand, and come back cold together.
+        // Two workers die with payment posts in hand (made slow first, so that there are some), and come back
+        // cold together.
+        fault(4_600, 0, "slow 15 400"),
+        fault(4_600, 3, "slow 15 400"),
         at(5_000, Event::KillWorker(0)),
         at(5_050, Event::KillWorker(3)),
         at(9_000, Event::StartWorker(0)),
@@ -136,6 +139,7 @@
         fault(50_000, 5, "reset 0.3 3000"),
         at(51_000, Event::List("ghost 127.0.0.1:9 127.0.0.1:9".into())),
         at(52_000, Event::List("freeze 3000".into())),
+        fault(52_200, 6, "slow 15 300"),
         at(52_500, Event::KillWorker(6)),
         at(54_000, Event::StartWorker(6)),
         fault(55_000, 4, "pause 600"),
@@ -151,6 +155,7 @@
     scene.traffic.rate = 60.0;
     scene.traffic.curve = vec![(0, 1.0), (5_000, 1.8), (9_000, 1.0)];
     scene.events = vec![
+        fault(1_500, 0, "slow 20 500"),
         at(2_000, Event::KillWorker(0)),
         at(4_000, Event::StartWorker(0)),
         fault(5_000, 1, "lose 0.4 2500"),
