--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -69,9 +69,7 @@
 
     /// Asks it to stop, with TERM.
     pub fn terminate(&self) -> anyhow::Result<()> {
-        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status()?;
-        anyhow::ensure!(done.success(), "kill -TERM {}: {done}", self.child.id());
-        Ok(())
+        self.signal("TERM")
     }
 
     /// Sends a signal by its name.
--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -201,7 +201,8 @@
     Ok(kib * 1024.0)
 }
 
-fn median(mut values: Vec<f64>) -> f64 {
+fn median(values: &[f64]) -> f64 {
+    let mut values = values.to_vec();
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
 }
@@ -254,7 +255,6 @@
     let seconds = settings.seconds as f64;
     let (relay, gateway) = (Target::Gateway(bed.relay.main), Target::Gateway(bed.gateway.main));
 
-    let median_of = |values: &[f64]| median(values.to_vec());
     writeln!(
         report,
         "As many calls as come back on {} connections, one core for each process:",
@@ -301,14 +301,14 @@
         writeln!(
             report,
             "{window:20}{:14.0}{:16.0}{:14.2}{:>10}{:16.2}{:18.2}",
-            median_of(&rates[0]),
-            median_of(&rates[1]),
-            median_of(&ratios),
+            median(&rates[0]),
+            median(&rates[1]),
+            median(&ratios),
             format!("{least:.2}-{most:.2}"),
-            median_of(&costs[0]),
-            median_of(&costs[1]),
+            median(&costs[0]),
+            median(&costs[1]),
         )?;
-        (top, cost) = (median_of(&rates[1]), median_of(&costs[1]));
+        (top, cost) = (median(&rates[1]), median(&costs[1]));
     }
 
     progress("half of the gateway's most, at Poisson times: no gateway, relay, gateway");
@@ -332,7 +332,7 @@
     for (n, (name, _)) in targets.iter().enumerate() {
         write!(report, "{name:10}")?;
         for values in &found[n] {
-            write!(report, "{:9.0}", median(values.clone()))?;
+            write!(report, "{:9.0}", median(values))?;
         }
         writeln!(report)?;
     }
@@ -340,7 +340,7 @@
         write!(report, "{:10}", format!("+{name}"))?;
         for (with, without) in found[n].iter().zip(&found[0]).take(3) {
             let rounds = with.iter().zip(without).map(|(with, without)| with - without);
-            write!(report, "{:9.0}", median(rounds.collect()))?;
+            write!(report, "{:9.0}", median(&rounds.collect::<Vec<_>>()))?;
         }
         writeln!(report, "   added over direct, median of the rounds")?;
     }
