--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,11 +5,12 @@
 mod peers;
 mod rehearse;
 
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use cresswheel_gateway::Gateway;
+use cresswheel_gateway::{Gateway, HolderCommand};
 
 /// A gateway that runs calls on workers which load functions on demand.
 ///
@@ -76,6 +77,9 @@
     /// Run a relay that decides nothing; for measurements.
     #[command(hide = true)]
     Relay(peers::RelayArgs),
+    /// Hold connections for the gateway that started this process.
+    #[command(hide = true)]
+    Hold,
     /// Tell a stand-in to play a fault, such as `hang 5000` or `lose 0.3 10000`.
     Fault(peers::FaultArgs),
 }
@@ -87,7 +91,8 @@
         return ExitCode::from(2);
     }
     let done = match cli.command {
-        Command::Gateway { file } => gateway(&file, cli.tied),
+        Command::Gateway { ref file } => gateway(file, &cli),
+        Command::Hold => cresswheel_clients::trunk::hold().map(|()| ExitCode::SUCCESS),
         Command::Check { file } => match cresswheel_settings::read(&file) {
             Ok(settings) => {
                 println!("{}: sound; gateway {}", file.display(), settings.name);
@@ -114,7 +119,23 @@
     })
 }
 
-fn gateway(file: &std::path::Path, tied: bool) -> anyhow::Result<ExitCode> {
+/// How a gateway starts a process that holds connections: itself, with the same logs.
+fn holder(cli: &Cli) -> HolderCommand {
+    let mut args = vec!["--log".to_owned(), cli.log.clone()];
+    args.extend(cli.json.then(|| "--json".to_owned()));
+    if let Some(file) = &cli.log_file {
+        args.extend(["--log-file".to_owned(), file.display().to_string()]);
+    }
+    args.push("hold".into());
+    Box::new(move || {
+        let mut command = std::process::Command::new(std::env::current_exe()?);
+        // Its standard input is the trunk, and ends it. A terminal's signals are the gateway's to answer.
+        command.args(&args).env_remove("CRESSWHEEL_TIED").process_group(0);
+        Ok(command)
+    })
+}
+
+fn gateway(file: &std::path::Path, cli: &Cli) -> anyhow::Result<ExitCode> {
     let settings = match cresswheel_settings::read(file) {
         Ok(settings) => settings,
         Err(faults) => {
@@ -124,10 +145,10 @@
     };
     let again = file.to_path_buf();
     let reload = Box::new(move || cresswheel_settings::read(&again).map_err(|faults| faults.to_string()));
-    let mut gateway = Gateway::start(settings, reload)?;
+    let mut gateway = Gateway::start(settings, reload, holder(cli))?;
     let ready = gateway.ready();
     let http = ready.http.map_or(String::new(), |at| format!(" http={at}"));
-    peers::ready(&format!("ready main={}{http}", ready.main), tied)?;
+    peers::ready(&format!("ready main={}{http}", ready.main), cli.tied)?;
     gateway.run()?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/gateway/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -1,18 +1,14 @@
-//! HTTP requests to calls, answers to responses. `docs/PROTOCOL.md` has the table.
+//! HTTP requests to messages, answers to responses. `docs/PROTOCOL.md` has the table.
 
-use cresswheel_engine::{Answer, Call};
 use cresswheel_protocol::http::{Request, respond};
-use cresswheel_protocol::{Micros, Shape, Status};
+use cresswheel_protocol::{Message, Micros, Shape, Status};
 
 /// What a request asks for.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Asked {
-    Call(Call),
-    /// The result of a call, waiting so long for it.
-    Result(String, Micros),
+    /// Whatever the gateway is to be asked, under the number that was given.
+    Message(Message),
     Health,
-    Ready,
-    Metrics,
     /// Answered with this status and these words.
     Wrong(u16, String),
 }
@@ -20,23 +16,23 @@
 const INVOKE: (&str, &str) = ("/v1/functions/", "/invoke");
 const CALLS: &str = "/v1/calls/";
 
-pub fn asked(request: Request) -> Asked {
+pub fn asked(request: Request, number: u64) -> Asked {
     let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
     let get = request.method == "GET";
     match path {
         "/healthz" if get => Asked::Health,
-        "/readyz" if get => Asked::Ready,
-        "/metrics" if get => Asked::Metrics,
+        "/readyz" | "/metrics" if get => Asked::Message(Message::Page { number, path: path.into() }),
         _ => {
             if let Some(name) = path.strip_prefix(INVOKE.0).and_then(|rest| rest.strip_suffix(INVOKE.1)) {
+                let name = name.to_owned();
                 return match request.method == "POST" {
-                    true => call(name, &request).unwrap_or_else(|wrong| Asked::Wrong(400, wrong)),
+                    true => call(&name, request, number).unwrap_or_else(|wrong| Asked::Wrong(400, wrong)),
                     false => Asked::Wrong(405, "POST only".into()),
                 };
             }
             match path.strip_prefix(CALLS) {
                 Some(id) if get => match wait(query) {
-                    Some(wait) => Asked::Result(id.into(), wait),
+                    Some(wait) => Asked::Message(Message::Await { number, id: id.into(), wait }),
                     None => Asked::Wrong(400, "wait_ms is not a number".into()),
                 },
                 Some(_) => Asked::Wrong(405, "GET only".into()),
@@ -53,14 +49,14 @@
     }
 }
 
-fn call(name: &str, request: &Request) -> Result<Asked, String> {
+fn call(name: &str, request: Request, number: u64) -> Result<Asked, String> {
     let text = |header: &str| request.header(header).unwrap_or("").to_owned();
-    let number = |header: &str| match request.header(header) {
+    let digits = |header: &str| match request.header(header) {
         None => Ok(0u64),
         Some(value) => value.parse::<u64>().map_err(|_| format!("{header}: not a number: {value}")),
     };
-    let small = |header: &str| number(header).map(|value| u32::try_from(value).unwrap_or(u32::MAX));
-    let ms = |header: &str| number(header).map(|ms| ms.saturating_mul(1_000));
+    let small = |header: &str| digits(header).map(|value| u32::try_from(value).unwrap_or(u32::MAX));
+    let ms = |header: &str| digits(header).map(|ms| ms.saturating_mul(1_000));
     let function = percent_decoded(name).ok_or("function: bad escape")?;
     let deferred = request
         .headers
@@ -74,7 +70,8 @@
         load_time: ms("x-function-load-ms")?,
         work: ms("x-function-work-ms")?,
     };
-    Ok(Asked::Call(Call {
+    Ok(Asked::Message(Message::Call {
+        number,
         deferred,
         function,
         class: text("x-class"),
@@ -83,7 +80,7 @@
         trace: text("x-trace"),
         time_left: ms("x-deadline-ms")?,
         shape,
-        body: request.body.clone(),
+        body: request.body,
     }))
 }
 
@@ -104,8 +101,15 @@
 }
 
 /// The response to a call's final answer, or to a fetch of a result.
-pub fn answer(answer: &Answer, fetched: bool, keep_alive: bool) -> Vec<u8> {
-    let status = match (answer.status, answer.reason) {
+pub fn answer(
+    status: Status,
+    reason: &str,
+    retry_after: Micros,
+    body: &[u8],
+    fetched: bool,
+    keep_alive: bool,
+) -> Vec<u8> {
+    let code = match (status, reason) {
         (Status::Served, _) => 200,
         (Status::Pending, _) => 202,
         (Status::Unknown, _) => 404,
@@ -119,16 +123,16 @@
         (Status::Failed, _) => 502,
     };
     // A second is the least that the header can say.
-    let after = answer.retry_after.div_ceil(1_000_000).to_string();
-    let mut headers = vec![("x-status", answer.status.word()), ("x-reason", answer.reason)];
-    if answer.reason.is_empty() {
+    let after = retry_after.div_ceil(1_000_000).to_string();
+    let mut headers = vec![("x-status", status.word()), ("x-reason", reason)];
+    if reason.is_empty() {
         headers.pop();
     }
-    if answer.retry_after > 0 {
+    if retry_after > 0 {
         headers.push(("retry-after", &after));
     }
     let mut out = Vec::new();
-    respond(&mut out, status, &headers, &answer.body, keep_alive);
+    respond(&mut out, code, &headers, body, keep_alive);
     out
 }
 
@@ -165,25 +169,29 @@
             ("prefer", "wait=5, Respond-Async"),
             ("x-function-lanes", "4"),
         ];
-        let Asked::Call(call) = asked(request("POST", "/v1/functions/a%2Fb%20c/invoke", &headers)) else {
+        let asked = asked(request("POST", "/v1/functions/a%2Fb%20c/invoke", &headers), 7);
+        let Asked::Message(Message::Call { number, deferred, function, class, time_left, shape, .. }) = asked
+        else {
             panic!("no call")
         };
-        assert_eq!((call.function.as_str(), call.class.as_str()), ("a/b c", "post"));
-        assert_eq!((call.deferred, call.time_left, call.shape.lanes), (true, 600_000, 4));
+        assert_eq!((number, function.as_str(), class.as_str()), (7, "a/b c", "post"));
+        assert_eq!((deferred, time_left, shape.lanes), (true, 600_000, 4));
     }
 
     #[test]
     fn what_is_wrong_is_said() {
-        let wrong = |method, target, headers: &[(&str, &str)]| match asked(request(method, target, headers)) {
-            Asked::Wrong(status, _) => status,
-            other => panic!("{other:?}"),
-        };
+        let wrong =
+            |method, target, headers: &[(&str, &str)]| match asked(request(method, target, headers), 0) {
+                Asked::Wrong(status, _) => status,
+                other => panic!("{other:?}"),
+            };
         assert_eq!(wrong("GET", "/v1/functions/f/invoke", &[]), 405);
         assert_eq!(wrong("POST", "/v1/functions/%zz/invoke", &[]), 400);
         assert_eq!(wrong("POST", "/v1/functions/%+1/invoke", &[]), 400);
         assert_eq!(wrong("POST", "/v1/functions/f/invoke", &[("x-deadline-ms", "6s")]), 400);
         assert_eq!(wrong("GET", "/v1/calls/x?wait_ms=abc", &[]), 400);
         assert_eq!(wrong("POST", "/healthz", &[]), 404);
-        assert_eq!(asked(request("GET", "/v1/calls/x?wait_ms=5", &[])), Asked::Result("x".into(), 5_000));
+        let awaits = Message::Await { number: 3, id: "x".into(), wait: 5_000 };
+        assert_eq!(asked(request("GET", "/v1/calls/x?wait_ms=5", &[]), 3), Asked::Message(awaits));
     }
 }
--- /dev/null
+++ b/crates/gateway/src/holders.rs
@@ -0,0 +1,301 @@
+//! Processes that hold connections, where one can't have descriptors enough: started, watched, started again.
+//!
+//! All share the listening sockets, which stay open here as well: a holder that dies takes the connections that it
+//! held and none that still wait to be accepted. Calls of its connections are called off as those of any client
+//! that leaves.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
+use std::process::{Child, Command, Stdio};
+
+use cresswheel_admission::DoorCounts;
+use cresswheel_clients::{Ask, ClientTerms, trunk};
+use cresswheel_protocol::{Message, Micros};
+use cresswheel_transport::{Connection, Hub, Notice, Wire};
+
+/// Gives the command that runs a holder, its standard input still to be set.
+pub type HolderCommand = Box<dyn Fn() -> io::Result<Command>>;
+
+/// A holder that lived this long died of something new.
+const LIVED: Micros = 10_000_000;
+const AGAIN_FIRST: Micros = 50_000;
+const AGAIN_MOST: Micros = 5_000_000;
+
+struct Holder {
+    trunk: Connection,
+    child: Child,
+    since: Micros,
+    /// The next message on the trunk is this connection's, and came then.
+    of: Option<(Connection, Micros)>,
+    /// Connections that are owed answers, and how many.
+    owed: BTreeMap<Connection, u32>,
+    counts: DoorCounts,
+}
+
+enum Place {
+    Taken(Box<Holder>),
+    /// Started at that time, with this wait before it.
+    Free(Micros, Micros),
+}
+
+/// A connection of a client, of whatever process: that of a holder has the holder's life in its upper bits.
+pub type Key = u64;
+
+const LIFE: u32 = 48;
+
+/// What came from a holder.
+pub enum FromHolder {
+    /// A client asks.
+    Ask(Key, Ask),
+    /// Connections that are gone with their holder.
+    Gone(Vec<Key>),
+}
+
+pub struct Holders {
+    command: HolderCommand,
+    listeners: Vec<socket2::Socket>,
+    terms: ClientTerms,
+    places: Vec<Place>,
+    /// Lives so far; each names its connections with its own.
+    lives: u16,
+    by_life: BTreeMap<u16, usize>,
+    /// Ended, but not yet buried.
+    ended: Vec<Child>,
+    leaving: bool,
+    paused: bool,
+    /// Holders started after the first ones.
+    pub restarts: u64,
+}
+
+fn life(key: Key) -> u16 {
+    (key >> LIFE) as u16
+}
+
+/// A connection of this process.
+pub fn is_ours(key: Key) -> bool {
+    life(key) == 0
+}
+
+impl Holders {
+    /// None yet; [`Holders::tick`] starts them.
+    pub fn new(
+        command: HolderCommand,
+        listeners: Vec<socket2::Socket>,
+        terms: ClientTerms,
+        count: usize,
+    ) -> Self {
+        Self {
+            command,
+            listeners,
+            terms,
+            places: (0..count).map(|_| Place::Free(0, AGAIN_FIRST)).collect(),
+            lives: 0,
+            by_life: BTreeMap::new(),
+            ended: Vec::new(),
+            leaving: false,
+            paused: false,
+            restarts: 0,
+        }
+    }
+
+    fn taken(&self) -> impl Iterator<Item = &Holder> {
+        self.places.iter().filter_map(|place| match place {
+            Place::Taken(holder) => Some(&**holder),
+            Place::Free(..) => None,
+        })
+    }
+
+    /// How many there should be.
+    pub fn count(&self) -> usize {
+        self.places.len()
+    }
+
+    /// How many there are.
+    pub fn alive(&self) -> usize {
+        self.taken().count()
+    }
+
+    /// What each counted, as far as it has told.
+    pub fn counts(&self) -> impl Iterator<Item = &DoorCounts> {
+        self.taken().map(|holder| &holder.counts)
+    }
+
+    fn told(&self, hub: &Hub) -> Message {
+        let (clock, http) = (hub.clock().base(), self.listeners.len() > 1);
+        let told = trunk::Told { clock, terms: self.terms, http };
+        Message::Terms { json: serde_json::to_vec(&told).unwrap_or_default() }
+    }
+
+    /// New terms, for all.
+    pub fn change(&mut self, hub: &mut Hub, terms: ClientTerms) {
+        self.terms = terms;
+        let told = self.told(hub);
+        self.tell_all(hub, &told);
+    }
+
+    fn tell_all(&self, hub: &mut Hub, message: &Message) {
+        self.taken().for_each(|holder| _ = hub.send(holder.trunk, message, None));
+    }
+
+    /// No more connections; all are asked to leave.
+    pub fn leave(&mut self, hub: &mut Hub) {
+        self.leaving = true;
+        for place in &mut self.places {
+            if let Place::Taken(holder) = place {
+                holder.counts.asking = holder.counts.connections > 0;
+            }
+        }
+        self.tell_all(hub, &Message::Leave {});
+    }
+
+    /// Stops or resumes reading what clients ask.
+    pub fn pause(&mut self, hub: &mut Hub, paused: bool) {
+        if std::mem::replace(&mut self.paused, paused) != paused {
+            self.taken().for_each(|holder| hub.pause(holder.trunk, paused));
+        }
+    }
+
+    /// Whether answers still wait to be written to a holder.
+    pub fn owes(&self, hub: &Hub) -> bool {
+        self.taken().any(|holder| hub.backlog(holder.trunk) > 0)
+    }
+
+    /// Starts those that are due, and buries those that ended.
+    pub fn tick(&mut self, hub: &mut Hub) {
+        self.ended.retain_mut(|child| matches!(child.try_wait(), Ok(None)));
+        let now = hub.clock().now();
+        for place in 0..self.places.len() {
+            let Place::Free(at, wait) = self.places[place] else { continue };
+            if at > now || self.leaving {
+                continue;
+            }
+            match self.start(hub, now) {
+                Ok(holder) => {
+                    self.by_life.insert(self.lives, place);
+                    self.restarts += u64::from(at > 0);
+                    tracing::info!(place, process = holder.child.id(), "a holder of connections starts");
+                    self.places[place] = Place::Taken(Box::new(holder));
+                }
+                Err(error) => {
+                    tracing::error!(%error, "a holder of connections can't be started");
+                    self.places[place] = Place::Free(now + wait, (wait * 2).min(AGAIN_MOST));
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, hub: &mut Hub, now: Micros) -> io::Result<Holder> {
+        let (ours, theirs) = UnixStream::pair()?;
+        trunk::hand_over(&ours, &self.listeners)?;
+        let mut command = (self.command)()?;
+        command.stdin(Stdio::from(OwnedFd::from(theirs))).stdout(Stdio::null());
+        let child = command.spawn()?;
+        let trunk = hub.adopt(ours.into(), Wire::Frames)?;
+        let told = self.told(hub);
+        hub.send(trunk, &told, None);
+        hub.pause(trunk, self.paused);
+        // A life's number comes again after 65,535 others; one that still lives keeps its own.
+        loop {
+            self.lives = self.lives.wrapping_add(1).max(1);
+            if !self.by_life.contains_key(&self.lives) {
+                break;
+            }
+        }
+        let counts = DoorCounts::default();
+        Ok(Holder { trunk, child, since: now, of: None, owed: BTreeMap::new(), counts })
+    }
+
+    /// When [`Holders::tick`] is wanted next.
+    pub fn next_due(&self, now: Micros) -> Option<Micros> {
+        let starts = self.places.iter().filter_map(|place| match place {
+            Place::Free(at, _) if !self.leaving => Some(*at),
+            _ => None,
+        });
+        starts.chain((!self.ended.is_empty()).then_some(now + AGAIN_FIRST)).min()
+    }
+
+    fn place_of(&self, trunk: Connection) -> Option<(u16, usize)> {
+        let is = |place: usize| matches!(&self.places[place], Place::Taken(h) if h.trunk == trunk);
+        self.by_life.iter().map(|(life, place)| (*life, *place)).find(|(_, place)| is(*place))
+    }
+
+    /// Whether this is a holder's trunk.
+    pub fn is_trunk(&self, connection: Connection) -> bool {
+        self.place_of(connection).is_some()
+    }
+
+    /// A notice of a trunk.
+    pub fn notice(&mut self, hub: &Hub, notice: Notice) -> Option<FromHolder> {
+        match notice {
+            Notice::Message(connection, message) => {
+                let (life, place) = self.place_of(connection)?;
+                self.message(life, place, message)
+            }
+            Notice::Closed { connection, why, .. } => {
+                let (life, place) = self.place_of(connection)?;
+                Some(self.died(hub, life, place, &why))
+            }
+            _ => None,
+        }
+    }
+
+    fn message(&mut self, life: u16, place: usize, message: Message) -> Option<FromHolder> {
+        let Place::Taken(holder) = &mut self.places[place] else { return None };
+        match message {
+            Message::Of { connection, came } => holder.of = Some((connection, came)),
+            Message::Counts { json } => {
+                holder.counts = serde_json::from_slice(&json).unwrap_or_default();
+                // Counted before it heard that all are to leave.
+                holder.counts.asking |=
+                    self.leaving && holder.counts.asked == 0 && holder.counts.connections > 0;
+            }
+            message => {
+                let (connection, came) = holder.of.take()?;
+                match message {
+                    Message::Call { .. } | Message::Await { .. } | Message::Page { .. } => {
+                        *holder.owed.entry(connection).or_default() += 1;
+                    }
+                    Message::Bye { .. } => _ = holder.owed.remove(&connection),
+                    _ => {}
+                }
+                let key = u64::from(life) << LIFE | connection;
+                return Some(FromHolder::Ask(key, Ask { connection, came, message }));
+            }
+        }
+        None
+    }
+
+    fn died(&mut self, hub: &Hub, life: u16, place: usize, why: &str) -> FromHolder {
+        self.by_life.remove(&life);
+        let now = hub.clock().now();
+        let holder = std::mem::replace(&mut self.places[place], Place::Free(now, AGAIN_FIRST));
+        let Place::Taken(mut holder) = holder else { return FromHolder::Gone(Vec::new()) };
+        if !self.leaving {
+            let (process, held) = (holder.child.id(), holder.counts.connections);
+            tracing::warn!(process, held, %why, "a holder of connections is gone");
+        }
+        // It may only have lost its trunk; without one it is of no use.
+        let _ = holder.child.kill();
+        let soon = if holder.since + LIVED < now { 0 } else { AGAIN_FIRST };
+        self.places[place] = Place::Free(now + soon, AGAIN_FIRST * 2);
+        self.ended.push(holder.child);
+        FromHolder::Gone(holder.owed.into_keys().map(|c| u64::from(life) << LIFE | c).collect())
+    }
+
+    /// Hands a message for a client to its holder.
+    pub fn reply(&mut self, hub: &mut Hub, key: Key, message: &Message) {
+        let Some(place) = self.by_life.get(&life(key)) else { return };
+        let Place::Taken(holder) = &mut self.places[*place] else { return };
+        let connection = key & ((1 << LIFE) - 1);
+        if let Some(owed) = holder.owed.get_mut(&connection) {
+            *owed -= 1;
+            if *owed == 0 {
+                holder.owed.remove(&connection);
+            }
+        }
+        hub.send(holder.trunk, &Message::Of { connection, came: 0 }, None);
+        hub.send(holder.trunk, message, None);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,12 +1,13 @@
 //! The gateway as a process: listeners, connections to workers and list, signals. It carries out what the engine
 //! says and decides nothing about calls.
 
-mod http;
+mod holders;
 mod metrics;
 mod pool;
 mod saved_list;
 mod settings;
 mod shell;
 
+pub use holders::HolderCommand;
 pub use settings::{GatewaySettings, ShellLimits};
 pub use shell::{Gateway, Ready, Reload};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The engine's and the shell's counts in the Prometheus text form.
 
+use cresswheel_admission::DoorCounts;
 use cresswheel_engine::Engine;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -11,12 +12,17 @@
 
 /// What the shell adds to the engine's counts.
 pub struct ShellCounts {
-    pub connections: usize,
+    /// Of all processes that hold connections.
+    pub doors: Vec<DoorCounts>,
+    pub holders: usize,
+    pub holder_restarts: u64,
+    /// Calls that the intake refused, by class.
+    pub busy: Vec<u64>,
+    pub waiting: usize,
+    pub intake_rate: f64,
     pub worker_connections: usize,
     pub accept_starved: u64,
-    pub connections_turned_away: u64,
     pub list_stale: bool,
-    pub paused_clients: usize,
 }
 
 pub fn text(engine: &Engine, shell: &ShellCounts) -> String {
@@ -46,6 +52,18 @@
     counter("answers", "Final answers, by class, status and reason", answers.collect());
     counter("calls_turned_away", "Calls turned away untaken, by reason", by(&counts.turned_away, "reason"));
     counter("attempts", "Attempts, by how they ended", by(&counts.attempts, "end"));
+    let busy = counts.classes.iter().zip(&shell.busy).filter(|(_, n)| **n > 0);
+    let busy = busy.map(|(class, n)| (vec![("class", class.clone())], *n)).collect();
+    counter("calls_busy", "Calls refused since they would have waited too long to be started", busy);
+    let mut closed = std::collections::BTreeMap::<&str, u64>::new();
+    for (why, count) in shell.doors.iter().flat_map(|door| &door.closed) {
+        *closed.entry(why.as_str()).or_default() += count;
+    }
+    let turned_away = ["full", "address-share"].iter().filter_map(|why| closed.get(why)).sum::<u64>();
+    let closed = closed.iter().map(|(why, n)| (vec![("reason", (*why).to_owned())], *n)).collect();
+    counter("connections_closed", "Connections that the gateway closed or turned away, by reason", closed);
+    let doors = |count: fn(&DoorCounts) -> u64| shell.doors.iter().map(count).sum::<u64>();
+    let here = |count: fn(&DoorCounts) -> usize| shell.doors.iter().map(count).sum::<usize>();
     let plain = [
         ("hold_orders", "Hold orders given", counts.orders),
         ("late_answers", "Answers to attempts that were over", counts.late_answers),
@@ -53,7 +71,11 @@
         ("calls_abandoned", "Calls that every waiter left", counts.abandoned),
         ("results_evicted", "Results dropped early for lack of room", counts.results_evicted),
         ("accept_starved", "Times that accepting paused for lack of descriptors", shell.accept_starved),
-        ("connections_turned_away", "Connections closed at once", shell.connections_turned_away),
+        ("connections_arrived", "Connections taken", doors(|d| d.arrived)),
+        ("connections_turned_away", "Connections closed at once", turned_away),
+        ("connections_asked_to_leave", "Connections asked to leave", doors(|d| d.asked)),
+        ("pings", "Pings sent to idle connections", doors(|d| d.pings)),
+        ("holder_restarts", "Holders of connections started again", shell.holder_restarts),
     ];
     for (name, help, value) in plain {
         counter(name, help, vec![(Vec::new(), value)]);
@@ -63,9 +85,14 @@
         ("open_attempts", "Attempts that have not ended", engine.open_attempts()),
         ("result_bytes", "Bytes of results kept", engine.result_bytes()),
         ("workers_listed", "Workers on the list held", engine.workers().count()),
-        ("connections", "Connections open", shell.connections),
+        ("connections", "Connections of clients", here(|d| d.connections)),
+        ("idle_connections", "Connections of clients without an open call", here(|d| d.idle)),
+        ("half_sent", "Connections with a message that is not whole", here(|d| d.half)),
+        ("holders", "Processes that hold connections", shell.holders),
+        ("calls_waiting", "Calls that wait to be started", shell.waiting),
+        ("intake_rate", "Calls a second that could be started lately", shell.intake_rate as usize),
         ("worker_connections", "Connections to workers open", shell.worker_connections),
-        ("paused_clients", "Clients not read because they do not read", shell.paused_clients),
+        ("paused_clients", "Clients not read because they do not read", here(|d| d.stalled)),
         ("list_stale", "1 while the list service can't be reached", usize::from(shell.list_stale)),
     ];
     for (name, help, value) in gauges {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use cresswheel_admission::{IntakeLimits, Terms};
+use cresswheel_clients::ClientTerms;
 use cresswheel_engine::EngineSettings;
 use cresswheel_protocol::{Listed, Micros};
-use cresswheel_transport::HubLimits;
 
 /// Everything a gateway process needs.
 #[derive(Clone, Debug)]
@@ -24,27 +25,25 @@
     pub workers: Vec<Listed>,
     /// Where the last list is kept; none: nowhere.
     pub state: Option<PathBuf>,
+    /// Processes that hold the clients' connections; none given: as many as the descriptors ask for, often 0.
+    pub holders: Option<usize>,
     /// Bounds of the shell.
     pub shell: ShellLimits,
 }
 
 /// Bounds of the shell.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ShellLimits {
-    /// Of sockets and bytes.
-    pub hub: HubLimits,
+    /// Of clients and of sockets; the connections are those of all processes together.
+    pub clients: ClientTerms,
+    /// Of calls that wait to be started.
+    pub intake: IntakeLimits,
     /// Connections to one worker.
     pub worker_connections: usize,
     /// Attempts and orders that one such connection carries at once.
     pub worker_streams: usize,
     /// A worker connection on which nothing is out is closed after this.
     pub worker_idle: Micros,
-    /// A client connection on which nothing is open is closed after this.
-    pub client_idle: Micros,
-    /// A frame or request that is half there is waited for this long.
-    pub half_request: Micros,
-    /// Bytes waiting for a client from which on no more is read from it.
-    pub client_backlog: usize,
     /// After TERM calls may finish for this long.
     pub stop_within: Micros,
     /// Wait before the list service is tried again.
@@ -55,13 +54,11 @@
     fn default() -> Self {
         const S: Micros = 1_000_000;
         Self {
-            hub: HubLimits::default(),
+            clients: ClientTerms::default(),
+            intake: IntakeLimits::default(),
             worker_connections: 4,
             worker_streams: 100,
             worker_idle: 15 * S,
-            client_idle: 300 * S,
-            half_request: 10 * S,
-            client_backlog: 1 << 20,
             stop_within: 5 * S,
             list_retry: S / 2,
         }
@@ -69,6 +66,12 @@
 }
 
 impl GatewaySettings {
+    /// What the classes say of themselves, for the intake.
+    pub fn class_terms(&self) -> Vec<Terms> {
+        let classes = self.engine.module.classes.iter();
+        classes.map(|class| Terms { aim: class.aim, worth: class.worth }).collect()
+    }
+
     /// What differs between two settings and can't change in a running gateway.
     pub fn fixed_differences(&self, other: &Self) -> Vec<&'static str> {
         let same = [
@@ -76,6 +79,7 @@
             ("listen", self.listen == other.listen),
             ("http", self.http == other.http),
             ("state", self.state == other.state),
+            ("holders", self.holders == other.holders),
             ("worker(...)", self.workers == other.workers),
             ("the decision module's part", self.engine.module == other.engine.module),
         ];
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -1,18 +1,21 @@
 //! The gateway's loop.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 
 use anyhow::Context;
 use calloop::signals::Signal;
 use cresswheel::WorkerId;
+use cresswheel_admission::{Budget, Intake, Parts, Verdict};
+use cresswheel_clients::{Ask, ClientTerms, Clients};
 use cresswheel_engine::{Answer, Attempt, AttemptEnd, Call, Client, Engine, Input, OrderEnd, Output};
-use cresswheel_protocol::{Listed, Message, Micros, Role, http::Request};
-use cresswheel_transport::{Connection, Hub, Notice, Wire};
+use cresswheel_protocol::{Listed, Message, Micros, Status};
+use cresswheel_transport::{Connection, Hub, Notice, Wire, listener};
 use foldhash::{HashMap, HashMapExt};
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 
-use crate::http::{self, Asked};
+use crate::holders::{self, FromHolder, HolderCommand, Holders, Key};
 use crate::metrics::{self, ShellCounts};
 use crate::pool::{self, Pool, PoolLimits};
 use crate::saved_list::SavedList;
@@ -30,34 +33,6 @@
     pub http: Option<SocketAddr>,
 }
 
-/// A client's connection.
-struct ClientConnection {
-    http: Option<HttpState>,
-    greeted: bool,
-    paused: bool,
-    /// Messages so far, those so far at the last look, and whether one was half there then.
-    messages: u64,
-    looked: (u64, bool),
-    /// When it is looked at next.
-    look: Micros,
-    /// Calls and awaits without their answer.
-    open: usize,
-}
-
-/// Responses leave in the order of their requests.
-#[derive(Default)]
-struct HttpState {
-    next: u64,
-    slots: VecDeque<Slot>,
-}
-
-struct Slot {
-    number: u64,
-    fetched: bool,
-    keep_alive: bool,
-    response: Option<Vec<u8>>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Life {
     Running,
@@ -75,10 +50,14 @@
     engine: Engine,
     pool: Pool,
     ready: Ready,
-    http_listener: Option<u32>,
-    clients: HashMap<Connection, ClientConnection>,
-    /// When to look at a client's connection again: one entry each, moved only when it is due.
-    looks: BTreeSet<(Micros, Connection)>,
+    clients: Clients,
+    holders: Holders,
+    budget: Budget,
+    intake: Intake<Asked>,
+    /// Calls that the intake refused, by class.
+    busy: Vec<u64>,
+    classes: HashMap<String, usize>,
+    tenants: HashMap<String, usize>,
     addresses: HashMap<WorkerId, SocketAddr>,
     list: Option<Connection>,
     list_turn: usize,
@@ -93,18 +72,72 @@
 
 /// After the last answer, how long it may take to leave.
 const LEAVE_WITHIN: Micros = 500_000;
-/// How often a client that is not read, since it does not read, is looked at.
-const LOOK_AT_PAUSED: Micros = 10_000;
+/// Descriptors are set aside for so many workers at least, since a list may name them later.
+const WORKERS_EXPECTED: usize = 64;
+
+/// A call that waits to be started.
+struct Asked {
+    class: usize,
+    client: Client,
+    call: Call,
+}
+
+/// Descriptors that this process may have, raised to what the system allows it.
+fn descriptors() -> usize {
+    let limit = getrlimit(Resource::Nofile);
+    if limit.current < limit.maximum
+        && setrlimit(Resource::Nofile, Rlimit { current: limit.maximum, maximum: limit.maximum }).is_err()
+    {
+        tracing::warn!(?limit, "the limit of descriptors can't be raised");
+    }
+    getrlimit(Resource::Nofile).current.map_or(usize::MAX >> 1, |limit| limit as usize)
+}
+
+/// What each process that holds connections is told: its part of the whole.
+fn part(terms: &ClientTerms, parts: Parts) -> ClientTerms {
+    let mut part = *terms;
+    let n = parts.holders.max(1) as u64;
+    part.door.connections = parts.each;
+    part.door.accepts_per_s = terms.door.accepts_per_s.div_ceil(n);
+    part.door.half_bytes = terms.door.half_bytes.div_ceil(n as usize);
+    if terms.door.pings_per_s > 0 {
+        part.door.pings_per_s = terms.door.pings_per_s.div_ceil(n);
+    }
+    part
+}
 
 impl Gateway {
-    /// Binds the listeners and reads the saved list; takes its first call in [`Gateway::run`].
-    pub fn start(settings: GatewaySettings, reload: Reload) -> anyhow::Result<Self> {
-        let mut hub = Hub::new(settings.shell.hub).context("event loop")?;
+    /// Binds the listeners and reads the saved list; takes its first call in [`Gateway::run`]. `holder` gives the
+    /// command of a process that holds connections, if there are to be any.
+    pub fn start(settings: GatewaySettings, reload: Reload, holder: HolderCommand) -> anyhow::Result<Self> {
+        let mut hub = Hub::new(settings.shell.clients.hub()).context("event loop")?;
         hub.signals(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).context("signals")?;
-        let listen =
-            |hub: &mut Hub, at, wire| hub.listen(at, wire).with_context(|| format!("listen on {at}"));
-        let (_, main) = listen(&mut hub, settings.listen, Wire::Frames)?;
-        let http = settings.http.map(|at| listen(&mut hub, at, Wire::Http)).transpose()?;
+        let budget = Budget {
+            limit: descriptors(),
+            workers: settings.workers.len().max(WORKERS_EXPECTED),
+            per_worker: settings.shell.worker_connections,
+        };
+        let parts = spread(&budget, &settings);
+        let sockets = [Some(settings.listen), settings.http].into_iter().flatten();
+        let sockets = sockets.map(|at| listener(at).with_context(|| format!("listen on {at}")));
+        let sockets = sockets.collect::<anyhow::Result<Vec<_>>>()?;
+        let mut at = sockets.iter().map(|s| s.local_addr().ok().and_then(|at| at.as_socket()));
+        let ready = Ready { main: at.next().flatten().context("listen")?, http: at.next().flatten() };
+        drop(at);
+        let terms = part(&settings.shell.clients, parts);
+        let mut http_listener = None;
+        if parts.holders == 0 {
+            for (socket, wire) in sockets.iter().zip([Wire::Frames, Wire::Http]) {
+                let number = hub.adopt_listener(socket.try_clone()?.into(), wire)?;
+                http_listener = Some(number).filter(|_| wire == Wire::Http).or(http_listener);
+            }
+        }
+        let clients = Clients::new(&mut hub, terms, http_listener);
+        let holders = Holders::new(holder, sockets, terms, parts.holders);
+        let module = &settings.engine.module;
+        let classes = module.classes.iter().enumerate().map(|(at, c)| (c.name.clone(), at)).collect();
+        let tenants = module.tenants.iter().enumerate().map(|(at, t)| (t.name.clone(), at)).collect();
+        let intake = Intake::new(&settings.class_terms(), settings.shell.intake);
         let now = hub.clock().now();
         // The process id tells apart what starts in the same microsecond.
         let life = now.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(std::process::id());
@@ -114,14 +147,18 @@
         });
         let saved = saved.transpose()?;
         let mut gateway = Self {
-            ready: Ready { main, http: http.map(|(_, at)| at) },
-            http_listener: http.map(|(number, _)| number),
+            ready,
             reload,
             hub,
             engine,
             pool: Pool::default(),
-            clients: HashMap::new(),
-            looks: BTreeSet::new(),
+            clients,
+            holders,
+            budget,
+            intake,
+            busy: vec![0; settings.engine.module.classes.len()],
+            classes,
+            tenants,
             addresses: HashMap::new(),
             list: None,
             list_turn: 0,
@@ -161,12 +198,12 @@
         loop {
             let now = self.hub.clock().now();
             match self.life {
-                Life::Stopping(until) if until <= now || self.engine.open_calls() == 0 => {
+                Life::Stopping(until) if until <= now || self.is_done() => {
                     self.give(Input::Stop);
                     self.life = Life::Leaving(now + LEAVE_WITHIN);
                 }
                 Life::Leaving(until) => {
-                    let waiting = self.clients.keys().any(|c| self.hub.backlog(*c) > 0);
+                    let waiting = self.clients.owes(&self.hub) || self.holders.owes(&self.hub);
                     if until <= now || !waiting {
                         tracing::info!("stopped");
                         return Ok(());
@@ -178,14 +215,44 @@
             while let Some(notice) = self.hub.take_notice() {
                 self.notice(notice);
             }
+            self.start_calls();
             let now = self.hub.clock().now();
             if self.engine.wake_at().is_some_and(|at| at <= now) {
                 self.give(Input::Wake);
             }
+            self.clients.tick(&mut self.hub);
+            self.holders.tick(&mut self.hub);
             self.look(now);
         }
     }
 
+    /// All calls are answered, and all clients were asked to leave.
+    fn is_done(&self) -> bool {
+        let asking = self.clients.is_asking() || self.holders.counts().any(|counts| counts.asking);
+        self.engine.open_calls() == 0 && self.intake.is_empty() && !asking
+    }
+
+    /// Calls enter the engine in the order of their urgency, so many a turn: what workers answer has its turn
+    /// between them.
+    fn start_calls(&mut self) {
+        self.intake.turn(self.hub.clock().now());
+        for _ in 0..self.intake.per_turn() {
+            let Some((_, came, asked)) = self.intake.take() else { break };
+            self.begin(asked.client, came, asked.call);
+        }
+        while let Some(refused) = self.intake.take_over(self.hub.clock().now()) {
+            self.refuse_busy(refused.call, refused.reason, refused.retry_after);
+        }
+        // What is left waits in the kernel, and its time runs there.
+        if self.intake.is_full() {
+            self.hub.hold_guests(true);
+            self.holders.pause(&mut self.hub, true);
+        } else if self.intake.has_room() {
+            self.hub.hold_guests(false);
+            self.holders.pause(&mut self.hub, false);
+        }
+    }
+
     fn next_due(&self) -> Micros {
         let life = match self.life {
             Life::Running => None,
@@ -193,39 +260,40 @@
             // What is left is on its way out.
             Life::Leaving(at) => Some(at.min(self.hub.clock().now() + 1_000)),
         };
-        let look = self.looks.first().map(|(at, _)| *at);
-        let all = [life, look, self.list_retry, self.engine.wake_at(), Some(self.pool_look)];
+        let now = self.hub.clock().now();
+        let waits = (!self.intake.is_empty()).then_some(now);
+        let doors = [self.clients.next_due(now), self.holders.next_due(now)];
+        let doors = doors.into_iter().flatten().min();
+        let all = [life, waits, doors, self.list_retry, self.engine.wake_at(), Some(self.pool_look)];
         all.into_iter().flatten().min().unwrap_or(self.pool_look)
     }
 
     fn notice(&mut self, notice: Notice) {
-        match notice {
-            Notice::Opened(connection, listener) => {
-                let http = (Some(listener) == self.http_listener).then(HttpState::default);
-                let look = self.hub.clock().now() + self.settings.shell.half_request;
-                let (greeted, paused, messages, looked, open) = (false, false, 0, (0, false), 0);
-                let client = ClientConnection { http, greeted, paused, messages, looked, look, open };
-                self.clients.insert(connection, client);
-                self.looks.insert((look, connection));
+        let Some(notice) = self.clients.notice(&mut self.hub, notice) else {
+            while let Some(ask) = self.clients.take_ask() {
+                self.asked(ask.connection, ask);
             }
-            Notice::Connected(connection) => {
-                if Some(connection) != self.list {
-                    self.pool.stands(connection);
+            return;
+        };
+        match notice {
+            Notice::Message(connection, _) | Notice::Closed { connection, .. }
+                if self.holders.is_trunk(connection) =>
+            {
+                match self.holders.notice(&self.hub, notice) {
+                    Some(FromHolder::Ask(key, ask)) => self.asked(key, ask),
+                    Some(FromHolder::Gone(keys)) => keys.into_iter().for_each(|key| self.left(key)),
+                    None => {}
                 }
             }
+            Notice::Connected(connection) if Some(connection) != self.list => self.pool.stands(connection),
             Notice::Message(connection, message) => self.message(connection, message),
-            Notice::Request(connection, request) => self.request(connection, request),
-            Notice::BadRequest(connection, error) => {
-                let response = http::words(error.status, error.reason, false);
-                self.respond_now(connection, response, false);
-            }
-            Notice::Closed { connection, never_stood, unsent, why } => {
+            Notice::Closed { connection, never_stood, unsent, why, .. } => {
                 self.closed(connection, never_stood, &unsent, &why);
             }
-            // No listener and no connection of a gateway is raw.
-            Notice::Bytes(connection, _) => self.hub.close(connection, "raw bytes"),
             Notice::Signal(Signal::SIGHUP) => self.read_settings_again(),
             Notice::Signal(signal) => self.stop(signal),
+            // All else is of guests, and the clients' side takes those.
+            _ => {}
         }
     }
 
@@ -236,11 +304,12 @@
         tracing::info!(?signal, open = self.engine.open_calls(), "stopping");
         self.hub.pause_listening(true);
         self.give(Input::Drain);
-        let leaving = Message::GoingAway { reason: "stopping".into() };
-        let framed = self.clients.iter().filter(|(_, c)| c.http.is_none()).map(|(id, _)| *id);
-        for connection in framed.collect::<Vec<_>>() {
-            self.hub.send(connection, &leaving, None);
+        // Those that wait to be started are refused as those that come from now on.
+        while let Some((_, came, asked)) = self.intake.take() {
+            self.begin(asked.client, came, asked.call);
         }
+        self.clients.leave(&mut self.hub);
+        self.holders.leave(&mut self.hub);
         self.life = Life::Stopping(self.hub.clock().now() + self.settings.shell.stop_within);
     }
 
@@ -255,7 +324,21 @@
                     return tracing::error!(%fixed, "the settings stay as they are: this needs a restart");
                 }
                 self.engine.change_bounds(&new.engine);
-                self.hub.set_limits(new.shell.hub);
+                let mut parts = spread(&self.budget, &new);
+                if parts.holders != self.holders.count() {
+                    // The processes stay as they are: what they can't hold waits for a restart.
+                    parts =
+                        self.budget.spread(new.shell.clients.door.connections, Some(self.holders.count()));
+                    tracing::warn!(
+                        holders = parts.holders,
+                        short = parts.short,
+                        "the number of holders stays"
+                    );
+                }
+                let terms = part(&new.shell.clients, parts);
+                self.clients.change(&mut self.hub, terms);
+                self.holders.change(&mut self.hub, terms);
+                self.intake.change(&new.class_terms(), new.shell.intake);
                 if self.settings.list != new.list {
                     self.list.take().into_iter().for_each(|list| self.hub.close(list, "another list"));
                 }
@@ -279,9 +362,8 @@
             };
         }
         if self.pool.is_ours(connection) {
-            return self.worker_message(connection, message);
+            self.worker_message(connection, message);
         }
-        self.client_message(connection, message);
     }
 
     fn worker_message(&mut self, connection: Connection, message: Message) {
@@ -308,129 +390,138 @@
         }
     }
 
-    fn client_message(&mut self, connection: Connection, message: Message) {
-        let Some(client) = self.clients.get_mut(&connection) else { return };
-        client.messages += 1;
-        let greeted = std::mem::replace(&mut client.greeted, true);
-        match message {
-            Message::Hello { role: Role::Client, .. } if !greeted => {}
-            _ if !greeted => self.refuse(connection, "a connection begins with Hello as a client"),
+    /// A client asks something.
+    fn asked(&mut self, key: Key, ask: Ask) {
+        match ask.message {
             Message::Call {
                 number,
                 deferred,
                 function,
                 class,
                 tenant,
-                key,
+                key: idempotency,
                 trace,
                 time_left,
                 shape,
                 body,
             } => {
-                let call = Call { deferred, function, class, tenant, key, trace, time_left, shape, body };
-                client.open += 1;
-                self.give(Input::Call(Client { connection, number }, call));
+                let call = Call {
+                    deferred,
+                    function,
+                    class,
+                    tenant,
+                    key: idempotency,
+                    trace,
+                    time_left,
+                    shape,
+                    body,
+                };
+                self.call(Client { connection: key, number }, ask.came, call);
             }
             Message::Await { number, id, wait } => {
-                client.open += 1;
-                self.give(Input::Await(Client { connection, number }, id, wait));
+                self.give(Input::Await(Client { connection: key, number }, id, wait));
             }
             Message::Cancel { number } => {
-                client.open = client.open.saturating_sub(1);
-                self.give(Input::Cancel(Client { connection, number }));
+                if !self.intake.call_off((key, number)) {
+                    self.give(Input::Cancel(Client { connection: key, number }));
+                }
             }
-            Message::Probe { number } => {
-                let held = self.engine.open_calls() as u32;
-                self.hub.send(connection, &Message::Probed { number, held, queued: 0 }, None);
+            Message::Page { number, path } => {
+                let (status, text) = self.page(&path);
+                self.reply(key, &Message::Paged { number, status, body: text.into_bytes() });
             }
-            Message::GoingAway { .. } | Message::Probed { .. } => {}
-            Message::Bye { .. } => self.hub.close(connection, "the client said bye"),
-            other => self.refuse(connection, &format!("{} is not for a gateway's clients", other.kind())),
+            // What else the clients' side lets through is the end.
+            _ => self.left(key),
         }
     }
 
-    fn refuse(&mut self, connection: Connection, reason: &str) {
-        self.hub.send(connection, &Message::Bye { reason: reason.into() }, None);
-        self.hub.finish(connection);
-        self.give(Input::Left(connection));
-    }
-
-    fn request(&mut self, connection: Connection, request: Request) {
-        let keep_alive = request.keep_alive && self.life == Life::Running;
-        let asked = http::asked(request);
-        let Some(client) = self.clients.get_mut(&connection) else { return };
-        client.messages += 1;
-        let Some(state) = &mut client.http else { return };
-        let number = state.next;
-        let fetched = matches!(asked, Asked::Result(..));
-        let to_engine = fetched || matches!(asked, Asked::Call(_));
-        let client_number = Client { connection, number };
-        if to_engine {
-            state.next += 1;
-            state.slots.push_back(Slot { number, fetched, keep_alive, response: None });
-            client.open += 1;
-        }
-        match asked {
-            Asked::Call(call) => self.give(Input::Call(client_number, call)),
-            Asked::Result(id, wait) => self.give(Input::Await(client_number, id, wait)),
-            Asked::Health => self.respond_now(connection, http::words(200, "alive", keep_alive), keep_alive),
-            Asked::Ready => {
-                let words = match (self.life, self.engine.workers().next().is_some()) {
-                    (Life::Running, true) => Ok("ready"),
-                    (Life::Running, false) => Err("no workers listed"),
-                    _ => Err("stopping"),
-                };
-                let (status, words) = words.map_or_else(|w| (503, w), |w| (200, w));
-                self.respond_now(connection, http::words(status, words, keep_alive), keep_alive);
-            }
-            Asked::Metrics => {
-                let counts = ShellCounts {
-                    connections: self.hub.connections(),
-                    worker_connections: self.pool.connections(),
-                    accept_starved: self.hub.starved,
-                    connections_turned_away: self.hub.turned_away,
-                    list_stale: self.list_stale,
-                    paused_clients: self.clients.values().filter(|client| client.paused).count(),
-                };
-                let text = metrics::text(&self.engine, &counts);
-                self.respond_now(connection, http::words(200, text.trim_end(), keep_alive), keep_alive);
-            }
-            Asked::Wrong(status, why) => {
-                self.respond_now(connection, http::words(status, &why, keep_alive), keep_alive);
+    fn left(&mut self, key: Key) {
+        self.intake.left(key);
+        self.give(Input::Left(key));
+    }
+
+    fn call(&mut self, client: Client, came: Micros, call: Call) {
+        let class = self.classes.get(&call.class).copied();
+        // What is refused anyway need not wait for it.
+        let Some(class) = class.filter(|_| self.life == Life::Running) else {
+            return self.begin(client, came, call);
+        };
+        let tenant = self.tenants.get(&call.tenant).copied();
+        let (now, name) = (self.hub.clock().now(), (client.connection, client.number));
+        match self.intake.offer(now, name, class, tenant, came, Asked { class, client, call }) {
+            Verdict::Waits => {}
+            Verdict::Refused(refused) => {
+                self.refuse_busy(refused.call, refused.reason, refused.retry_after);
             }
+            Verdict::Twice(asked) => self.end(asked.client.connection, "a number is used twice"),
         }
     }
 
-    /// A response that needs no call; it still waits for its turn.
-    fn respond_now(&mut self, connection: Connection, response: Vec<u8>, keep_alive: bool) {
-        let Some(state) = self.clients.get_mut(&connection).and_then(|c| c.http.as_mut()) else { return };
-        let number = state.next;
-        state.next += 1;
-        state.slots.push_back(Slot { number, fetched: false, keep_alive, response: Some(response) });
-        self.send_responses(connection);
+    /// A call's turn has come. Its time runs since it came.
+    fn begin(&mut self, client: Client, came: Micros, mut call: Call) {
+        let engine = &self.settings.engine;
+        let class = self.classes.get(&call.class).map(|class| &engine.module.classes[*class]);
+        let usual = if call.deferred { engine.deferred_time } else { class.map_or(0, |class| class.give_up) };
+        let asked = if call.time_left == 0 { usual } else { call.time_left };
+        let waited = self.hub.clock().now().saturating_sub(came);
+        call.time_left = asked.min(engine.most_time).saturating_sub(waited).max(1);
+        self.give(Input::Call(client, call));
     }
 
-    /// Fills a slot; the response leaves when those before it have left.
-    fn respond(&mut self, client: Client, response: impl Fn(&Slot) -> Vec<u8>) {
-        let state = self.clients.get_mut(&client.connection).and_then(|c| c.http.as_mut());
-        let slot = state.and_then(|s| s.slots.iter_mut().find(|slot| slot.number == client.number));
-        let Some(slot) = slot else { return };
-        slot.response = Some(response(slot));
-        self.send_responses(client.connection);
+    fn refuse_busy(&mut self, asked: Asked, reason: &str, retry_after: Micros) {
+        self.busy[asked.class] += 1;
+        let (number, status, reason) = (asked.client.number, Status::Refused, reason.to_owned());
+        let answer = Message::Answer { number, status, reason, retry_after, body: Vec::new() };
+        self.reply(asked.client.connection, &answer);
     }
 
-    fn send_responses(&mut self, connection: Connection) {
-        loop {
-            let state = self.clients.get_mut(&connection).and_then(|c| c.http.as_mut());
-            let Some(state) = state else { return };
-            if state.slots.front().is_none_or(|slot| slot.response.is_none()) {
-                return;
-            }
-            let Some(slot) = state.slots.pop_front() else { return };
-            self.hub.send_bytes(connection, &slot.response.unwrap_or_default());
-            if !slot.keep_alive {
-                return self.hub.finish(connection);
+    /// Tells a client why, and closes.
+    fn end(&mut self, key: Key, reason: &str) {
+        self.reply(key, &Message::Bye { reason: reason.into() });
+        if holders::is_ours(key) {
+            // What the clients' side says of it is said; it asks nothing more.
+            self.left(key);
+        }
+    }
+
+    /// A message for a client, by whatever process holds it.
+    fn reply(&mut self, key: Key, message: &Message) {
+        if holders::is_ours(key) {
+            self.clients.reply(&mut self.hub, key, message);
+        } else {
+            self.holders.reply(&mut self.hub, key, message);
+        }
+    }
+
+    fn page(&self, path: &str) -> (u32, String) {
+        match path {
+            "/readyz" => {
+                let holders = self.holders.alive() == self.holders.count();
+                let (status, words) = match (self.life, self.engine.workers().next().is_some()) {
+                    (Life::Running, true) if holders => (200, "ready"),
+                    (Life::Running, true) => (503, "a holder of connections is missing"),
+                    (Life::Running, false) => (503, "no workers listed"),
+                    _ => (503, "stopping"),
+                };
+                (status, words.into())
             }
+            "/metrics" => (200, metrics::text(&self.engine, &self.counts()).trim_end().to_owned()),
+            _ => (404, "no such page".into()),
+        }
+    }
+
+    fn counts(&self) -> ShellCounts {
+        let own = self.clients.counts();
+        ShellCounts {
+            doors: std::iter::once(own).chain(self.holders.counts().cloned()).collect(),
+            holders: self.holders.alive(),
+            holder_restarts: self.holders.restarts,
+            busy: self.busy.clone(),
+            waiting: self.intake.len(),
+            intake_rate: self.intake.rate(),
+            worker_connections: self.pool.connections(),
+            accept_starved: self.hub.starved,
+            list_stale: self.list_stale,
         }
     }
 
@@ -443,10 +534,6 @@
             self.list_retry = Some(self.hub.clock().now() + self.settings.shell.list_retry);
             return self.give(Input::ListLost);
         }
-        if let Some(client) = self.clients.remove(&connection) {
-            self.looks.remove(&(client.look, connection));
-            return self.give(Input::Left(connection));
-        }
         let ended = self.pool.closed(connection, never_stood, unsent);
         if !ended.is_empty() {
             tracing::info!(%why, never_stood, ended = ended.len(), "a worker connection ended");
@@ -498,15 +585,10 @@
         match output {
             Output::Accepted(client, id) => {
                 tracing::debug!(%id, "accepted");
-                if self.settle(client) {
-                    self.respond(client, |slot| http::accepted(&id, slot.keep_alive));
-                } else {
-                    let message = Message::Accepted { number: client.number, id };
-                    self.hub.send(client.connection, &message, None);
-                }
+                self.reply(client.connection, &Message::Accepted { number: client.number, id });
             }
             Output::Answer(client, answer) => self.answer(client, answer),
-            Output::Close(connection, reason) => self.refuse(connection, reason),
+            Output::Close(connection, reason) => self.end(connection, reason),
             Output::Run(attempt) => self.run_attempt(attempt),
             Output::Withdraw(_, attempt) => {
                 if self.pool.withdraw(&mut self.hub, attempt) {
@@ -535,19 +617,9 @@
         }
     }
 
-    /// One answer less is owed on this connection; true: it speaks HTTP.
-    fn settle(&mut self, client: Client) -> bool {
-        let Some(connection) = self.clients.get_mut(&client.connection) else { return false };
-        connection.open = connection.open.saturating_sub(1);
-        connection.http.is_some()
-    }
-
     fn answer(&mut self, client: Client, answer: Answer) {
         let (status, reason) = (answer.status, answer.reason);
         tracing::debug!(connection = client.connection, number = client.number, %status, reason, "answer");
-        if self.settle(client) {
-            return self.respond(client, |slot| http::answer(&answer, slot.fetched, slot.keep_alive));
-        }
         let message = Message::Answer {
             number: client.number,
             status,
@@ -555,16 +627,7 @@
             retry_after: answer.retry_after,
             body: answer.body.to_vec(),
         };
-        self.hub.send(client.connection, &message, None);
-        let backlog = self.hub.backlog(client.connection);
-        if backlog > self.settings.shell.client_backlog
-            && let Some(connection) = self.clients.get_mut(&client.connection)
-        {
-            connection.paused = true;
-            self.hub.pause(client.connection, true);
-            // Look again soon: it may read on, or be gone.
-            self.look_again(client.connection, self.hub.clock().now() + LOOK_AT_PAUSED);
-        }
+        self.reply(client.connection, &message);
     }
 
     fn run_attempt(&mut self, attempt: Attempt) {
@@ -601,7 +664,7 @@
         self.pool.give(&mut self.hub, &limits, hello, (worker, address), number, message)
     }
 
-    /// Looks at what has a time: the list service, idle and half-sent connections.
+    /// Looks at what has a time: the list service, idle connections to workers.
     fn look(&mut self, now: Micros) {
         if self.list_retry.is_some_and(|at| at <= now) {
             self.list_retry = None;
@@ -622,45 +685,24 @@
             self.pool.close_idle(&mut self.hub, idle);
             self.pool_look = now + idle.max(1_000) / 4;
         }
-        while let Some((_, connection)) = self.looks.first().filter(|(at, _)| *at <= now).copied() {
-            self.look_at(now, connection);
-        }
-    }
-
-    fn look_at(&mut self, now: Micros, connection: Connection) {
-        let limits = &self.settings.shell;
-        let backlog = self.hub.backlog(connection);
-        let (Some(client), Some((idle, midway))) =
-            (self.clients.get_mut(&connection), self.hub.idle(connection))
-        else {
-            self.looks.retain(|(_, other)| *other != connection);
-            return;
-        };
-        let mut next = now + limits.half_request;
-        if client.paused {
-            if backlog <= limits.client_backlog / 2 {
-                client.paused = false;
-                self.hub.pause(connection, false);
-            } else {
-                next = now + LOOK_AT_PAUSED;
-            }
-        }
-        // The same message half there at two looks, however slowly its bytes drip.
-        let stuck = midway && client.looked == (client.messages, true) && !client.paused;
-        client.looked = (client.messages, midway);
-        let idle = idle >= limits.client_idle && client.open == 0;
-        self.look_again(connection, next);
-        if stuck {
-            self.hub.close(connection, "a message stays half sent");
-        } else if idle {
-            self.hub.close(connection, "idle");
-        }
     }
+}
 
-    fn look_again(&mut self, connection: Connection, at: Micros) {
-        let Some(client) = self.clients.get_mut(&connection) else { return };
-        let before = std::mem::replace(&mut client.look, at);
-        self.looks.remove(&(before, connection));
-        self.looks.insert((at, connection));
+/// How the connections are spread, with a word where they do not fit.
+fn spread(budget: &Budget, settings: &GatewaySettings) -> Parts {
+    let asked = settings.shell.clients.door.connections;
+    let parts = budget.spread(asked, settings.holders);
+    let (limit, holders, each) = (budget.limit, parts.holders, parts.each);
+    if let Some(room) = parts.short {
+        tracing::warn!(
+            asked,
+            room,
+            limit,
+            holders,
+            "fewer connections than asked for: descriptors are short"
+        );
+    } else if holders > 0 {
+        tracing::info!(asked, limit, holders, each, "connections are held by processes of their own");
     }
+    parts
 }
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -115,6 +115,11 @@
         self.buffer.len() - self.used
     }
 
+    /// Nothing is held that a new decoder would not have.
+    pub fn is_idle(&self) -> bool {
+        self.held() == 0 && self.failed.is_none()
+    }
+
     /// The next whole message; `None`: more bytes are needed.
     pub fn decode(&mut self) -> Result<Option<Message>, FrameError> {
         if let Some(error) = &self.failed {
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -118,6 +118,11 @@
         self.state != Body::Head || !self.buffer.is_empty()
     }
 
+    /// Nothing is held that a new decoder would not have.
+    pub fn is_idle(&self) -> bool {
+        !self.midway() && self.failed.is_none()
+    }
+
     /// The next step; after an error that error for ever.
     pub fn decode(&mut self) -> Result<Step, HttpError> {
         if let Some(error) = &self.failed {
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -349,4 +349,39 @@
         /// It is there.
         there: bool,
     }
+    /// Between a gateway and a holder of its connections: the next message is of this one.
+    50 Of {
+        /// The connection, by the holder's name for it.
+        connection: u64,
+        /// The earliest time at which it can have come, on the gateway's clock; 0 towards the holder.
+        came: Micros,
+    }
+    /// Holder to gateway: a client asks for a page of the gateway.
+    51 Page {
+        /// Names the request on its connection.
+        number: u64,
+        /// Which.
+        path: String,
+    }
+    /// Gateway to holder: the page.
+    52 Paged {
+        /// From `Page`.
+        number: u64,
+        /// The status code.
+        status: u32,
+        /// Its text.
+        body: Vec<u8>,
+    }
+    /// Gateway to holder: hold connections on these terms.
+    53 Terms {
+        /// As JSON; both are one program of one build.
+        json: Vec<u8>,
+    }
+    /// Holder to gateway: what it counted.
+    54 Counts {
+        /// As JSON.
+        json: Vec<u8>,
+    }
+    /// Gateway to holder: take no more connections, and ask all to leave.
+    55 Leave {}
 }
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -114,13 +114,18 @@
     }
 
     /// A whole number within a range.
-    pub fn count(&mut self, name: &'static str, absent: usize, (least, most): (usize, usize)) -> usize {
+    pub fn count(&mut self, name: &'static str, absent: usize, range: (usize, usize)) -> usize {
+        self.optional_count(name, range).unwrap_or(absent)
+    }
+
+    /// A whole number within a range, or nothing.
+    pub fn optional_count(&mut self, name: &'static str, (least, most): (usize, usize)) -> Option<usize> {
         let count = |raw: &Raw| match raw {
             Raw::Int(n) => usize::try_from(*n).ok().filter(|n| (least..=most).contains(n)),
             _ => None,
         };
         let wanted = format!("a whole number from {least} to {most}");
-        self.read(name, &wanted, count).map_or(absent, |(n, _)| n)
+        self.read(name, &wanted, count).map(|(n, _)| n)
     }
 
     /// A number within a range.
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -5,8 +5,7 @@
 use cresswheel::{Class, ColdStart, Effect, Group, OrderRation, Settings, Tenant, WhenAbsent};
 use cresswheel_engine::{AdmissionLimits, EngineSettings, ResultLimits};
 use cresswheel_gateway::{GatewaySettings, ShellLimits};
-use cresswheel_protocol::{Limits, Listed, Standing, http};
-use cresswheel_transport::HubLimits;
+use cresswheel_protocol::{Listed, Standing};
 
 use crate::Fault;
 use crate::fields::Fields;
@@ -84,6 +83,7 @@
         list: Vec::new(),
         workers: Vec::new(),
         state: None,
+        holders: None,
         shell: ShellLimits::default(),
     }
 }
@@ -94,6 +94,7 @@
     to.http = f.address("http");
     to.list = f.addresses("list");
     to.state = f.text("state").map(Into::into);
+    to.holders = f.optional_count("holders", (0, 64));
     let module = &mut to.engine.module;
     module.zone = f.text("zone").unwrap_or_default();
     module.tick = f.time("tick", module.tick);
@@ -230,27 +231,49 @@
     results.keep = f.time("results_keep", results.keep);
     results.bytes = f.size("results_bytes", results.bytes);
     let shell = &mut to.shell;
-    let frame = f.size("frame", shell.hub.frame.frame);
-    f.must((1_024..=1 << 30).contains(&frame), "frame must be from kb(1) to mb(1024)");
-    let head = f.size("http_head", shell.hub.http.head);
-    let headers = f.count("http_headers", shell.hub.http.headers, (1, 10_000));
-    let body = f.size("http_body", shell.hub.http.body);
-    shell.hub = HubLimits {
-        frame: Limits { frame },
-        http: http::Limits { head, headers, body },
-        out: f.size("out_buffer", shell.hub.out),
-        accepted: f.count("connections", shell.hub.accepted, (1, MOST)),
-    };
+    shell.stop_within = f.time("stop_within", shell.stop_within);
+    let clients = &mut shell.clients;
+    clients.frame = f.size("frame", clients.frame);
+    f.must((1_024..=1 << 30).contains(&clients.frame), "frame must be from kb(1) to mb(1024)");
+    clients.http_head = f.size("http_head", clients.http_head);
+    clients.http_headers = f.count("http_headers", clients.http_headers, (1, 10_000));
+    clients.http_body = f.size("http_body", clients.http_body);
+    clients.out = f.size("out_buffer", clients.out);
+    clients.backlog = f.size("client_backlog", clients.backlog);
+    f.must(clients.backlog < clients.out, "client_backlog must be below out_buffer");
+    let door = &mut clients.door;
+    // A connection's name has 20 bits for its place.
+    door.connections = f.count("connections", door.connections, (1, 1 << 26));
+    door.accepts_per_s = f.count("accepts_per_s", door.accepts_per_s as usize, (1, 1_000_000)) as u64;
+    door.evict_after = f.time("evict_after", door.evict_after);
+    door.idle = f.time("client_idle", door.idle);
+    door.half = f.time("half_request", door.half);
+    door.half_bytes = f.size("half_bytes", door.half_bytes);
+    door.stall = f.time("read_stall", door.stall);
+    door.ping_after = f.time("ping_after", door.ping_after);
+    door.ping_wait = f.time("ping_wait", door.ping_wait);
+    door.pings_per_s = f.count("pings_per_s", door.pings_per_s as usize, (0, 1_000_000)) as u64;
+    door.leave_over = f.time("leave_over", door.leave_over.min(shell.stop_within / 2));
+    f.must(door.half > 0, "half_request must be above zero");
+    f.must(door.stall > 0, "read_stall must be above zero");
+    f.must(door.ping_wait > 0, "ping_wait must be above zero");
+    f.must(door.half_bytes >= clients.frame.min(clients.http_body), "half_bytes is below one message");
+    let leave_over = door.leave_over;
+    let intake = &mut shell.intake;
+    intake.calls = f.count("intake_calls", intake.calls, (1, MOST));
+    intake.per_turn = f.count("calls_per_turn", intake.per_turn, (1, 100_000));
+    intake.share = f.number("intake_share", intake.share, (0.01, 1.0));
+    intake.return_after = f.time("return_after", intake.return_after);
+    intake.most_return = f.time("most_return", intake.most_return);
+    f.must(intake.return_after <= intake.most_return, "return_after is longer than most_return");
     shell.worker_connections = f.count("worker_connections", shell.worker_connections, (1, 1_000));
     shell.worker_streams = f.count("worker_streams", shell.worker_streams, (1, 100_000));
     shell.worker_idle = f.time("worker_idle", shell.worker_idle);
-    shell.client_idle = f.time("client_idle", shell.client_idle);
-    shell.half_request = f.time("half_request", shell.half_request);
-    shell.client_backlog = f.size("client_backlog", shell.client_backlog);
-    shell.stop_within = f.time("stop_within", shell.stop_within);
     shell.list_retry = f.time("list_retry", shell.list_retry);
-    f.must(shell.client_backlog < shell.hub.out, "client_backlog must be below out_buffer");
-    f.must(shell.half_request > 0, "half_request must be above zero");
+    f.must(
+        leave_over < shell.stop_within || leave_over == 0,
+        "leave_over must be below stop_within, or some are never asked",
+    );
 }
 
 /// What no section can see alone.
--- a/crates/transport/src/clock.rs
+++ b/crates/transport/src/clock.rs
@@ -1,27 +1,43 @@
 //! The program's one clock.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cresswheel_protocol::Micros;
+use rustix::time::{ClockId, clock_gettime};
 
-/// Microseconds since 1970 that only go forward: the wall clock at the start plus the time since, so that a
-/// clock set back can't make a deadline come late.
+/// Microseconds since 1970 that only go forward: the wall clock at the start plus the machine's monotonic time
+/// since, so that a clock set back can't make a deadline come late. Processes of one machine that share a
+/// [`Clock::base`] read the same time.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Instant,
-    at_start: Micros,
+    base: Micros,
+}
+
+fn monotonic() -> Micros {
+    let time = clock_gettime(ClockId::Monotonic);
+    time.tv_sec as Micros * 1_000_000 + time.tv_nsec as Micros / 1_000
 }
 
 impl Default for Clock {
     fn default() -> Self {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-        Self { start: Instant::now(), at_start: since.as_micros() as Micros }
+        Self { base: (since.as_micros() as Micros).saturating_sub(monotonic()) }
     }
 }
 
 impl Clock {
+    /// The clock of another process of this machine.
+    pub fn of(base: Micros) -> Self {
+        Self { base }
+    }
+
+    /// What makes this clock: the wall clock's time when the machine's monotonic one began.
+    pub fn base(&self) -> Micros {
+        self.base
+    }
+
     /// Now.
     pub fn now(&self) -> Micros {
-        self.at_start + self.start.elapsed().as_micros() as Micros
+        self.base.saturating_add(monotonic())
     }
 }
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -1,24 +1,39 @@
 //! Listeners and connections.
 
-use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::rc::Rc;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::time::Duration;
 
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
-use calloop::{Dispatcher, EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use cresswheel_protocol::{Decoder, Limits, Message, Micros, encode, http};
+use rustix::net::SocketFlags;
 use slab::Slab;
+use socket2::Socket;
 
 use crate::Clock;
 use crate::out::Out;
+use crate::watch::{Ready, Seen, Watch};
 
-/// Names a connection; never used twice by one hub.
+/// Names a connection: its slot (20 bits) and how often one was opened before it (28 bits), so that it is not used
+/// again before 268 million others. The upper 16 bits are 0, for programs that bring several hubs together.
 pub type Connection = u64;
 
+const SLOT_BITS: u32 = 20;
+const SERIALS: u32 = 1 << 28;
+
+/// The slot of a connection: small, dense, and used again; for tables beside the hub's.
+pub fn slot(connection: Connection) -> usize {
+    (connection & ((1 << SLOT_BITS) - 1)) as usize
+}
+
+fn named(serial: u32, slot: usize) -> Connection {
+    u64::from(serial) << SLOT_BITS | slot as u64
+}
+
 /// Bounds of a hub.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HubLimits {
@@ -65,10 +80,17 @@
     Request(Connection, http::Request),
     /// Bytes came that are no request; answer and close.
     BadRequest(Connection, http::HttpError),
+    /// Bytes came, and so many are held of a frame or request that is not whole. Told only of guests, by hubs that
+    /// were asked to ([`Hub::tell_halves`]).
+    Half(Connection, usize),
+    /// All that waited for a paused connection is written.
+    Flushed(Connection),
     /// A connection is gone, or one that this side opened never stood.
     Closed {
         /// The connection.
         connection: Connection,
+        /// It came to a listener.
+        guest: bool,
         /// It never stood.
         never_stood: bool,
         /// Marks of the frames of which no byte left.
@@ -86,48 +108,87 @@
     Raw(Vec<u8>),
 }
 
-/// A socket in the loop. It is watched by level: a read that took all there was needs no second one to prove it.
-type Watched = Dispatcher<'static, Generic<Rc<TcpStream>>, Woken>;
-
-struct Conn {
-    id: Connection,
-    socket: Rc<TcpStream>,
-    watched: Watched,
-    token: Option<RegistrationToken>,
-    /// What it is watched for now.
-    interest: (bool, bool),
+/// What a connection holds while something is under way on it; an idle one holds none.
+struct Work {
     decode: Decode,
     out: Out,
+    /// Until then it must stand, or the other side must have closed.
+    until: Option<Micros>,
+}
+
+impl Work {
+    fn is_idle(&self) -> bool {
+        let decoded = match &self.decode {
+            Decode::Frames(decoder) => decoder.is_idle(),
+            Decode::Http(decoder) => decoder.is_idle(),
+            Decode::Raw(bytes) => bytes.is_empty(),
+        };
+        decoded && self.out.is_empty() && self.until.is_none()
+    }
+}
+
+/// A connection. Small: most are idle.
+struct Conn {
+    socket: Socket,
+    serial: u32,
+    wire: Wire,
     accepted: bool,
-    /// Until then it must stand; `None`: it does.
-    connecting: Option<Micros>,
-    /// All is written and its end said; until then the other side may still be writing, and is read, so that
-    /// a reset does not take the last answer from it.
-    lingering: Option<Micros>,
+    /// It does not stand yet.
+    connecting: bool,
+    /// All is written and its end said; the other side may still be writing, and is read, so that a reset does
+    /// not take the last answer from it.
+    lingering: bool,
     readable: bool,
     writable: bool,
     paused: bool,
     close_when_flushed: bool,
-    last_read: Micros,
+    /// It is among those that have their turn next.
+    queued: bool,
+    /// What it is watched for.
+    interest: (bool, bool),
+    /// The earliest time at which what is read next can have come.
+    since: Micros,
+    work: Option<Box<Work>>,
 }
 
 impl Conn {
     /// Whether bytes that come are to be read.
     fn wants_to_read(&self) -> bool {
-        let wanted = self.lingering.is_some() || (!self.paused && !self.close_when_flushed);
-        self.connecting.is_none() && wanted
+        let wanted = self.lingering || (!self.paused && !self.close_when_flushed);
+        !self.connecting && wanted
     }
 
     fn reads(&self) -> bool {
         self.readable && self.wants_to_read()
     }
+
+    fn work(&mut self, limits: &HubLimits) -> &mut Work {
+        self.work.get_or_insert_with(|| {
+            let decode = match self.wire {
+                Wire::Frames => Decode::Frames(Decoder::new(limits.frame)),
+                Wire::Http => Decode::Http(http::Decoder::new(limits.http)),
+                Wire::Raw => Decode::Raw(Vec::new()),
+            };
+            Box::new(Work { decode, out: Out::default(), until: None })
+        })
+    }
+
+    fn unsent(&self) -> usize {
+        self.work.as_ref().map_or(0, |work| work.out.len())
+    }
+
+    fn until(&self) -> Option<Micros> {
+        self.work.as_ref().and_then(|work| work.until)
+    }
 }
 
 struct Listener {
-    socket: Rc<TcpListener>,
+    socket: Socket,
     wire: Wire,
     ready: bool,
     paused: bool,
+    /// Nobody waited to be accepted at that time.
+    drained: Micros,
 }
 
 /// Bytes read from one connection before the next has its turn.
@@ -139,30 +200,42 @@
 const FINISHED: &str = "finished";
 /// How long accepting pauses when descriptors ran out.
 const ACCEPT_PAUSE: Micros = 50_000;
+/// However busy the sockets are, signals are looked for that often.
+const LOOP_AT_LEAST: Micros = 5_000;
 
 #[derive(Default)]
 struct Woken {
-    connections: Vec<(Connection, Readiness)>,
-    listeners: Vec<usize>,
     signals: Vec<Signal>,
 }
 
 /// Listeners, connections and the loop that drives them.
 pub struct Hub {
-    event_loop: RefCell<EventLoop<'static, Woken>>,
+    event_loop: EventLoop<'static, Woken>,
     handle: LoopHandle<'static, Woken>,
     limits: HubLimits,
     clock: Clock,
     conns: Slab<Conn>,
-    serial: u64,
+    serial: u32,
     accepted: usize,
     listeners: Vec<Listener>,
+    /// Sockets that came to a listener, and those listeners.
+    guests: Watch,
+    guests_source: RegistrationToken,
+    /// Sockets that this side opened or was handed.
+    own: Watch,
+    /// Guests are left waiting in the kernel.
+    held: bool,
+    halves: bool,
+    accept_at_once: usize,
+    looped: Micros,
     accept_again: Option<Micros>,
     /// Connections with something to read or write in the next turn.
-    turn: BTreeSet<Connection>,
+    turn: Vec<Connection>,
     /// When connections must stand, or stop lingering.
     due: BTreeSet<(Micros, Connection)>,
-    notices: VecDeque<Notice>,
+    notices: VecDeque<(Micros, Notice)>,
+    came: Micros,
+    seen: Vec<(Micros, Seen)>,
     scratch: Vec<u8>,
     /// Times that accepting paused for lack of descriptors.
     pub starved: u64,
@@ -170,23 +243,46 @@
     pub turned_away: u64,
 }
 
+fn source(handle: &LoopHandle<'static, Woken>, watch: &Watch) -> io::Result<RegistrationToken> {
+    let source = Generic::new(watch.fd()?, Interest::READ, Mode::Level);
+    handle.insert_source(source, |_, _, _| Ok(PostAction::Continue)).map_err(|e| io::Error::other(e.error))
+}
+
 impl Hub {
     /// A hub without connections.
     pub fn new(limits: HubLimits) -> io::Result<Self> {
+        Self::with_clock(limits, Clock::default())
+    }
+
+    fn with_clock(limits: HubLimits, clock: Clock) -> io::Result<Self> {
         let event_loop = EventLoop::try_new().map_err(io::Error::other)?;
+        let handle = event_loop.handle();
+        let now = clock.now();
+        let (guests, own) = (Watch::new(now)?, Watch::new(now)?);
+        let guests_source = source(&handle, &guests)?;
+        source(&handle, &own)?;
         Ok(Self {
-            handle: event_loop.handle(),
-            event_loop: RefCell::new(event_loop),
+            event_loop,
+            handle,
             limits,
-            clock: Clock::default(),
+            clock,
             conns: Slab::new(),
             serial: 0,
             accepted: 0,
             listeners: Vec::new(),
+            guests,
+            guests_source,
+            own,
+            held: false,
+            halves: false,
+            accept_at_once: ACCEPT_AT_ONCE,
+            looped: 0,
             accept_again: None,
-            turn: BTreeSet::new(),
+            turn: Vec::new(),
             due: BTreeSet::new(),
             notices: VecDeque::new(),
+            came: now,
+            seen: Vec::new(),
             scratch: vec![0; READ_AT_ONCE],
             starved: 0,
             turned_away: 0,
@@ -198,7 +294,15 @@
         self.clock
     }
 
-    /// Changes the bounds; connections that stand keep those of their frames.
+    /// Reads another process's clock from now on.
+    pub fn set_clock(&mut self, clock: Clock) {
+        let now = clock.now();
+        self.clock = clock;
+        self.looped = 0;
+        (self.own.drained, self.guests.drained) = (now, now);
+    }
+
+    /// Changes the bounds; what is half read keeps those of its frame.
     pub fn set_limits(&mut self, limits: HubLimits) {
         self.limits = limits;
     }
@@ -215,108 +319,203 @@
 
     /// Listens; gives the listener's number and the address, with the port that was found for port 0.
     pub fn listen(&mut self, address: SocketAddr, wire: Wire) -> io::Result<(u32, SocketAddr)> {
-        let domain = socket2::Domain::for_address(address);
-        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
-        socket.set_reuse_address(true)?;
+        let socket = listener(address)?;
+        let address = socket.local_addr()?.as_socket().ok_or(ErrorKind::InvalidInput)?;
+        Ok((self.adopt_listener(socket.into(), wire)?, address))
+    }
+
+    /// Takes connections from a listening socket that another process may share.
+    pub fn adopt_listener(&mut self, socket: OwnedFd, wire: Wire) -> io::Result<u32> {
+        let socket = Socket::from(socket);
         socket.set_nonblocking(true)?;
-        socket.bind(&address.into())?;
-        socket.listen(4096)?;
-        let socket = Rc::new(TcpListener::from(socket));
-        let address = socket.local_addr()?;
         let number = self.listeners.len();
-        let source = Generic::new(socket.clone(), Interest::READ, Mode::Edge);
-        self.handle
-            .insert_source(source, move |_, _, woken| {
-                woken.listeners.push(number);
-                Ok(PostAction::Continue)
-            })
-            .map_err(|e| io::Error::other(e.error))?;
-        self.listeners.push(Listener { socket, wire, ready: true, paused: false });
-        Ok((number as u32, address))
+        self.guests.add_listener(&socket, number)?;
+        let drained = self.clock.now();
+        self.listeners.push(Listener { socket, wire, ready: true, paused: false, drained });
+        Ok(number as u32)
+    }
+
+    /// From now on [`Notice::Half`] tells of messages that are not whole.
+    pub fn tell_halves(&mut self) {
+        self.halves = true;
+    }
+
+    /// In one turn a listener takes so many connections at most.
+    pub fn accept_at_once(&mut self, most: usize) {
+        self.accept_at_once = most.clamp(1, ACCEPT_AT_ONCE);
     }
 
     /// Stops or resumes taking connections on all listeners; those that come meanwhile wait in the kernel.
     pub fn pause_listening(&mut self, paused: bool) {
-        self.listeners.iter_mut().for_each(|l| (l.paused, l.ready) = (paused, true));
+        for number in 0..self.listeners.len() {
+            let listener = &mut self.listeners[number];
+            if listener.paused == paused {
+                continue;
+            }
+            (listener.paused, listener.ready) = (paused, !paused);
+            if self.accept_again.is_none() {
+                self.watch_listener(number, !paused);
+            }
+        }
+    }
+
+    fn watch_listener(&self, number: usize, watched: bool) {
+        let socket = &self.listeners[number].socket;
+        if !watched {
+            self.guests.remove(socket);
+        } else if let Err(error) = self.guests.add_listener(socket, number) {
+            tracing::error!(%error, "a listener can't be watched");
+        }
+    }
+
+    /// Accepting pauses until then, or goes on.
+    fn starve(&mut self, until: Option<Micros>) {
+        self.accept_again = until;
+        for number in (0..self.listeners.len()).filter(|n| !self.listeners[*n].paused) {
+            self.watch_listener(number, until.is_none());
+        }
+    }
+
+    /// Leaves all connections that came to a listener, and those that would come, waiting in the kernel, or goes
+    /// on with them. What was to be written to them waits as well, unless it can be written at once.
+    pub fn hold_guests(&mut self, held: bool) {
+        if self.held == held {
+            return;
+        }
+        self.held = held;
+        let done = match held {
+            true => self.handle.disable(&self.guests_source),
+            false => self.handle.enable(&self.guests_source),
+        };
+        if let Err(error) = done {
+            tracing::error!(%error, "guests can't be held");
+        }
     }
 
     /// Begins a connection. Frames may be sent at once; they leave when it stands. If it does not stand by
     /// `within`, it is closed.
     pub fn connect(&mut self, address: SocketAddr, wire: Wire, within: Micros) -> Connection {
+        self.connect_from(None, address, wire, within)
+    }
+
+    /// The same from an address of this machine.
+    pub fn connect_from(
+        &mut self,
+        from: Option<SocketAddr>,
+        address: SocketAddr,
+        wire: Wire,
+        within: Micros,
+    ) -> Connection {
         let due = self.clock.now().saturating_add(within);
-        let begun = || -> io::Result<TcpStream> {
+        let begun = || -> io::Result<Socket> {
             let domain = socket2::Domain::for_address(address);
-            let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+            let socket = Socket::new(domain, socket2::Type::STREAM, None)?;
             socket.set_nonblocking(true)?;
+            // Small frames should not wait for each other; without the option they only come later.
+            let _ = socket.set_tcp_nodelay(true);
+            if let Some(from) = from {
+                socket.bind(&from.into())?;
+            }
             match socket.connect(&address.into()) {
                 Err(e) if e.raw_os_error() == Some(115) || e.kind() == ErrorKind::WouldBlock => {}
                 other => other?,
             }
-            Ok(socket.into())
+            Ok(socket)
         };
-        let begun = begun().and_then(|socket| self.add(socket, wire, Some(due)));
+        let begun = begun().and_then(|socket| self.add(socket, wire, false, true));
         match begun {
             Ok(id) => {
+                let limits = self.limits;
+                if let Some(conn) = self.get(id) {
+                    conn.work(&limits).until = Some(due);
+                }
                 self.due.insert((due, id));
                 id
             }
             Err(error) => {
-                self.serial += 1;
-                let connection = self.serial << 32 | u64::from(u32::MAX);
+                let connection = named(self.next_serial(), (1 << SLOT_BITS) - 1);
                 let (unsent, why) = (Vec::new(), error.to_string());
-                self.notices.push_back(Notice::Closed { connection, never_stood: true, unsent, why });
+                self.tell(Notice::Closed { connection, guest: false, never_stood: true, unsent, why });
                 connection
             }
         }
     }
 
-    fn add(&mut self, socket: TcpStream, wire: Wire, connecting: Option<Micros>) -> io::Result<Connection> {
-        // Small frames should not wait for each other; without the option they only come later.
-        let _ = socket.set_nodelay(true);
-        let socket = Rc::new(socket);
-        self.serial += 1;
+    /// Takes over a connected stream socket, of this or of another kind.
+    pub fn adopt(&mut self, socket: OwnedFd, wire: Wire) -> io::Result<Connection> {
+        let socket = Socket::from(socket);
+        socket.set_nonblocking(true)?;
+        self.add(socket, wire, false, false)
+    }
+
+    fn next_serial(&mut self) -> u32 {
+        self.serial = (self.serial + 1) % SERIALS;
+        self.serial
+    }
+
+    fn add(
+        &mut self,
+        socket: Socket,
+        wire: Wire,
+        accepted: bool,
+        connecting: bool,
+    ) -> io::Result<Connection> {
+        let serial = self.next_serial();
         let entry = self.conns.vacant_entry();
-        let id = self.serial << 32 | entry.key() as u64;
-        let stands = connecting.is_none();
-        let first = if stands { Interest::READ } else { Interest::WRITE };
-        let source = Generic::new(socket.clone(), first, Mode::Level);
-        let watched = Dispatcher::new(source, move |readiness, _, woken: &mut Woken| {
-            woken.connections.push((id, readiness));
-            Ok(PostAction::Continue)
-        });
-        let token = self.handle.register_dispatcher(watched.clone()).map_err(io::Error::other)?;
-        let decode = match wire {
-            Wire::Frames => Decode::Frames(Decoder::new(self.limits.frame)),
-            Wire::Http => Decode::Http(http::Decoder::new(self.limits.http)),
-            Wire::Raw => Decode::Raw(Vec::new()),
-        };
+        let slot = entry.key();
+        if slot >= (1 << SLOT_BITS) - 1 {
+            return Err(io::Error::other("more connections than can be named"));
+        }
+        let id = named(serial, slot);
+        let watch = if accepted { &self.guests } else { &self.own };
+        watch.add(&socket, id, !connecting, connecting)?;
         entry.insert(Conn {
-            id,
             socket,
-            watched,
-            token: Some(token),
-            interest: (stands, !stands),
-            decode,
-            out: Out::default(),
-            accepted: stands,
+            serial,
+            wire,
+            accepted,
             connecting,
-            lingering: None,
+            lingering: false,
             readable: false,
-            writable: stands,
+            writable: !connecting,
             paused: false,
             close_when_flushed: false,
-            last_read: self.clock.now(),
+            queued: false,
+            interest: (!connecting, connecting),
+            since: self.clock.now(),
+            work: None,
         });
         Ok(id)
     }
 
     fn get(&mut self, id: Connection) -> Option<&mut Conn> {
-        self.conns.get_mut(id as u32 as usize).filter(|c| c.id == id)
+        self.conns.get_mut(slot(id)).filter(|c| named(c.serial, slot(id)) == id)
+    }
+
+    fn see(&self, id: Connection) -> Option<&Conn> {
+        self.conns.get(slot(id)).filter(|c| named(c.serial, slot(id)) == id)
+    }
+
+    fn tell(&mut self, notice: Notice) {
+        self.tell_since(self.clock.now(), notice);
+    }
+
+    fn tell_since(&mut self, since: Micros, notice: Notice) {
+        self.notices.push_back((since, notice));
+    }
+
+    /// Gives a connection its turn.
+    fn queue(&mut self, id: Connection) {
+        if let Some(conn) = self.get(id)
+            && !std::mem::replace(&mut conn.queued, true)
+        {
+            self.turn.push(id);
+        }
     }
 
     /// Whether a connection is still there.
     pub fn is_open(&self, id: Connection) -> bool {
-        self.conns.get(id as u32 as usize).is_some_and(|c| c.id == id)
+        self.see(id).is_some()
     }
 
     /// Connections that are there.
@@ -324,20 +523,36 @@
         self.conns.len()
     }
 
+    /// Connections among them that came to a listener.
+    pub fn guests(&self) -> usize {
+        self.accepted
+    }
+
+    /// The other side's address.
+    pub fn peer(&self, id: Connection) -> Option<SocketAddr> {
+        self.see(id)?.socket.peer_addr().ok()?.as_socket()
+    }
+
     /// Bytes that wait to be written on a connection.
     pub fn backlog(&self, id: Connection) -> usize {
-        self.conns.get(id as u32 as usize).filter(|c| c.id == id).map_or(0, |c| c.out.len())
+        self.see(id).map_or(0, Conn::unsent)
     }
 
-    /// Microseconds since bytes last came on a connection, and whether a frame or request is half there.
-    pub fn idle(&self, id: Connection) -> Option<(Micros, bool)> {
-        let conn = self.conns.get(id as u32 as usize).filter(|c| c.id == id)?;
-        let midway = match &conn.decode {
-            Decode::Frames(decoder) => decoder.held() > 0,
-            Decode::Http(decoder) => decoder.midway(),
-            Decode::Raw(_) => false,
-        };
-        Some((self.clock.now().saturating_sub(conn.last_read), midway))
+    /// Whether a frame or request is half there.
+    pub fn midway(&self, id: Connection) -> bool {
+        match self.see(id).and_then(|conn| conn.work.as_ref()).map(|work| &work.decode) {
+            Some(Decode::Frames(decoder)) => decoder.held() > 0,
+            Some(Decode::Http(decoder)) => decoder.midway(),
+            Some(Decode::Raw(_)) | None => false,
+        }
+    }
+
+    fn held(&self, id: Connection) -> usize {
+        match self.see(id).and_then(|conn| conn.work.as_ref()).map(|work| &work.decode) {
+            Some(Decode::Frames(decoder)) => decoder.held(),
+            Some(Decode::Http(decoder)) => decoder.held().max(1),
+            Some(Decode::Raw(_)) | None => 0,
+        }
     }
 
     /// Sends a message; with a mark it can be told later whether it left. False: the connection is gone.
@@ -351,27 +566,28 @@
     }
 
     fn write(&mut self, id: Connection, mark: Option<u64>, write: impl FnOnce(&mut Vec<u8>)) -> bool {
-        let most = self.limits.out;
+        let limits = self.limits;
         let Some(conn) = self.get(id).filter(|c| !c.close_when_flushed) else { return false };
-        conn.out.push(mark, write);
-        if conn.out.len() > most {
+        let out = &mut conn.work(&limits).out;
+        out.push(mark, write);
+        if out.len() > limits.out {
             self.close(id, "too much waits to be written");
             return false;
         }
-        self.turn.insert(id);
+        self.queue(id);
         true
     }
 
     /// Takes a marked frame back if no byte of it has left.
     pub fn withdraw(&mut self, id: Connection, mark: u64) -> bool {
-        self.get(id).is_some_and(|conn| conn.out.withdraw(mark))
+        self.get(id).and_then(|conn| conn.work.as_mut()).is_some_and(|work| work.out.withdraw(mark))
     }
 
     /// Stops or resumes reading a connection: its sender then has to wait.
     pub fn pause(&mut self, id: Connection, paused: bool) {
         if let Some(conn) = self.get(id) {
             conn.paused = paused;
-            self.turn.insert(id);
+            self.queue(id);
         }
     }
 
@@ -379,115 +595,170 @@
     pub fn finish(&mut self, id: Connection) {
         if let Some(conn) = self.get(id) {
             conn.close_when_flushed = true;
-            self.turn.insert(id);
+            self.queue(id);
         }
     }
 
     /// Closes a connection now.
     pub fn close(&mut self, id: Connection, why: &str) {
-        let Some(conn) = self.get(id) else { return };
-        let (token, unsent) = (conn.token.take(), conn.out.unsent());
-        let (never_stood, accepted) = (conn.connecting.is_some(), conn.accepted);
-        let due = conn.connecting.or(conn.lingering);
-        due.into_iter().for_each(|due| _ = self.due.remove(&(due, id)));
-        token.into_iter().for_each(|token| self.handle.remove(token));
-        self.conns.remove(id as u32 as usize);
-        self.accepted -= usize::from(accepted);
-        self.turn.remove(&id);
-        let why = why.to_owned();
-        self.notices.push_back(Notice::Closed { connection: id, never_stood, unsent, why });
+        if self.get(id).is_none() {
+            return;
+        }
+        let conn = self.conns.remove(slot(id));
+        conn.until().into_iter().for_each(|due| _ = self.due.remove(&(due, id)));
+        if conn.accepted {
+            self.accepted -= 1;
+            self.guests.remove(&conn.socket);
+        } else {
+            self.own.remove(&conn.socket);
+        }
+        let unsent = conn.work.map_or_else(Vec::new, |work| work.out.unsent());
+        let (guest, never_stood, why) = (conn.accepted, conn.connecting, why.to_owned());
+        self.tell(Notice::Closed { connection: id, guest, never_stood, unsent, why });
     }
 
     /// Writes what can be written, then waits for news, until `until` at the latest.
     pub fn wait(&mut self, until: Option<Micros>) -> io::Result<()> {
         self.turns();
-        let timers = self.due.first().map(|(at, _)| *at).into_iter().chain(self.accept_again);
-        let until = until.into_iter().chain(timers).min();
-        let busy = !self.notices.is_empty() || !self.turn.is_empty() || self.accepting();
+        // What is ready before there is any sleep became so since the last look; what ends the sleep came then.
+        let mut found = self.look()?;
         let now = self.clock.now();
-        let timeout = match until {
-            _ if busy => Some(Duration::ZERO),
-            Some(at) => Some(Duration::from_micros(at.saturating_sub(now))),
-            None => None,
-        };
-        let mut woken = Woken::default();
-        match self.event_loop.borrow_mut().dispatch(timeout, &mut woken) {
-            Err(calloop::Error::IoError(e)) if e.kind() == ErrorKind::Interrupted => {}
-            other => other.map_err(io::Error::other)?,
-        }
-        self.notices.extend(woken.signals.into_iter().map(Notice::Signal));
-        for number in woken.listeners {
-            self.listeners[number].ready = true;
-        }
-        for (id, readiness) in woken.connections {
-            let Some(conn) = self.get(id) else { continue };
-            if !conn.interest.0 && readiness.readable && conn.connecting.is_none() {
-                // Not watched for bytes, so it is the end: both sides are closed, or it broke.
-                self.close(id, "hung up");
-                continue;
+        if found == 0 || now.saturating_sub(self.looped) > LOOP_AT_LEAST {
+            let timers = self.due.first().map(|(at, _)| *at).into_iter().chain(self.accept_again);
+            let until = until.into_iter().chain(timers).min();
+            let busy = found > 0 || !self.notices.is_empty() || !self.turn.is_empty() || self.accepting();
+            let timeout = match until {
+                _ if busy => Some(Duration::ZERO),
+                Some(at) => Some(Duration::from_micros(at.saturating_sub(now))),
+                None => None,
+            };
+            let mut woken = Woken::default();
+            match self.event_loop.dispatch(timeout, &mut woken) {
+                Err(calloop::Error::IoError(e)) if e.kind() == ErrorKind::Interrupted => {}
+                other => other.map_err(io::Error::other)?,
+            }
+            let woke = self.clock.now();
+            self.looped = woke;
+            woken.signals.into_iter().for_each(|signal| self.tell(Notice::Signal(signal)));
+            if found == 0 && !busy {
+                self.own.slept(woke);
+                if !self.held {
+                    self.guests.slept(woke);
+                    self.listeners.iter_mut().filter(|l| !l.paused && !l.ready).for_each(|l| l.slept(woke));
+                }
+            }
+            if found == 0 {
+                found = self.look()?;
             }
-            conn.readable |= readiness.readable || readiness.error;
-            conn.writable |= readiness.writable || readiness.error;
-            self.turn.insert(id);
         }
+        let mut seen = std::mem::take(&mut self.seen);
+        if found > 0 {
+            seen.drain(..).for_each(|(since, what)| self.ready(since, what));
+        }
+        self.seen = seen;
         let now = self.clock.now();
         while let Some((_, id)) = self.due.first().filter(|(at, _)| *at <= now).copied() {
-            let lingered = self.get(id).is_some_and(|conn| conn.lingering.is_some());
+            let lingered = self.get(id).is_some_and(|conn| conn.lingering);
             self.close(id, if lingered { FINISHED } else { "no connection in time" });
         }
         if self.accept_again.is_some_and(|at| at <= now) {
-            self.accept_again = None;
+            self.starve(None);
         }
-        if self.accept_again.is_none() {
+        if self.accept_again.is_none() && !self.held {
             (0..self.listeners.len()).for_each(|number| self.accept(number));
         }
         self.turns();
         Ok(())
     }
 
+    /// Looks at the sockets without waiting, the program's own first.
+    fn look(&mut self) -> io::Result<usize> {
+        let now = self.clock.now();
+        let mut found = self.own.look(now, &mut self.seen)?;
+        if !self.held {
+            found += self.guests.look(now, &mut self.seen)?;
+        }
+        Ok(found)
+    }
+
+    fn ready(&mut self, since: Micros, what: Seen) {
+        let (id, Ready { readable, writable, broken }) = match what {
+            Seen::Connection(id, ready) => (id, ready),
+            Seen::Listener(number) => {
+                self.listeners.get_mut(number).into_iter().for_each(|listener| listener.ready = true);
+                return;
+            }
+        };
+        let Some(conn) = self.get(id) else { return };
+        if !conn.interest.0 && broken && !conn.connecting {
+            // Not watched for bytes, so it is the end: both sides are closed, or it broke.
+            return self.close(id, "hung up");
+        }
+        // A connection that was read before has nothing older than this look.
+        conn.since = conn.since.max(since);
+        conn.readable |= readable;
+        conn.writable |= writable;
+        self.queue(id);
+    }
+
     /// The next thing that happened.
     pub fn take_notice(&mut self) -> Option<Notice> {
-        self.notices.pop_front()
+        let (since, notice) = self.notices.pop_front()?;
+        self.came = since;
+        Some(notice)
+    }
+
+    /// The earliest time at which the bytes behind the notice that was taken last can have come to this machine:
+    /// a busy program, or one that lets its guests wait, reads them later.
+    pub fn came(&self) -> Micros {
+        self.came
     }
 
     fn accepting(&self) -> bool {
-        self.accept_again.is_none() && self.listeners.iter().any(|l| l.ready && !l.paused)
+        !self.held && self.accept_again.is_none() && self.listeners.iter().any(|l| l.ready && !l.paused)
     }
 
     fn accept(&mut self, number: usize) {
         if !self.listeners[number].ready || self.listeners[number].paused {
             return;
         }
-        for _ in 0..ACCEPT_AT_ONCE {
-            let accepted = self.listeners[number].socket.accept();
+        let now = self.clock.now();
+        for _ in 0..self.accept_at_once {
+            if self.accept_again.is_some() {
+                return;
+            }
+            let listener = &mut self.listeners[number];
+            let (wire, since) = (listener.wire, listener.drained);
+            let accepted =
+                rustix::net::accept_with(&listener.socket, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC);
             match accepted {
-                Ok((socket, _)) if self.accepted >= self.limits.accepted => {
+                Ok(socket) if self.accepted >= self.limits.accepted => {
                     drop(socket);
                     self.turned_away += 1;
                 }
-                Ok((socket, _)) => {
-                    let wire = self.listeners[number].wire;
-                    let added = socket.set_nonblocking(true).and_then(|()| self.add(socket, wire, None));
-                    match added {
-                        Ok(id) => {
-                            self.accepted += 1;
-                            self.notices.push_back(Notice::Opened(id, number as u32));
-                        }
-                        Err(error) => tracing::warn!(%error, "a connection could not be taken in"),
+                Ok(socket) => match self.add(socket.into(), wire, true, false) {
+                    Ok(id) => {
+                        self.accepted += 1;
+                        // It may have waited to be accepted, and its first bytes with it.
+                        self.get(id).into_iter().for_each(|conn| conn.since = since);
+                        self.tell(Notice::Opened(id, number as u32));
                     }
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.listeners[number].ready = false;
-                    return;
-                }
-                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
-                Err(error) => {
-                    // Out of descriptors or memory: what stands goes on, the rest waits in the kernel.
-                    self.starved += 1;
-                    self.accept_again = Some(self.clock.now() + ACCEPT_PAUSE);
-                    tracing::warn!(%error, "accepting pauses");
-                    return;
-                }
+                    Err(error) => tracing::warn!(%error, "a connection could not be taken in"),
+                },
+                Err(e) => match io::Error::from(e) {
+                    e if e.kind() == ErrorKind::WouldBlock => {
+                        (listener.ready, listener.drained) = (false, now);
+                        return;
+                    }
+                    e if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                    error => {
+                        // Out of descriptors or memory: what stands goes on, the rest waits in the kernel.
+                        self.starved += 1;
+                        self.starve(Some(now + ACCEPT_PAUSE));
+                        tracing::warn!(%error, "accepting pauses");
+                        return;
+                    }
+                },
             }
         }
     }
@@ -495,40 +766,47 @@
     /// Reads and writes where there is something to read or write.
     fn turns(&mut self) {
         for id in std::mem::take(&mut self.turn) {
+            let Some(conn) = self.get(id) else { continue };
+            conn.queued = false;
             self.write_out(id);
             self.read_in(id);
-            self.watch(id);
+            self.settle(id);
         }
     }
 
-    /// Watches a connection for what it waits for, and nothing else.
-    fn watch(&mut self, id: Connection) {
-        let handle = self.handle.clone();
-        let Some(conn) = self.get(id) else { return };
+    /// Watches a connection for what it waits for, and nothing else; an idle one gives back what it held.
+    fn settle(&mut self, id: Connection) {
+        let Some(conn) = self.conns.get_mut(slot(id)).filter(|c| named(c.serial, slot(id)) == id) else {
+            return;
+        };
+        if conn.work.as_ref().is_some_and(|work| work.is_idle()) {
+            conn.work = None;
+        }
         let wanted = (conn.wants_to_read(), !conn.writable);
         if conn.interest == wanted {
             return;
         }
         conn.interest = wanted;
-        conn.watched.as_source_mut().interest = Interest { readable: wanted.0, writable: wanted.1 };
-        if let Some(Err(error)) = conn.token.as_ref().map(|token| handle.update(token)) {
+        let watch = if conn.accepted { &self.guests } else { &self.own };
+        if let Err(error) = watch.change(&conn.socket, id, wanted.0, wanted.1) {
             self.close(id, &error.to_string());
         }
     }
 
     fn write_out(&mut self, id: Connection) {
-        let now = self.clock.now();
+        let (now, limits) = (self.clock.now(), self.limits);
         loop {
             let Some(conn) = self.get(id) else { return };
             if !conn.writable {
                 return;
             }
-            if conn.connecting.is_some() {
+            if conn.connecting {
                 match conn.socket.take_error() {
                     Ok(None) if conn.socket.peer_addr().is_ok() => {
-                        let due = conn.connecting.take();
+                        conn.connecting = false;
+                        let due = conn.work.as_mut().and_then(|work| work.until.take());
                         due.into_iter().for_each(|due| _ = self.due.remove(&(due, id)));
-                        self.notices.push_back(Notice::Connected(id));
+                        self.tell(Notice::Connected(id));
                         continue;
                     }
                     Ok(None) => conn.writable = false,
@@ -536,19 +814,26 @@
                 }
                 return;
             }
-            if conn.out.len() == 0 {
-                if conn.close_when_flushed && conn.lingering.is_none() {
+            if conn.unsent() == 0 {
+                if conn.close_when_flushed && !conn.lingering {
                     // If the other side has left meanwhile, the next read says so.
                     let _ = conn.socket.shutdown(std::net::Shutdown::Write);
                     let due = now + LINGER;
-                    (conn.lingering, conn.readable) = (Some(due), true);
+                    (conn.lingering, conn.readable) = (true, true);
+                    conn.work(&limits).until = Some(due);
                     self.due.insert((due, id));
                 }
                 return;
             }
-            match (&*conn.socket).write(conn.out.rest()) {
+            let Some(work) = conn.work.as_mut() else { return };
+            match (&conn.socket).write(work.out.rest()) {
                 Ok(0) => return self.close(id, "nothing can be written"),
-                Ok(count) => conn.out.took(count),
+                Ok(count) => {
+                    work.out.took(count);
+                    if conn.paused && conn.unsent() == 0 {
+                        self.tell(Notice::Flushed(id));
+                    }
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => conn.writable = false,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return self.close(id, &error.to_string()),
@@ -558,21 +843,21 @@
 
     fn read_in(&mut self, id: Connection) {
         let mut scratch = std::mem::take(&mut self.scratch);
-        let now = self.clock.now();
+        let limits = self.limits;
         let Some(conn) = self.get(id) else {
             self.scratch = scratch;
             return;
         };
-        let mut over = None;
+        let (mut over, mut came) = (None, false);
         if conn.reads() {
-            match (&*conn.socket).read(&mut scratch) {
-                Ok(0) if conn.lingering.is_some() => over = Some(FINISHED.to_owned()),
+            match (&conn.socket).read(&mut scratch) {
+                Ok(0) if conn.lingering => over = Some(FINISHED.to_owned()),
                 Ok(0) => over = Some("closed by the other side".to_owned()),
-                Ok(_) if conn.lingering.is_some() => {}
+                Ok(_) if conn.lingering => {}
                 Ok(count) => {
+                    came = true;
                     conn.readable = count == scratch.len();
-                    conn.last_read = now;
-                    match &mut conn.decode {
+                    match &mut conn.work(&limits).decode {
                         Decode::Frames(decoder) => decoder.push(&scratch[..count]),
                         Decode::Http(decoder) => decoder.push(&scratch[..count]),
                         Decode::Raw(bytes) => bytes.extend_from_slice(&scratch[..count]),
@@ -588,15 +873,21 @@
         if let Some(why) = over {
             return self.close(id, &why);
         }
+        if came && self.halves && self.midway(id) && self.see(id).is_some_and(|conn| conn.accepted) {
+            let held = self.held(id);
+            self.tell(Notice::Half(id, held));
+        }
         if self.get(id).is_some_and(|conn| conn.reads()) {
-            self.turn.insert(id);
+            self.queue(id);
         }
     }
 
     fn decode(&mut self, id: Connection) {
         loop {
             let Some(conn) = self.get(id).filter(|c| !c.paused && !c.close_when_flushed) else { return };
-            let notice = match &mut conn.decode {
+            let since = conn.since;
+            let Some(work) = conn.work.as_mut() else { return };
+            let notice = match &mut work.decode {
                 Decode::Raw(bytes) if bytes.is_empty() => return,
                 Decode::Raw(bytes) => Notice::Bytes(id, std::mem::take(bytes)),
                 Decode::Frames(decoder) => match decoder.decode() {
@@ -622,7 +913,25 @@
                     }
                 },
             };
-            self.notices.push_back(notice);
+            self.tell_since(since, notice);
         }
     }
 }
+
+impl Listener {
+    /// The loop slept while nobody waited here.
+    fn slept(&mut self, until: Micros) {
+        self.drained = self.drained.max(until.saturating_sub(crate::watch::WAKING));
+    }
+}
+
+/// A listening socket, to be shared or taken to a hub.
+pub fn listener(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    // What it accepts has this from it: small frames should not wait for each other.
+    socket.set_tcp_nodelay(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(4096)?;
+    Ok(socket)
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,11 +8,14 @@
 //! - no connection can make it hold more than its bounds, and none waits for another;
 //! - a closed connection tells which marked frames provably never left ([`Notice::Closed`]): not one byte of them
 //!   was handed to the kernel;
+//! - an idle connection holds 48 bytes here: a slab entry with its socket, and no buffer, timer or callback;
+//! - it tells for each message the earliest time at which it can have come, so that a late reader can be fair;
 //! - when descriptors run out accepting pauses and goes on later; connections that stand are not touched.
 
 mod clock;
 mod hub;
 mod out;
+mod watch;
 
 pub use clock::Clock;
-pub use hub::{Connection, Hub, HubLimits, Notice, Wire};
+pub use hub::{Connection, Hub, HubLimits, Notice, Wire, listener, slot};
--- a/crates/transport/src/out.rs
+++ b/crates/transport/src/out.rs
@@ -18,6 +18,10 @@
         self.buffer.len() - self.sent
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Appends what `write` appends, as one frame.
     pub fn push(&mut self, mark: Option<u64>, write: impl FnOnce(&mut Vec<u8>)) {
         let start = self.base + self.buffer.len() as u64;
