cresswheel load idle: crowds of idle connections, their waking, judged and plotted

Need: the cost of an idle connection, and what a wake of ten thousand does, were not known.

Change: crate crowd (processes of clients from 127.x addresses, told over the main protocol; a gateway held to one core; memory, CPU and wake-ups read from /proc; the auditor's verdict on every call; SVG plots). The echo worker writes records. The intake refuses at arrival only what can't be started in time at twice the measured rate, and leaves clients unread while more waits than fits; pings leave in batches of a quarter of a second.

--- a/crates/admission/src/door.rs
+++ b/crates/admission/src/door.rs
@@ -4,7 +4,7 @@
 //! is kept for an idle connection but its place in the queue and 16 bytes.
 //!
 //! Invariants: never more connections than `connections`; a connection with an open call is never closed to make
-//! room, for being idle or by a ping; at most `pings_per_s` pings leave in any second, beyond a small burst.
+//! room, for being idle or by a ping; at most `pings_per_s` pings leave in any second, beyond one batch of a quarter of that.
 
 use std::net::IpAddr;
 
@@ -229,6 +229,8 @@
     tenants: Groups<String>,
     accepts: Pace,
     pings: Pace,
+    /// A batch of pings is under way.
+    pinging: bool,
     farewell: Option<Farewell>,
     /// Where the farewell looks next.
     cursor: usize,
@@ -250,8 +252,13 @@
     Pace::new(now, limits.accepts_per_s, (limits.accepts_per_s / 10).max(64))
 }
 
+/// Pings that leave together: those of a quarter of a second.
+fn batch(limits: &DoorLimits) -> u64 {
+    (limits.pings_per_s / 4).max(1)
+}
+
 fn pings(now: Micros, limits: &DoorLimits) -> Pace {
-    Pace::empty(now, limits.pings_per_s, (limits.pings_per_s / 20).max(1))
+    Pace::empty(now, limits.pings_per_s, batch(limits))
 }
 
 impl Door {
@@ -267,6 +274,7 @@
             tenants: Groups { by_key: HashMap::new(), counts: Vec::new(), free: Vec::new() },
             accepts: accepts(now, &limits),
             pings: pings(now, &limits),
+            pinging: false,
             farewell: None,
             cursor: 0,
             arrived: 0,
@@ -296,7 +304,7 @@
         self.limits = limits;
         self.set_spans();
         self.accepts.change(now, limits.accepts_per_s, (limits.accepts_per_s / 10).max(64));
-        self.pings.change(now, limits.pings_per_s, (limits.pings_per_s / 20).max(1));
+        self.pings.change(now, limits.pings_per_s, batch(&limits));
         let over = self.here.saturating_sub(limits.connections);
         if over > 0 && !self.farewell.as_ref().is_some_and(|f| f.all) {
             self.say_farewell(now, over, false);
@@ -533,7 +541,10 @@
         if self.limits.pings_per_s == 0 {
             return Some(self.close(slot, "idle"));
         }
-        if !self.pings.take(now) {
+        // In batches: a wake-up costs more than a ping.
+        self.pinging |= self.pings.is_full(now);
+        if !self.pinging || !self.pings.take(now) {
+            self.pinging = false;
             return None;
         }
         // Only what comes from the other side puts it back among the idle.
@@ -592,8 +603,9 @@
             if self.limits.pings_per_s == 0 {
                 return due;
             }
-            // Not before the budget has one.
-            due.max(self.pings.next(now.max(due)).unwrap_or(Micros::MAX))
+            // Not before the budget has a batch.
+            let batch = if self.pinging { Some(now) } else { self.pings.full_at(now.max(due)) };
+            due.max(batch.unwrap_or(Micros::MAX))
         });
         let farewell = self.farewell.as_ref().filter(|f| f.left > 0).and_then(|f| f.pace.next(now));
         firsts.chain(ping).chain(farewell).min()
--- a/crates/admission/src/intake.rs
+++ b/crates/admission/src/intake.rs
@@ -5,8 +5,11 @@
 //!
 //! - the class with the shorter aim goes first, at equal aims the one of higher worth; within a class tenants take
 //!   turns;
-//! - a call waits for `share` of its class's aim at most; one that will not get its turn by then, at the rate at
-//!   which calls have been started lately, is refused when it comes, and nothing has happened to it;
+//! - a call waits for `share` of its class's aim at most, and is refused then, before anything has happened to it;
+//!   one that can't get its turn by then, even at twice the rate at which calls have been started lately, is
+//!   refused when it comes;
+//! - when there is more to do than fits into that time, clients are read no further: work is put into calls that
+//!   can be in time before it is put into refusals, which have until the deadlines;
 //! - each refused call is told a time of its own to come back, so that all together they come no faster than
 //!   `share` of that rate.
 //!
@@ -25,6 +28,8 @@
     pub per_turn: usize,
     /// Part of a class's aim that may pass before its call is started.
     pub share: f64,
+    /// Clients are left unread for so long at most.
+    pub hold: Micros,
     /// Refused calls are told to come back after this at the earliest...
     pub return_after: Micros,
     /// ... and after this at the latest.
@@ -33,7 +38,14 @@
 
 impl Default for IntakeLimits {
     fn default() -> Self {
-        Self { calls: 20_000, per_turn: 64, share: 0.5, return_after: 1_000_000, most_return: 30_000_000 }
+        Self {
+            calls: 20_000,
+            per_turn: 64,
+            share: 0.5,
+            hold: 1_000_000,
+            return_after: 1_000_000,
+            most_return: 30_000_000,
+        }
     }
 }
 
@@ -140,8 +152,11 @@
 
 /// Calls started a second is taken from stretches of this many at least.
 const MEASURE: f64 = 64.0;
-/// Before anything was measured: a modest machine's rate.
+/// Before anything was measured: a modest machine's rate. Nothing is refused on its word.
 const FIRST_RATE: f64 = 5_000.0;
+/// Calls that come are read and refused from the same core: when they stop, the rest goes faster. So a refusal
+/// before its time wants better evidence than a forecast.
+const DOUBT: f64 = 2.0;
 /// How fast what was measured is forgotten: at each call that was started.
 const FORGET: f64 = 1.0 - 1.0 / 2_000.0;
 
@@ -158,6 +173,8 @@
     started: f64,
     took: f64,
     looked: Option<Micros>,
+    /// How long the call that was offered last had been on this machine.
+    lag: Micros,
     returns: Micros,
 }
 
@@ -188,6 +205,7 @@
             started: 0.0,
             took: 0.0,
             looked: None,
+            lag: 0,
             returns: 0,
         }
     }
@@ -215,19 +233,33 @@
         self.lanes[self.order[class]].len
     }
 
-    /// Whether no more should be read from clients for now.
+    /// Whether no more should be read from clients for now: as many wait as can be started in time. Calls that
+    /// were left unread for long are read whatever waits, so that they are answered while their clients wait.
     pub fn is_full(&self) -> bool {
-        self.len >= self.limits.calls
+        self.len >= self.limits.calls || (self.lag < self.limits.hold && self.len > self.fitting())
     }
 
     /// Whether clients may be read again after it was full.
     pub fn has_room(&self) -> bool {
-        self.len <= self.limits.calls / 2
+        self.len <= self.limits.calls / 2 && (self.lag >= self.limits.hold || self.len <= self.fitting() / 2)
+    }
+
+    /// Calls that can be started within the shortest wait.
+    fn fitting(&self) -> usize {
+        if !self.is_measured() {
+            return self.limits.calls;
+        }
+        let shortest = self.lanes.first().map_or(0, |lane| lane.limit);
+        ((self.rate() * shortest as f64 / 1e6) as usize).max(self.limits.per_turn * 2)
+    }
+
+    fn is_measured(&self) -> bool {
+        self.started >= MEASURE && self.took > 0.0
     }
 
     /// Calls a second that can be started, as far as is known.
     pub fn rate(&self) -> f64 {
-        if self.started < MEASURE || self.took <= 0.0 {
+        if !self.is_measured() {
             return FIRST_RATE;
         }
         (self.started / self.took * 1e6).max(1.0)
@@ -248,8 +280,12 @@
         }
         let lane = self.order[class];
         let ahead: usize = self.lanes[..=lane].iter().map(|lane| lane.len).sum();
-        let wait = (ahead as f64 / self.rate() * 1e6) as Micros;
+        let wait = match self.is_measured() {
+            true => (ahead as f64 / (self.rate() * DOUBT) * 1e6) as Micros,
+            false => 0,
+        };
         let has_waited = now.saturating_sub(came);
+        self.lag = has_waited;
         if has_waited + wait > self.lanes[lane].limit && ahead >= self.limits.per_turn {
             return Verdict::Refused(self.refuse(now, call));
         }
--- a/crates/admission/src/pace.rs
+++ b/crates/admission/src/pace.rs
@@ -46,6 +46,23 @@
         there
     }
 
+    /// Whether the bucket is full.
+    pub fn is_full(&mut self, now: Micros) -> bool {
+        self.fill(now);
+        self.level >= self.burst.saturating_mul(ONE)
+    }
+
+    /// When it is full; `None`: never.
+    pub fn full_at(&self, now: Micros) -> Option<Micros> {
+        let mut filled = self.clone();
+        filled.fill(now);
+        match self.burst.saturating_mul(ONE) - filled.level {
+            0 => Some(now),
+            _ if self.per_s == 0 => None,
+            missing => Some(now.saturating_add(missing.div_ceil(self.per_s))),
+        }
+    }
+
     /// When there is one; `None`: never.
     pub fn next(&self, now: Micros) -> Option<Micros> {
         let mut filled = self.clone();
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -69,7 +69,7 @@
     /// Measure what a gateway costs, beside a bare relay of the same frames and no gateway at all.
     ///
     /// Starts all that it needs on this machine; takes about a minute. Quote ratios and medians: machines differ
-    /// and are noisy.
+    /// and are noisy. `load idle` measures idle connections and their waking instead.
     Load(rehearse::LoadArgs),
     /// Run a worker that answers at once; for measurements.
     #[command(hide = true)]
@@ -77,6 +77,9 @@
     /// Run a relay that decides nothing; for measurements.
     #[command(hide = true)]
     Relay(peers::RelayArgs),
+    /// Run a crowd of clients; for measurements.
+    #[command(hide = true)]
+    Crowd(peers::CrowdArgs),
     /// Hold connections for the gateway that started this process.
     #[command(hide = true)]
     Hold,
@@ -92,6 +95,7 @@
     }
     let done = match cli.command {
         Command::Gateway { ref file } => gateway(file, &cli),
+        Command::Crowd(args) => peers::crowd(args, cli.tied),
         Command::Hold => cresswheel_clients::trunk::hold().map(|()| ExitCode::SUCCESS),
         Command::Check { file } => match cresswheel_settings::read(&file) {
             Ok(settings) => {
--- a/crates/cli/src/peers.rs
+++ b/crates/cli/src/peers.rs
@@ -5,7 +5,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use anyhow::Context;
 use clap::Args;
+use cresswheel_crowd::{Crowd, CrowdSettings};
 use cresswheel_protocol::Message;
 use cresswheel_rehearsal::Client;
 use cresswheel_standins::{Echo, Profile, Relay, Store, Worker, WorkerList, WorkerSettings};
@@ -168,10 +170,57 @@
     /// Answer no calls.
     #[arg(long)]
     silent: bool,
+    /// Write down what passes on its sockets, in this folder.
+    #[arg(long, value_name = "FOLDER")]
+    records: Option<PathBuf>,
+}
+
+#[derive(Args)]
+pub struct CrowdArgs {
+    /// Where it is told what to do; port 0 finds one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// The gateway.
+    #[arg(long)]
+    to: SocketAddr,
+    /// Its name in records.
+    #[arg(long)]
+    name: String,
+    /// Write down what passes on its sockets, in this folder.
+    #[arg(long, value_name = "FOLDER")]
+    records: Option<PathBuf>,
+    /// Connections come from 127.X.Y.1 to 127.X.Y.250; given as X.Y.
+    #[arg(long, default_value = "16.1")]
+    from: String,
+    /// Of its random draws.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// What is called: JSON, a list of class, share, give_up_ms.
+    #[arg(long)]
+    mix: String,
+}
+
+pub fn crowd(args: CrowdArgs, tied: bool) -> anyhow::Result<ExitCode> {
+    let parts: Vec<Option<u8>> = args.from.split('.').map(|part| part.parse().ok()).collect();
+    let [Some(x), Some(y)] = parts[..] else {
+        anyhow::bail!("--from {}: two numbers from 0 to 255 with a point between are wanted", args.from)
+    };
+    let mut crowd = Crowd::start(CrowdSettings {
+        control: args.listen,
+        to: args.to,
+        name: args.name,
+        records: args.records,
+        from: (x, y),
+        seed: args.seed,
+        mix: serde_json::from_str(&args.mix).with_context(|| format!("--mix {}", args.mix))?,
+    })?;
+    ready(&format!("ready main={}", crowd.address()), tied)?;
+    crowd.run()?;
+    Ok(ExitCode::SUCCESS)
 }
 
 pub fn echo(args: EchoArgs, tied: bool) -> anyhow::Result<ExitCode> {
-    let mut echo = Echo::start(args.listen, args.silent)?;
+    let mut echo = Echo::start(args.listen, args.silent, args.records.as_deref())?;
     ready(&format!("ready main={}", echo.address()), tied)?;
     echo.run()?;
     Ok(ExitCode::SUCCESS)
--- a/crates/clients/src/trunk.rs
+++ b/crates/clients/src/trunk.rs
@@ -31,8 +31,8 @@
 /// Most listeners that are handed over.
 const LISTENERS: usize = 2;
 /// Bytes waiting on the trunk from which on clients are left waiting, and below which they are read again.
-const TRUNK_FULL: usize = 4 << 20;
-const TRUNK_ROOM: usize = 1 << 20;
+const TRUNK_FULL: usize = 256 << 10;
+const TRUNK_ROOM: usize = 64 << 10;
 /// After the gateway's end, how long answers may take to leave.
 const LEAVE_WITHIN: Micros = 500_000;
 /// How often counts are sent, if they changed.
@@ -179,7 +179,11 @@
                 let told: Told = serde_json::from_slice(&json)?;
                 self.clients.change(&mut self.hub, told.terms);
             }
-            Message::Leave {} => self.clients.leave(&mut self.hub),
+            Message::Leave {} => {
+                self.clients.leave(&mut self.hub);
+                // The gateway is to know at once how many are still to be asked.
+                self.counted = (0, Vec::new());
+            }
             message => {
                 if let Some(connection) = self.of.take() {
                     self.clients.reply(&mut self.hub, connection, &message);
--- /dev/null
+++ b/crates/crowd/src/crowd.rs
@@ -0,0 +1,312 @@
+//! Many clients in one process: connections that are opened, idle, and wake on command.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+
+use cresswheel_protocol::{Message, Micros, Role, Shape, Status as Ending};
+use cresswheel_standins::{Recorder, What};
+use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::Rng;
+use serde::{Deserialize, Serialize};
+
+/// What a crowd is told at its start.
+#[derive(Clone, Debug)]
+pub struct CrowdSettings {
+    /// Where it is told what to do.
+    pub control: SocketAddr,
+    /// Its gateway.
+    pub to: SocketAddr,
+    /// Its name in records, and the first part of its calls' traces.
+    pub name: String,
+    /// Where it writes down what passes.
+    pub records: Option<PathBuf>,
+    /// Its connections come from addresses 127.x.y.1 to .250 with this x and y.
+    pub from: (u8, u8),
+    /// Of its random draws.
+    pub seed: u64,
+    /// What its calls are.
+    pub mix: Vec<Mix>,
+}
+
+/// A class among the calls.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Mix {
+    /// Its name.
+    pub class: String,
+    /// Its share.
+    pub share: f64,
+    /// How long a client waits, in milliseconds.
+    pub give_up_ms: u64,
+}
+
+/// How it stands with a crowd.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Connections asked for.
+    pub wanted: usize,
+    /// Connections that stand.
+    pub stand: usize,
+    /// Connections that could not be made, or ended.
+    pub lost: usize,
+    /// Calls without their answer whose time is not over.
+    pub open: usize,
+    /// Calls that are still to be sent.
+    pub to_come: usize,
+    /// Calls answered.
+    pub answered: u64,
+    /// Pings answered.
+    pub pings: u64,
+    /// Connections that were asked to leave.
+    pub asked_to_leave: usize,
+    /// When the last connection was made, on the machine's clock.
+    pub last_made: Micros,
+}
+
+/// Connections being made at once.
+const AT_ONCE: usize = 128;
+/// Source addresses used in turn.
+const ADDRESSES: usize = 250;
+/// Functions called, the same by all crowds.
+const FUNCTIONS: u32 = 16;
+/// After its deadline a call is waited for so long yet, to see what comes late.
+const GRACE: Micros = 500_000;
+const CONNECT_WITHIN: Micros = 20_000_000;
+
+struct Open {
+    trace: String,
+    connection: Connection,
+    deadline: Micros,
+}
+
+/// Clients of a gateway.
+pub struct Crowd {
+    settings: CrowdSettings,
+    hub: Hub,
+    control: SocketAddr,
+    recorder: Recorder,
+    rng: Pcg32,
+    status: Status,
+    standing: Vec<Connection>,
+    making: usize,
+    begun: usize,
+    /// Calls to come, the soonest last.
+    to_come: Vec<(Micros, Connection)>,
+    open: HashMap<u64, Open>,
+    mute: bool,
+    wave: u32,
+    next: u64,
+    stopped: bool,
+}
+
+impl Crowd {
+    /// Listens for what it is to do.
+    pub fn start(settings: CrowdSettings) -> io::Result<Self> {
+        let mut hub = Hub::new(HubLimits::default())?;
+        let (_, control) = hub.listen(settings.control, Wire::Frames)?;
+        Ok(Self {
+            recorder: Recorder::new(settings.records.as_deref(), &settings.name)?,
+            rng: Pcg32::new(settings.seed, 0xc20d),
+            hub,
+            control,
+            status: Status::default(),
+            standing: Vec::new(),
+            making: 0,
+            begun: 0,
+            to_come: Vec::new(),
+            open: HashMap::new(),
+            mute: false,
+            wave: 0,
+            next: 0,
+            stopped: false,
+            settings,
+        })
+    }
+
+    /// Where it is told what to do.
+    pub fn address(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// Does as it is told until it is told to stop.
+    pub fn run(&mut self) -> io::Result<()> {
+        while !self.stopped {
+            self.make();
+            let now = self.hub.clock().now();
+            while let Some((_, connection)) = self.to_come.last().filter(|(at, _)| *at <= now).copied() {
+                self.to_come.pop();
+                self.call(connection);
+            }
+            self.open.retain(|_, open| open.deadline + GRACE > now);
+            self.recorder.flush();
+            let soon = self.to_come.last().map(|(at, _)| *at);
+            let over = (!self.open.is_empty()).then_some(now + 50_000);
+            self.hub.wait(soon.into_iter().chain(over).min())?;
+            while let Some(notice) = self.hub.take_notice() {
+                self.notice(notice);
+            }
+        }
+        Ok(())
+    }
+
+    fn make(&mut self) {
+        while self.making < AT_ONCE && self.begun < self.status.wanted {
+            let (x, y) = self.settings.from;
+            let last = (self.begun % ADDRESSES) as u8 + 1;
+            let from = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, x, y, last)), 0);
+            self.begun += 1;
+            self.making += 1;
+            let connection =
+                self.hub.connect_from(Some(from), self.settings.to, Wire::Frames, CONNECT_WITHIN);
+            let hello = Message::Hello { role: Role::Client, name: String::new(), zone: String::new() };
+            self.hub.send(connection, &hello, None);
+        }
+    }
+
+    fn notice(&mut self, notice: Notice) {
+        match notice {
+            Notice::Connected(connection) => {
+                self.making -= 1;
+                self.standing.push(connection);
+                self.status.stand += 1;
+                self.status.last_made = self.hub.clock().now();
+                if self.mute {
+                    self.hub.pause(connection, true);
+                }
+            }
+            Notice::Message(connection, message) => self.message(connection, message),
+            Notice::Closed { connection, guest: false, never_stood, .. } => {
+                self.status.lost += 1;
+                if never_stood {
+                    self.making -= 1;
+                    return;
+                }
+                self.status.stand -= 1;
+                self.standing.retain(|other| *other != connection);
+                let now = self.hub.clock().now();
+                let gone = self.open.extract_if(|_, open| open.connection == connection);
+                for (_, open) in gone {
+                    let trace = open.trace;
+                    self.recorder.write(now, What::GatewayGone { trace, unreached: false });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn message(&mut self, connection: Connection, message: Message) {
+        match message {
+            Message::Control { words } => {
+                let wrong = self.told(&words).err().unwrap_or_default();
+                self.hub.send(connection, &Message::Controlled { wrong }, None);
+            }
+            Message::Page { .. } => {
+                let status =
+                    Status { open: self.open.len(), to_come: self.to_come.len(), ..self.status.clone() };
+                let json = serde_json::to_vec(&status).unwrap_or_default();
+                self.hub.send(connection, &Message::Counts { json }, None);
+            }
+            Message::Probe { number } => {
+                self.status.pings += 1;
+                self.hub.send(connection, &Message::Probed { number, held: 0, queued: 0 }, None);
+            }
+            Message::GoingAway { .. } => {
+                self.status.asked_to_leave += 1;
+                self.hub.close(connection, "asked to leave");
+            }
+            Message::Answer { number, status, reason, .. } => {
+                let Some(open) = self.open.remove(&number) else { return };
+                self.status.answered += 1;
+                let status = status.word().to_owned();
+                debug_assert!(Ending::from_word(&status).is_some());
+                let now = self.hub.clock().now();
+                self.recorder.write(now, What::Answered { trace: open.trace, status, reason });
+            }
+            _ => {}
+        }
+    }
+
+    /// `open COUNT`, `wake SHARE MS`, `mute`, `half COUNT`, `leave`, `stop`.
+    fn told(&mut self, words: &str) -> Result<(), String> {
+        let parts: Vec<&str> = words.split(' ').collect();
+        let number = |at: usize| -> Result<f64, String> {
+            let part = parts.get(at).ok_or(format!("{words}: a number is missing"))?;
+            part.parse().map_err(|_| format!("{words}: {part} is no number"))
+        };
+        match parts[0] {
+            "open" => self.status.wanted = number(1)? as usize,
+            "wake" => self.wake(number(1)?, number(2)?),
+            // Clients that read no more, and answer nothing: gone without a word.
+            "mute" => {
+                self.mute = true;
+                self.standing.iter().for_each(|connection| self.hub.pause(*connection, true));
+            }
+            "half" => {
+                let count = number(1)? as usize;
+                for connection in self.standing.iter().take(count) {
+                    self.hub.send_bytes(*connection, &[0, 0, 1, 0, 1, 10, 7]);
+                }
+            }
+            "leave" => {
+                let all = std::mem::take(&mut self.standing);
+                all.iter().for_each(|connection| self.hub.close(*connection, "left"));
+            }
+            "stop" => self.stopped = true,
+            other => return Err(format!("{other}: a crowd knows open, wake, mute, half, leave, stop")),
+        }
+        Ok(())
+    }
+
+    /// A share of the connections make one call each, at any time within a span.
+    fn wake(&mut self, share: f64, ms: f64) {
+        self.wave += 1;
+        let now = self.hub.clock().now();
+        let count = (self.standing.len() as f64 * share.clamp(0.0, 1.0)).round() as usize;
+        // The first of a shuffle are a fair draw.
+        for at in 0..count {
+            let other = at + self.rng.next_u32() as usize % (self.standing.len() - at);
+            self.standing.swap(at, other);
+            let after = (f64::from(self.rng.next_u32()) / f64::from(u32::MAX) * ms * 1e3) as Micros;
+            self.to_come.push((now + after, self.standing[at]));
+        }
+        self.to_come.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+    }
+
+    fn call(&mut self, connection: Connection) {
+        let mut lot = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+        let picked = self.settings.mix.iter().find(|mix| {
+            lot -= mix.share;
+            lot <= 0.0
+        });
+        let Some(mix) = picked.or(self.settings.mix.last()) else { return };
+        let (class, time_left) = (mix.class.clone(), mix.give_up_ms * 1_000);
+        self.next += 1;
+        let number = self.next;
+        let function = format!("{class}/{}", self.rng.next_u32() % FUNCTIONS);
+        let trace = format!("w{}-{}-{number}", self.wave, self.settings.name);
+        let now = self.hub.clock().now();
+        let deadline = now + time_left;
+        let gateway = "gateway-0".to_owned();
+        let asked =
+            What::Asked { trace: trace.clone(), gateway, class: class.clone(), deferred: false, deadline };
+        self.recorder.write(now, asked);
+        let message = Message::Call {
+            number,
+            deferred: false,
+            function,
+            class,
+            tenant: String::new(),
+            key: String::new(),
+            trace: trace.clone(),
+            time_left,
+            shape: Shape { memory_mb: 10, lanes: 100_000, load_time: 0, work: 0 },
+            body: vec![b'x'; 100],
+        };
+        if !self.hub.send(connection, &message, None) {
+            return self.recorder.write(now, What::GatewayGone { trace, unreached: true });
+        }
+        self.open.insert(number, Open { trace, connection, deadline });
+    }
+}
--- a/crates/rehearsal/src/client.rs
+++ b/crates/rehearsal/src/client.rs
@@ -48,6 +48,10 @@
     pub fn receive(&mut self) -> io::Result<Message> {
         loop {
             match self.decoder.decode() {
+                // A gateway pings connections that have been idle for long.
+                Ok(Some(Message::Probe { number })) => {
+                    self.send(&Message::Probed { number, held: 0, queued: 0 })?;
+                }
                 Ok(Some(message)) => return Ok(message),
                 Ok(None) => {}
                 Err(error) => return Err(io::Error::new(ErrorKind::InvalidData, error)),
--- a/crates/rehearsal/src/traffic.rs
+++ b/crates/rehearsal/src/traffic.rs
@@ -210,6 +210,9 @@
                     }
                 }
                 Notice::Closed { connection, unsent, .. } => self.closed(connection, &unsent),
+                Notice::Message(connection, Message::Probe { number }) => {
+                    self.hub.send(connection, &Message::Probed { number, held: 0, queued: 0 }, None);
+                }
                 Notice::Message(_, message) => self.message(message),
                 _ => {}
             }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -263,6 +263,7 @@
     intake.calls = f.count("intake_calls", intake.calls, (1, MOST));
     intake.per_turn = f.count("calls_per_turn", intake.per_turn, (1, 100_000));
     intake.share = f.number("intake_share", intake.share, (0.01, 1.0));
+    intake.hold = f.time("intake_hold", intake.hold);
     intake.return_after = f.time("return_after", intake.return_after);
     intake.most_return = f.time("most_return", intake.most_return);
     f.must(intake.return_after <= intake.most_return, "return_after is longer than most_return");
