--- a/crates/admission/src/door.rs
+++ b/crates/admission/src/door.rs
@@ -112,6 +112,8 @@
     pub asked: u64,
     /// Some are still to be asked.
     pub asking: bool,
+    /// Calls refused since their connection had too many open.
+    pub refused: u64,
     /// Connections closed or turned away, by reason.
     pub closed: Vec<(String, u64)>,
 }
@@ -243,6 +245,7 @@
     arrived: u64,
     pinged: u64,
     asked: u64,
+    refused: u64,
     closed: Vec<(&'static str, u64)>,
 }
 
@@ -287,6 +290,7 @@
             arrived: 0,
             pinged: 0,
             asked: 0,
+            refused: 0,
             closed: Vec::new(),
         };
         door.set_spans();
@@ -520,6 +524,11 @@
         }
     }
 
+    /// A call was refused since its connection had too many open.
+    pub fn refused(&mut self) {
+        self.refused += 1;
+    }
+
     /// Calls and awaits of a connection without their answer.
     pub fn open(&self, slot: usize) -> u32 {
         self.guests.get(slot).filter(|guest| guest.here).map_or(0, |guest| guest.open)
@@ -663,6 +672,7 @@
             pings: self.pinged,
             asked: self.asked,
             asking: self.is_asking(),
+            refused: self.refused,
             closed: self.closed.iter().map(|(why, count)| ((*why).to_owned(), *count)).collect(),
         }
     }
--- a/crates/cli/tests/connections.rs
+++ b/crates/cli/tests/connections.rs
@@ -323,3 +323,24 @@
     assert!(said.contains("1000 connections, all: 1000 calls"), "{said}");
     assert!(said.contains("all rules held"), "{said}");
 }
+
+#[test]
+fn one_connection_can_not_fill_what_all_calls_wait_in() {
+    for holders in [0, 1] {
+        let (listener, at) = listener();
+        let bed = Bed::with(&[at], &format!("holders = {holders}"), "calls_per_connection = 5");
+        let mut client = bed.client();
+        (1..=8).for_each(|number| client.send(&call(number, "post", "f", 5_000)).unwrap());
+        for number in 6..=8 {
+            assert_eq!(answer(&mut client), (number, "refused".into(), "connection-full".into()));
+        }
+        let name = "cresswheel_calls_turned_away_total{reason=\"connection-full\"}";
+        until("the count", || count(&bed, name) == 3.0);
+        let mut played = Played::accept(&listener);
+        let (attempt, ..) = played.run();
+        played.ran(attempt, cresswheel_protocol::Ending::Ok);
+        assert_eq!(answer(&mut client).1, "served");
+        client.send(&call(9, "check", "f", 300)).unwrap();
+        assert_ne!(answer(&mut client).2, "connection-full", "there is room again");
+    }
+}
--- a/crates/cli/tests/rehearsals.rs
+++ b/crates/cli/tests/rehearsals.rs
@@ -52,7 +52,7 @@
 #[test]
 fn the_example_settings_are_sound() {
     let deploy = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
-    for name in ["gateway.star", "fleet.star"] {
+    for name in ["gateway.star", "fleet.star", "portal.star"] {
         let done = Command::new(EXE).arg("check").arg(deploy.join(name)).output().unwrap();
         assert_eq!(done.status.code(), Some(0), "{name}: {done:?}");
     }
--- a/crates/clients/src/clients.rs
+++ b/crates/clients/src/clients.rs
@@ -4,7 +4,7 @@
 
 use cresswheel_admission::{Act, Arrival, Door, DoorCounts, Sign};
 use cresswheel_protocol::http::Request;
-use cresswheel_protocol::{Message, Micros, Role};
+use cresswheel_protocol::{Message, Micros, Role, Status};
 use cresswheel_transport::{Connection, Hub, Notice, slot};
 
 use crate::ClientTerms;
@@ -187,8 +187,19 @@
         self.asks.push_back(Ask { connection, came: hub.came(), message });
     }
 
-    /// An answer will be owed for this.
-    fn ask_for_answer(&mut self, hub: &Hub, connection: Connection, tenant: &str, message: Message) {
+    /// An answer will be owed for this. One connection may not fill what all calls wait in.
+    fn ask_for_answer(&mut self, hub: &mut Hub, connection: Connection, tenant: &str, message: Message) {
+        if self.door.open(slot(connection)) as usize >= self.terms.per_connection {
+            let (Message::Call { number, .. } | Message::Await { number, .. } | Message::Page { number, .. }) =
+                message
+            else {
+                return;
+            };
+            self.door.refused();
+            let (status, reason) = (Status::Refused, "connection-full".into());
+            let answer = Message::Answer { number, status, reason, retry_after: 0, body: Vec::new() };
+            return self.give(hub, connection, &answer);
+        }
         self.open += 1;
         self.door.asks(hub.clock().now(), slot(connection), tenant);
         self.ask(hub, connection, message);
@@ -310,6 +321,10 @@
             return self.refuse(hub, connection, reason);
         }
         self.settle(hub, connection);
+        self.give(hub, connection, message);
+    }
+
+    fn give(&mut self, hub: &mut Hub, connection: Connection, message: &Message) {
         if self.states[slot(connection)].http {
             match message {
                 Message::Accepted { number, id } => {
--- a/crates/clients/src/terms.rs
+++ b/crates/clients/src/terms.rs
@@ -12,6 +12,8 @@
     pub door: DoorLimits,
     /// Bytes waiting for a client from which on no more is read from it.
     pub backlog: usize,
+    /// Calls and awaits of one connection without their answer.
+    pub per_connection: usize,
     /// Longest frame, in bytes.
     pub frame: usize,
     /// Longest head of an HTTP request, in bytes.
@@ -30,6 +32,7 @@
         Self {
             door: DoorLimits::default(),
             backlog: 1 << 20,
+            per_connection: 1_000,
             frame: hub.frame.frame,
             http_head: hub.http.head,
             http_headers: hub.http.headers,
--- a/crates/gateway/src/holders.rs
+++ b/crates/gateway/src/holders.rs
@@ -36,6 +36,18 @@
     room_elsewhere: bool,
 }
 
+impl Holder {
+    /// One answer less is owed.
+    fn settled(&mut self, connection: Connection) {
+        if let Some(owed) = self.owed.get_mut(&connection) {
+            *owed -= 1;
+            if *owed == 0 {
+                self.owed.remove(&connection);
+            }
+        }
+    }
+}
+
 enum Place {
     Taken(Box<Holder>),
     /// Started at that time, with this wait before it.
@@ -282,6 +294,7 @@
                     Message::Call { .. } | Message::Await { .. } | Message::Page { .. } => {
                         *holder.owed.entry(connection).or_default() += 1;
                     }
+                    Message::Cancel { .. } => holder.settled(connection),
                     Message::Bye { .. } => _ = holder.owed.remove(&connection),
                     _ => {}
                 }
@@ -314,12 +327,7 @@
         let Some(place) = self.by_life.get(&life(key)) else { return };
         let Place::Taken(holder) = &mut self.places[*place] else { return };
         let connection = key & ((1 << LIFE) - 1);
-        if let Some(owed) = holder.owed.get_mut(&connection) {
-            *owed -= 1;
-            if *owed == 0 {
-                holder.owed.remove(&connection);
-            }
-        }
+        holder.settled(connection);
         hub.send(holder.trunk, &Message::Of { connection, came: 0 }, None);
         hub.send(holder.trunk, message, None);
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,7 +50,9 @@
         (labels.to_vec(), *n)
     });
     counter("answers", "Final answers, by class, status and reason", answers.collect());
-    counter("calls_turned_away", "Calls turned away untaken, by reason", by(&counts.turned_away, "reason"));
+    let mut turned_away = counts.turned_away.clone();
+    *turned_away.entry("connection-full").or_default() += shell.doors.iter().map(|d| d.refused).sum::<u64>();
+    counter("calls_turned_away", "Calls turned away untaken, by reason", by(&turned_away, "reason"));
     counter("attempts", "Attempts, by how they ended", by(&counts.attempts, "end"));
     let busy = counts.classes.iter().zip(&shell.busy).filter(|(_, n)| **n > 0);
     let busy = busy.map(|(class, n)| (vec![("class", class.clone())], *n)).collect();
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -227,6 +227,7 @@
     admission.open_bytes = f.size("open_bytes", admission.open_bytes);
     admission.per_connection = f.count("calls_per_connection", admission.per_connection, (1, MOST));
     admission.functions = f.count("functions", admission.functions, (1, MOST));
+    let per_connection = admission.per_connection;
     let results = &mut to.engine.results;
     results.keep = f.time("results_keep", results.keep);
     results.bytes = f.size("results_bytes", results.bytes);
@@ -241,6 +242,7 @@
     clients.out = f.size("out_buffer", clients.out);
     clients.backlog = f.size("client_backlog", clients.backlog);
     f.must(clients.backlog < clients.out, "client_backlog must be below out_buffer");
+    clients.per_connection = per_connection;
     let door = &mut clients.door;
     // A connection's name has 20 bits for its place.
     door.connections = f.count("connections", door.connections, (1, 1 << 26));
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -48,6 +48,21 @@
     assert_eq!(settings.workers[0].id, "127.0.0.1:9");
 }
 
+#[test]
+fn connections_and_their_ends_become_terms_of_the_clients_side() {
+    let script = format!(
+        "{}{CLASS}{WORKER}limits(connections = 100000, stop_within = s(1), pings_per_s = 0, calls_per_connection = 7)",
+        HEAD.replace(")", ", holders = 6)")
+    );
+    let settings = in_folder(&[("a.star", &script)]).unwrap();
+    let terms = settings.shell.clients;
+    assert_eq!((settings.holders, terms.door.connections, terms.per_connection), (Some(6), 100_000, 7));
+    assert_eq!(terms.door.leave_over, 500_000, "half of stop_within, if nothing is said");
+    assert_eq!(terms.door.pings_per_s, 0);
+    let wrong = faults(&format!("{}{CLASS}{WORKER}", HEAD.replace(")", ", holders = 65)")));
+    assert!(wrong[0].starts_with("a.star:1:45: holders = 65: a whole number from 0 to 64"), "{wrong:?}");
+}
+
 #[test]
 fn each_fault_is_told_with_its_place_and_value() {
     let cases = [
@@ -60,6 +75,12 @@
         ),
         ("limits(frame = kb(0))", "a.star:4:1: limits: frame must be from kb(1)"),
         ("limits(client_backlog = mb(99))", "a.star:4:1: limits: client_backlog must be below out_buffer"),
+        ("limits(connections = 0)", "a.star:4:8: connections = 0: a whole number from 1 to"),
+        ("limits(ping_after = 600)", "a.star:4:8: ping_after = 600: a time such as"),
+        ("limits(half_bytes = kb(1))", "a.star:4:1: limits: half_bytes is below one message"),
+        ("limits(intake_share = 1.5)", "a.star:4:8: intake_share = 1.5: a number from 0.01 to 1"),
+        ("limits(leave_over = s(9))", "a.star:4:1: limits: leave_over must be below stop_within"),
+        ("limits(return_after = minutes(1))", "a.star:4:1: limits: return_after is longer than most_return"),
         ("limits(worker_idle = s(-1))", "a.star:4:22: -1 is out of range"),
         ("limits(worker_idle = s(\"1\"))", "a.star:4:22: a unit takes a number, not \"1\""),
         ("limits(open_cals = 9)", "a.star:4:8: limits: unknown name open_cals = 9; did you mean open_calls?"),
--- a/crates/transport/tests/hub.rs
+++ b/crates/transport/tests/hub.rs
@@ -131,3 +131,77 @@
     }
     assert!(matches!(next(&mut hub), Notice::Closed { why, .. } if why == "too much waits to be written"));
 }
+
+fn send(peer: &mut impl Write, message: &Message) {
+    let mut bytes = Vec::new();
+    encode(message, &mut bytes);
+    peer.write_all(&bytes).unwrap();
+}
+
+/// What a late reader is told of when a message came is never after it was written.
+#[test]
+fn a_message_that_waited_unread_is_told_with_the_time_since_when_it_may_have_waited() {
+    let mut hub = Hub::new(HubLimits::default()).unwrap();
+    let (_, at) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Frames).unwrap();
+    // While it waits to be accepted.
+    hub.pause_listening(true);
+    hub.wait(Some(0)).unwrap();
+    let mut peer = TcpStream::connect(at).unwrap();
+    let written = hub.clock().now();
+    send(&mut peer, &probe(1));
+    std::thread::sleep(Duration::from_millis(60));
+    hub.pause_listening(false);
+    let Notice::Opened(connection, _) = next(&mut hub) else { panic!() };
+    assert!(matches!(next(&mut hub), Notice::Message(_, Message::Probe { number: 1 })));
+    assert!(hub.came() <= written, "{} after it was written", hub.came() - written);
+    // While guests are held.
+    hub.hold_guests(true);
+    let written = hub.clock().now();
+    send(&mut peer, &probe(2));
+    for _ in 0..6 {
+        hub.wait(Some(hub.clock().now() + 10_000)).unwrap();
+        assert!(hub.take_notice().is_none(), "held");
+    }
+    hub.hold_guests(false);
+    assert!(matches!(next(&mut hub), Notice::Message(_, Message::Probe { number: 2 })));
+    assert!(hub.came() <= written, "{} after it was written", hub.came() - written);
+    // While it is paused.
+    hub.pause(connection, true);
+    hub.wait(Some(0)).unwrap();
+    let written = hub.clock().now();
+    send(&mut peer, &probe(3));
+    for _ in 0..6 {
+        hub.wait(Some(hub.clock().now() + 10_000)).unwrap();
+    }
+    hub.pause(connection, false);
+    assert!(matches!(next(&mut hub), Notice::Message(_, Message::Probe { number: 3 })));
+    assert!(hub.came() <= written, "{} after it was written", hub.came() - written);
+    // While the program is busy with something else; and not before the last look, or all would be refused.
+    let before = hub.clock().now();
+    hub.wait(Some(0)).unwrap();
+    let written = hub.clock().now();
+    send(&mut peer, &probe(4));
+    std::thread::sleep(Duration::from_millis(60));
+    assert!(matches!(next(&mut hub), Notice::Message(_, Message::Probe { number: 4 })));
+    assert!((before..=written).contains(&hub.came()), "{} not in {before}..={written}", hub.came());
+}
+
+#[test]
+fn half_messages_are_told_to_who_asked_and_a_unix_socket_serves_as_well() {
+    let mut hub = Hub::new(HubLimits::default()).unwrap();
+    hub.tell_halves();
+    let (_, at) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Frames).unwrap();
+    let (mut other, ours) = std::os::unix::net::UnixStream::pair().unwrap();
+    let trunk = hub.adopt(ours.into(), Wire::Frames).unwrap();
+    send(&mut other, &probe(5));
+    assert!(matches!(next(&mut hub), Notice::Message(c, Message::Probe { number: 5 }) if c == trunk));
+    // What is half there on a peer of this side is nobody's business.
+    other.write_all(&[0, 0, 0]).unwrap();
+    let mut guest = TcpStream::connect(at).unwrap();
+    let Notice::Opened(connection, _) = next(&mut hub) else { panic!() };
+    guest.write_all(&[0, 0, 0]).unwrap();
+    assert!(matches!(next(&mut hub), Notice::Half(c, 3) if c == connection));
+    assert!(hub.midway(connection));
+    drop(other);
+    assert!(matches!(next(&mut hub), Notice::Closed { guest: false, never_stood: false, .. }));
+}
