--- a/crates/admission/src/intake.rs
+++ b/crates/admission/src/intake.rs
@@ -126,27 +126,29 @@
     /// The newest call of the tenant with the most of them.
     fn pop_newest(&mut self) -> Option<Waiting<T>> {
         let tenant = *self.by_tenant.iter().max_by_key(|(_, queue)| queue.len())?.0;
-        let queue = self.by_tenant.get_mut(&tenant)?;
-        let waiting = queue.pop_back();
-        if queue.is_empty() {
-            self.by_tenant.remove(&tenant);
-            self.turns.retain(|other| *other != tenant);
-        }
-        self.len -= 1;
-        waiting
+        self.pop_of(tenant, VecDeque::pop_back)
     }
 
     fn pop_over(&mut self, now: Micros) -> Option<Waiting<T>> {
         let over = |queue: &VecDeque<Waiting<T>>| queue.front().is_some_and(|w| w.came + self.limit < now);
         let tenant = *self.by_tenant.iter().find(|(_, queue)| over(queue))?.0;
+        self.pop_of(tenant, VecDeque::pop_front)
+    }
+
+    /// A call of this tenant, out of its turn.
+    fn pop_of(
+        &mut self,
+        tenant: Option<usize>,
+        pop: impl Fn(&mut VecDeque<Waiting<T>>) -> Option<Waiting<T>>,
+    ) -> Option<Waiting<T>> {
         let queue = self.by_tenant.get_mut(&tenant)?;
-        let waiting = queue.pop_front();
+        let waiting = pop(queue)?;
         if queue.is_empty() {
             self.by_tenant.remove(&tenant);
             self.turns.retain(|other| *other != tenant);
         }
         self.len -= 1;
-        waiting
+        Some(waiting)
     }
 }
 
@@ -228,11 +230,6 @@
         self.len == 0
     }
 
-    /// Calls of a class that wait.
-    pub fn waiting(&self, class: usize) -> usize {
-        self.lanes[self.order[class]].len
-    }
-
     /// Whether no more should be read from clients for now: as many wait as can be started in time. Calls that
     /// were left unread for long are read whatever waits, so that they are answered while their clients wait.
     pub fn is_full(&self) -> bool {
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -526,11 +526,6 @@
         self.conns.len()
     }
 
-    /// Connections among them that came to a listener.
-    pub fn guests(&self) -> usize {
-        self.accepted
-    }
-
     /// The other side's address.
     pub fn peer(&self, id: Connection) -> Option<SocketAddr> {
         self.see(id)?.socket.peer_addr().ok()?.as_socket()
