A killed gateway starts again at once on the port that its holders still had

Need: holders of a gateway killed with -9 keep the listening sockets until they hear of its end; a supervisor that starts it again at once met 'address in use'.

Change: a holder gives up its listeners first of all; a gateway waits for a port in use for a second at its start.

--- a/crates/cli/tests/connections.rs
+++ b/crates/cli/tests/connections.rs
@@ -218,6 +218,31 @@
     assert_eq!(answer(&mut next), (1, "served".into(), String::new()));
 }
 
+#[test]
+fn a_killed_gateway_starts_again_at_once_where_its_holders_listened() {
+    let worker = good_worker();
+    let mut bed = Bed::with(&[worker], "holders = 3", "");
+    let mut clients: Vec<Client> = (0..30).map(|_| bed.client()).collect();
+    clients.iter_mut().enumerate().for_each(|(n, client)| served(client, n as u64, "check"));
+    let (at, before) = (bed.gateway.main, holders(&bed));
+    let file = bed.folder.path().join("gateway.star");
+    let script = std::fs::read_to_string(&file).unwrap();
+    std::fs::write(&file, script.replacen("127.0.0.1:0", &at.to_string(), 1)).unwrap();
+    bed.gateway.kill();
+    let args = ["--log", "debug", "gateway", file.to_str().unwrap()].map(str::to_owned);
+    bed.gateway =
+        cresswheel_rehearsal::Process::start(Path::new(EXE), &args, &bed.folder.path().join("gateway.log"))
+            .unwrap();
+    assert_eq!(bed.gateway.main, at);
+    served(&mut bed.client(), 1, "post");
+    clients.iter_mut().for_each(|client| {
+        assert!(client.receive_within(PATIENCE).is_err(), "its gateway is gone, and it hears so");
+    });
+    until("the end of the old holders", || {
+        before.iter().all(|id| !Path::new(&format!("/proc/{id}/fd/0")).exists())
+    });
+}
+
 #[test]
 fn a_reload_that_takes_places_away_asks_the_longest_idle_and_serves_the_rest() {
     for holders in [0, 2] {
--- a/crates/clients/src/trunk.rs
+++ b/crates/clients/src/trunk.rs
@@ -170,7 +170,8 @@
             Notice::Message(_, message) => message,
             Notice::Closed { why, .. } => {
                 tracing::debug!(%why, "the gateway is gone");
-                self.hub.pause_listening(true);
+                // The gateway's next life may want the port at once.
+                self.hub.stop_listening();
                 self.ends = Some(self.hub.clock().now() + LEAVE_WITHIN);
                 return Ok(());
             }
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anyhow::Context;
 use calloop::signals::Signal;
@@ -75,6 +76,10 @@
 /// Descriptors are set aside for so many workers at least, since a list may name them later.
 const WORKERS_EXPECTED: usize = 64;
 
+/// How long a port that is in use is waited for at the start.
+const BIND_WITHIN: Duration = Duration::from_secs(1);
+const BIND_AGAIN: Duration = Duration::from_millis(20);
+
 /// A call that waits to be started.
 struct Asked {
     class: usize,
@@ -119,7 +124,7 @@
         };
         let parts = spread(&budget, &settings);
         let sockets = [Some(settings.listen), settings.http].into_iter().flatten();
-        let sockets = sockets.map(|at| listener(at).with_context(|| format!("listen on {at}")));
+        let sockets = sockets.map(|at| bind(at).with_context(|| format!("listen on {at}")));
         let sockets = sockets.collect::<anyhow::Result<Vec<_>>>()?;
         let mut at = sockets.iter().map(|s| s.local_addr().ok().and_then(|at| at.as_socket()));
         let ready = Ready { main: at.next().flatten().context("listen")?, http: at.next().flatten() };
@@ -688,6 +693,19 @@
     }
 }
 
+/// Listens. Holders of a gateway that was killed a moment ago may still have the port.
+fn bind(at: SocketAddr) -> io::Result<socket2::Socket> {
+    let began = std::time::Instant::now();
+    loop {
+        match listener(at) {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && began.elapsed() < BIND_WITHIN => {
+                std::thread::sleep(BIND_AGAIN);
+            }
+            other => return other,
+        }
+    }
+}
+
 /// How the connections are spread, with a word where they do not fit.
 fn spread(budget: &Budget, settings: &GatewaySettings) -> Parts {
     let asked = settings.shell.clients.door.connections;
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -378,6 +378,12 @@
         }
     }
 
+    /// Gives up all listeners; those that wait to be accepted are another process's, if one shares them.
+    pub fn stop_listening(&mut self) {
+        self.pause_listening(true);
+        self.listeners.clear();
+    }
+
     /// Leaves all connections that came to a listener, and those that would come, waiting in the kernel, or goes
     /// on with them. What was to be written to them waits as well, unless it can be written at once.
     pub fn hold_guests(&mut self, held: bool) {
