Calls skip the intake while nothing waits in it

Change: while nothing waits and the turn's calls are not used up, a call enters the engine as it is read.

--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -55,6 +55,8 @@
     holders: Holders,
     budget: Budget,
     intake: Intake<Asked>,
+    /// Calls started in this turn.
+    begun: usize,
     /// Calls that the intake refused, by class.
     busy: Vec<u64>,
     classes: HashMap<String, usize>,
@@ -161,6 +163,7 @@
             holders,
             budget,
             intake,
+            begun: 0,
             busy: vec![0; settings.engine.module.classes.len()],
             classes,
             tenants,
@@ -241,10 +244,11 @@
     /// between them.
     fn start_calls(&mut self) {
         self.intake.turn(self.hub.clock().now());
-        for _ in 0..self.intake.per_turn() {
+        while self.begun < self.intake.per_turn() {
             let Some((_, came, asked)) = self.intake.take() else { break };
             self.begin(asked.client, came, asked.call);
         }
+        self.begun = 0;
         while let Some(refused) = self.intake.take_over(self.hub.clock().now()) {
             self.refuse_busy(refused.call, refused.reason, refused.retry_after);
         }
@@ -451,6 +455,10 @@
         let Some(class) = class.filter(|_| self.life == Life::Running) else {
             return self.begin(client, came, call);
         };
+        // On most days nothing waits, and nobody has to.
+        if self.intake.is_empty() && self.begun < self.intake.per_turn() {
+            return self.begin(client, came, call);
+        }
         let tenant = self.tenants.get(&call.tenant).copied();
         let (now, name) = (self.hub.clock().now(), (client.connection, client.number));
         match self.intake.offer(now, name, class, tenant, came, Asked { class, client, call }) {
@@ -464,6 +472,7 @@
 
     /// A call's turn has come. Its time runs since it came.
     fn begin(&mut self, client: Client, came: Micros, mut call: Call) {
+        self.begun += 1;
         let engine = &self.settings.engine;
         let class = self.classes.get(&call.class).map(|class| &engine.module.classes[*class]);
         let usual = if call.deferred { engine.deferred_time } else { class.map_or(0, |class| class.give_up) };
