--- a/crates/admission/src/door.rs
+++ b/crates/admission/src/door.rs
@@ -257,8 +257,9 @@
     }
 }
 
-fn accepts(now: Micros, limits: &DoorLimits) -> Pace {
-    Pace::new(now, limits.accepts_per_s, (limits.accepts_per_s / 10).max(64))
+/// Connections taken at once after a quiet time.
+fn accept_burst(limits: &DoorLimits) -> u64 {
+    (limits.accepts_per_s / 10).max(64)
 }
 
 /// Pings that leave together: those of a quarter of a second.
@@ -266,10 +267,6 @@
     (limits.pings_per_s / 4).max(1)
 }
 
-fn pings(now: Micros, limits: &DoorLimits) -> Pace {
-    Pace::empty(now, limits.pings_per_s, batch(limits))
-}
-
 impl Door {
     /// A door that nobody has come to.
     pub fn new(now: Micros, limits: DoorLimits) -> Self {
@@ -281,8 +278,8 @@
             half_bytes: 0,
             addresses: Groups { by_key: HashMap::new(), counts: Vec::new(), free: Vec::new() },
             tenants: Groups { by_key: HashMap::new(), counts: Vec::new(), free: Vec::new() },
-            accepts: accepts(now, &limits),
-            pings: pings(now, &limits),
+            accepts: Pace::new(now, limits.accepts_per_s, accept_burst(&limits)),
+            pings: Pace::empty(now, limits.pings_per_s, batch(&limits)),
             pinging: false,
             farewell: None,
             room_elsewhere: false,
@@ -314,7 +311,7 @@
     pub fn change(&mut self, now: Micros, limits: DoorLimits) {
         self.limits = limits;
         self.set_spans();
-        self.accepts.change(now, limits.accepts_per_s, (limits.accepts_per_s / 10).max(64));
+        self.accepts.change(now, limits.accepts_per_s, accept_burst(&limits));
         self.pings.change(now, limits.pings_per_s, batch(&limits));
         let over = self.here.saturating_sub(limits.connections);
         if over > 0 && !self.farewell.as_ref().is_some_and(|f| f.all) {
@@ -491,10 +488,7 @@
 
     /// A message that was under way is whole: the next one's time begins anew.
     pub fn whole(&mut self, now: Micros, slot: usize) {
-        let Some(guest) = self.guest(slot) else { return };
-        let before = std::mem::replace(&mut guest.held, 0);
-        self.half_bytes -= before as usize;
-        self.rest(now, slot);
+        self.sign(now, slot, Sign::Heard(0));
     }
 
     /// A connection asked for something that will be answered.
--- a/crates/admission/src/pace.rs
+++ b/crates/admission/src/pace.rs
@@ -54,20 +54,18 @@
 
     /// When it is full; `None`: never.
     pub fn full_at(&self, now: Micros) -> Option<Micros> {
-        let mut filled = self.clone();
-        filled.fill(now);
-        match self.burst.saturating_mul(ONE) - filled.level {
-            0 => Some(now),
-            _ if self.per_s == 0 => None,
-            missing => Some(now.saturating_add(missing.div_ceil(self.per_s))),
-        }
+        self.when(now, self.burst.saturating_mul(ONE))
     }
 
     /// When there is one; `None`: never.
     pub fn next(&self, now: Micros) -> Option<Micros> {
+        self.when(now, ONE)
+    }
+
+    fn when(&self, now: Micros, level: u64) -> Option<Micros> {
         let mut filled = self.clone();
         filled.fill(now);
-        match ONE.saturating_sub(filled.level) {
+        match level.saturating_sub(filled.level) {
             0 => Some(now),
             _ if self.per_s == 0 => None,
             missing => Some(now.saturating_add(missing.div_ceil(self.per_s))),
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -544,17 +544,14 @@
 
     /// Whether a frame or request is half there.
     pub fn midway(&self, id: Connection) -> bool {
-        match self.see(id).and_then(|conn| conn.work.as_ref()).map(|work| &work.decode) {
-            Some(Decode::Frames(decoder)) => decoder.held() > 0,
-            Some(Decode::Http(decoder)) => decoder.midway(),
-            Some(Decode::Raw(_)) | None => false,
-        }
+        self.held(id) > 0
     }
 
+    /// Bytes held of a frame or request that is not whole; one at least if there is one.
     fn held(&self, id: Connection) -> usize {
         match self.see(id).and_then(|conn| conn.work.as_ref()).map(|work| &work.decode) {
             Some(Decode::Frames(decoder)) => decoder.held(),
-            Some(Decode::Http(decoder)) => decoder.held().max(1),
+            Some(Decode::Http(decoder)) => decoder.held().max(usize::from(decoder.midway())),
             Some(Decode::Raw(_)) | None => 0,
         }
     }
@@ -883,9 +880,11 @@
         if let Some(why) = over {
             return self.close(id, &why);
         }
-        if came && self.halves && self.midway(id) && self.see(id).is_some_and(|conn| conn.accepted) {
-            let held = self.held(id);
-            self.tell(Notice::Half(id, held));
+        if came && self.halves && self.see(id).is_some_and(|conn| conn.accepted) {
+            match self.held(id) {
+                0 => {}
+                held => self.tell(Notice::Half(id, held)),
+            }
         }
         if self.get(id).is_some_and(|conn| conn.reads()) {
             self.queue(id);
