The module hears that a function's calls are to come, and holds it ready

A new version of a function is to stand loaded before calls are shifted to it, and an old one for as long as a rollback may need it. Forecasts come from arrivals alone, and such a function has none.

Event::Expected names the function, the one whose calls it would get and for how long; it sets the forecast's release, so that the load timer, the order gate, the ration and the release work on it as they do on any forecast.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -383,6 +383,15 @@
         /// How it ended.
         outcome: Outcome,
     },
+    /// Calls of a function are coming, from those of another: it is to stand loaded until then, called or not.
+    Expected {
+        /// The function.
+        function: FunctionId,
+        /// The one whose calls it would get, and whose needs it is held to have.
+        like: FunctionId,
+        /// From now.
+        within: Micros,
+    },
     /// A wake-up that was asked for is due.
     Wake,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -76,7 +76,8 @@
         let rate = self.rate();
         if rate > 0.0 {
             self.load_at = now.saturating_add((-(1.0 - P_LOAD).ln() / rate) as Micros);
-            self.release_at = now.saturating_add((-(1.0 - P_OFFLOAD).ln() / rate) as Micros);
+            let release = now.saturating_add((-(1.0 - P_OFFLOAD).ln() / rate) as Micros);
+            self.release_at = release.max(self.told);
         }
     }
 
@@ -251,6 +252,7 @@
                 self.held(&worker, &function, outcome, elapsed, standing);
             }
             Event::Probed { .. } => {}
+            Event::Expected { function, like, within } => self.expected(function, &like, within),
             Event::Wake => self.wake_at = self.wake_at.filter(|at| *at > self.now),
         }
         while let Some((_, timer)) = self.timers.first().filter(|(at, _)| *at <= self.now).cloned() {
@@ -346,11 +348,7 @@
         if self.settings.ration.is_some() {
             self.holds.taken.push_back(self.now);
         }
-        let f = *self.function_ids.entry(request.function.clone()).or_insert(self.functions.len());
-        if f == self.functions.len() {
-            let name = request.function.clone();
-            self.functions.push(Function { name, kept: self.means.kept, ..Function::default() });
-        }
+        let f = self.function(&request.function);
         let function = &mut self.functions[f];
         function.forecast.arrival(self.now);
         function.last_call = self.now;
@@ -371,6 +369,33 @@
         self.dispatch(&id);
     }
 
+    fn function(&mut self, name: &FunctionId) -> F {
+        let f = *self.function_ids.entry(name.clone()).or_insert(self.functions.len());
+        if f == self.functions.len() {
+            let (name, kept) = (name.clone(), self.means.kept);
+            self.functions.push(Function { name, kept, ..Function::default() });
+        }
+        f
+    }
+
+    /// Pre-loads a function as its forecast would, on the word that the calls of another are to come to it.
+    fn expected(&mut self, name: FunctionId, like: &FunctionId, within: Micros) {
+        let f = self.function(&name);
+        let twin = self.function_ids.get(like).map(|l| &self.functions[*l]);
+        let (lanes, memory, load) = twin.map_or((1.0, 0.0, 0.0), |l| (l.lanes, l.memory, l.load));
+        let function = &mut self.functions[f];
+        if function.lanes <= 0.0 {
+            // Not called yet: no peer's calls have kept it either.
+            (function.lanes, function.memory, function.load, function.kept) = (lanes, memory, load, 0.0);
+        }
+        let forecast = &mut function.forecast;
+        forecast.told = self.now.saturating_add(within);
+        forecast.release_at = forecast.release_at.max(forecast.told);
+        if !std::mem::replace(&mut function.timer, true) {
+            self.timers.insert((self.now, Timer::Forecast(f)));
+        }
+    }
+
     /// Gives the request its next attempt, a load to wait for, or, when neither can be had, time.
     fn dispatch(&mut self, id: &RequestId) {
         let Some(entry) = self.ledger.get(id) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -181,6 +181,8 @@
     pub times: VecDeque<Micros>,
     pub load_at: Micros,
     pub release_at: Micros,
+    /// Told to come by then, whatever the arrivals say.
+    pub told: Micros,
 }
 
 /// A worker's health for one class, from outcomes alone.
