--- a/crates/cli/src/call.rs
+++ b/crates/cli/src/call.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use clap::Args;
-use cresswheel_protocol::{Message, Shape, Status};
+use cresswheel_protocol::{Message, Origin, Shape, Status};
 use cresswheel_rehearsal::Client;
 
 #[derive(Args)]
@@ -24,6 +24,9 @@
     /// The tenant.
     #[arg(long, default_value = "")]
     tenant: String,
+    /// The account that it is about, for functions whose versions stick to accounts.
+    #[arg(long, default_value = "")]
+    account: String,
     /// The idempotency key: a repeat with the same key and arguments finds the first try.
     #[arg(long, default_value = "")]
     key: String,
@@ -59,6 +62,7 @@
         time_left: args.time.saturating_mul(1_000),
         shape,
         body,
+        account: Some(args.account).filter(|account| !account.is_empty()),
     })?;
     loop {
         match client.receive()? {
@@ -66,7 +70,10 @@
                 eprintln!("accepted as {id}");
                 client.send(&Message::Await { number: 2, id, wait: 600_000_000 })?;
             }
-            Message::Answer { status, reason, retry_after, body, .. } => {
+            Message::Answer { status, reason, retry_after, body, origin, .. } => {
+                if let Some(Origin { function, digest }) = origin {
+                    eprintln!("ran {function} {digest}");
+                }
                 if status == Status::Served {
                     std::io::stdout().write_all(&body)?;
                     println!();
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod logs;
 mod peers;
 mod rehearse;
+mod versions;
 
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
@@ -55,6 +56,8 @@
     ///
     /// Exits 0 if it was served, 1 if it was refused, failed or not answered.
     Call(call::CallArgs),
+    /// Shift a function from one version to another, step by step, and back.
+    Versions(versions::VersionsArgs),
     /// Start a small fleet on this machine, play a bad day against it and tell whether the five rules held.
     ///
     /// What is judged is what passed on the sockets of clients and workers, never the gateways' own word. Exits 0
@@ -108,6 +111,7 @@
             }
         },
         Command::Call(args) => call::run(args),
+        Command::Versions(args) => versions::run(args, cli.tied),
         Command::Rehearse(args) => rehearse::run(args),
         Command::Worker(args) => peers::worker(args, cli.tied),
         Command::List(args) => peers::list(args, cli.tied),
--- a/crates/cli/src/peers.rs
+++ b/crates/cli/src/peers.rs
@@ -16,16 +16,21 @@
 pub fn ready(line: &str, tied: bool) -> std::io::Result<()> {
     if tied {
         // Begun only now: signals that the process takes over are blocked in all threads that come after.
-        std::thread::spawn(|| {
-            let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
-            std::process::exit(1);
-        });
+        tie();
     }
     let mut out = std::io::stdout();
     writeln!(out, "{line}")?;
     out.flush()
 }
 
+/// From now on the process ends when its standard input does.
+pub fn tie() {
+    std::thread::spawn(|| {
+        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        std::process::exit(1);
+    });
+}
+
 #[derive(Args)]
 pub struct WorkerArgs {
     /// Where it listens; port 0 finds one.
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -127,6 +127,7 @@
         time_left: ms * 1_000,
         shape: Shape { memory_mb: 100, lanes: 4, load_time: 0, work: 0 },
         body: b"in".to_vec(),
+        account: None,
     }
 }
 
@@ -200,7 +201,7 @@
     }
 
     pub fn ran(&mut self, attempt: u64, ending: Ending) {
-        self.send(&Message::Ran { attempt, ending, crowd: 0, body: b"out".to_vec() });
+        self.send(&Message::Ran { attempt, ending, crowd: 0, body: b"out".to_vec(), origin: None });
     }
 }
 
--- a/crates/cli/tests/protocols.rs
+++ b/crates/cli/tests/protocols.rs
@@ -182,8 +182,20 @@
     let mut client = bed.client();
     let keyed = |number, deferred| match call(number, "post", "f", 4_000) {
         Message::Call { function, class, tenant, trace, time_left, shape, body, .. } => {
-            let key = "k".into();
-            Message::Call { number, deferred, function, class, tenant, key, trace, time_left, shape, body }
+            let (key, account) = ("k".into(), None);
+            Message::Call {
+                number,
+                deferred,
+                function,
+                class,
+                tenant,
+                key,
+                trace,
+                time_left,
+                shape,
+                body,
+                account,
+            }
         }
         other => other,
     };
--- a/crates/clients/src/clients.rs
+++ b/crates/clients/src/clients.rs
@@ -10,7 +10,7 @@
 use crate::ClientTerms;
 use crate::http::{self, Asked};
 
-/// What a client asks of the gateway: a `Call`, `Await`, `Cancel` or `Page`; or `Bye`: it is gone.
+/// What a client asks of the gateway: a `Call`, `Await`, `Cancel`, `Page` or `Versions`; or `Bye`: it is gone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ask {
     /// Whose.
@@ -190,14 +190,17 @@
     /// An answer will be owed for this. One connection may not fill what all calls wait in.
     fn ask_for_answer(&mut self, hub: &mut Hub, connection: Connection, tenant: &str, message: Message) {
         if self.door.open(slot(connection)) as usize >= self.terms.per_connection {
-            let (Message::Call { number, .. } | Message::Await { number, .. } | Message::Page { number, .. }) =
-                message
+            let (Message::Call { number, .. }
+            | Message::Await { number, .. }
+            | Message::Page { number, .. }
+            | Message::Versions { number, .. }) = message
             else {
                 return;
             };
             self.door.refused();
             let (status, reason) = (Status::Refused, "connection-full".into());
-            let answer = Message::Answer { number, status, reason, retry_after: 0, body: Vec::new() };
+            let answer =
+                Message::Answer { number, status, reason, retry_after: 0, body: Vec::new(), origin: None };
             return self.give(hub, connection, &answer);
         }
         self.open += 1;
@@ -221,7 +224,9 @@
                 let tenant = tenant.clone();
                 self.ask_for_answer(hub, connection, &tenant, message);
             }
-            Message::Await { .. } => self.ask_for_answer(hub, connection, "", message),
+            Message::Await { .. } | Message::Versions { .. } => {
+                self.ask_for_answer(hub, connection, "", message)
+            }
             Message::Cancel { .. } => {
                 self.settle(hub, connection);
                 self.ask(hub, connection, message);
@@ -312,7 +317,7 @@
         }
     }
 
-    /// What the gateway has for a client: `Accepted`, `Answer`, `Paged`; or `Bye`: tell it why, and close.
+    /// What the gateway has for a client: `Accepted`, `Answer`, `Paged`, `Versioned`; or `Bye`: tell it why, and close.
     pub fn reply(&mut self, hub: &mut Hub, connection: Connection, message: &Message) {
         if !self.is_here(connection) || !hub.is_open(connection) {
             return;
@@ -330,9 +335,10 @@
                 Message::Accepted { number, id } => {
                     self.respond(hub, connection, *number, |slot| http::accepted(id, slot.keep_alive));
                 }
-                Message::Answer { number, status, reason, retry_after, body } => {
+                Message::Answer { number, status, reason, retry_after, body, origin } => {
+                    let (origin, after) = (origin.as_ref(), *retry_after);
                     self.respond(hub, connection, *number, |slot| {
-                        http::answer(*status, reason, *retry_after, body, slot.fetched, slot.keep_alive)
+                        http::answer(*status, reason, after, body, origin, slot.fetched, slot.keep_alive)
                     });
                 }
                 Message::Paged { number, status, body } => {
--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -1,7 +1,7 @@
 //! HTTP requests to messages, answers to responses. `docs/PROTOCOL.md` has the table.
 
 use cresswheel_protocol::http::{Request, respond};
-use cresswheel_protocol::{Message, Micros, Shape, Status};
+use cresswheel_protocol::{Message, Micros, Origin, Shape, Status};
 
 /// What a request asks for.
 #[derive(Debug, PartialEq, Eq)]
@@ -80,6 +80,7 @@
         trace: text("x-trace"),
         time_left: ms("x-deadline-ms")?,
         shape,
+        account: request.header("x-account").map(str::to_owned),
         body: request.body,
     }))
 }
@@ -106,6 +107,7 @@
     reason: &str,
     retry_after: Micros,
     body: &[u8],
+    origin: Option<&Origin>,
     fetched: bool,
     keep_alive: bool,
 ) -> Vec<u8> {
@@ -131,6 +133,12 @@
     if retry_after > 0 {
         headers.push(("retry-after", &after));
     }
+    if let Some(Origin { function, digest }) = origin {
+        // A worker's words: what can't stand in a header is left out.
+        let sound = |text: &&str| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic());
+        let told = [("x-function", function.as_str()), ("x-function-digest", digest)];
+        headers.extend(told.into_iter().filter(|(_, text)| sound(text)));
+    }
     let mut out = Vec::new();
     respond(&mut out, code, &headers, body, keep_alive);
     out
--- a/crates/crowd/src/crowd.rs
+++ b/crates/crowd/src/crowd.rs
@@ -222,7 +222,7 @@
                 let status = status.word().to_owned();
                 debug_assert!(Ending::from_word(&status).is_some());
                 let now = self.hub.clock().now();
-                self.recorder.write(now, What::Answered { trace: open.trace, status, reason });
+                self.recorder.write(now, What::answered(open.trace, status, reason, None));
             }
             _ => {}
         }
@@ -303,6 +303,7 @@
             time_left,
             shape: Shape { memory_mb: 10, lanes: 100_000, load_time: 0, work: 0 },
             body: vec![b'x'; 100],
+            account: None,
         };
         if !self.hub.send(connection, &message, None) {
             return self.recorder.write(now, What::GatewayGone { trace, unreached: true });
--- a/crates/engine/src/ending.rs
+++ b/crates/engine/src/ending.rs
@@ -14,6 +14,8 @@
     Broken,
     /// The worker answered; calls of the same function that it held when this one came.
     Answered(Ending, u32),
+    /// The worker answered, but by its own word it ran something else than it was asked for.
+    Wrong(u32),
     /// Nothing was heard in time.
     Silent,
     /// The module called it off.
@@ -35,7 +37,7 @@
             Self::Answered(Ending::Full, _) => Outcome::Full,
             Self::Answered(Ending::Miss | Ending::LoadFailed, _) => Outcome::Miss,
             Self::Answered(Ending::Ok, _) => Outcome::Ok,
-            Self::Answered(Ending::Error, _) => Outcome::Error,
+            Self::Answered(Ending::Error, _) | Self::Wrong(_) => Outcome::Error,
             Self::Answered(Ending::Cancelled, _) | Self::CalledOff => Outcome::Cancelled,
             Self::Broken => Outcome::Reset,
             Self::Silent => Outcome::Timeout,
@@ -49,6 +51,7 @@
             Self::NotWritten => "not-written",
             Self::Broken => "broken",
             Self::Answered(ending, _) => ending.word(),
+            Self::Wrong(_) => "wrong-version",
             Self::Silent => "timeout",
             Self::CalledOff => "called-off",
             Self::NotSent => "not-sent",
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,14 +7,14 @@
     Action, Dispatcher, Effect, Event, FunctionId, Group, ListNews, Micros, Request, RequestId,
     SettingsError, WorkerEntry, WorkerId, WorkerState,
 };
-use cresswheel_protocol::{Listed, Shape, Standing, Status};
+use cresswheel_protocol::{Ending, Listed, Origin, Shape, Standing, Status};
 use foldhash::{HashMap, HashMapExt};
 
 use crate::admission::Admission;
 use crate::counters::{Counters, count};
 use crate::keys::{Keys, Match};
 use crate::results::Results;
-use crate::{Answer, Attempt, AttemptEnd, Call, Client, EngineSettings, Input, OrderEnd, Output};
+use crate::{Answer, Attempt, AttemptEnd, Call, Client, EngineSettings, Input, OrderEnd, Output, Route};
 
 /// Most workers that a list may name; what comes after is passed over.
 const MOST_WORKERS: usize = 100_000;
@@ -31,6 +31,10 @@
     /// All attempts so far are over and provably never ran.
     never_ran: bool,
     last: Option<(AttemptEnd, Arc<[u8]>)>,
+    /// What ran, or else what it was given.
+    origin: Option<Arc<Origin>>,
+    /// An answer after this is late.
+    aim: Micros,
 }
 
 /// An attempt that has not ended. It outlives its call: the module is told of each end.
@@ -145,8 +149,13 @@
                     self.cancel(Client { connection, number }, out);
                 }
             }
-            Input::AttemptEnded(attempt, end, body) => self.attempt_ended(attempt, end, body.into(), out),
-            Input::OrderEnded(order, end, standing) => self.order_ended(order, end, standing),
+            Input::AttemptEnded(attempt, end, body, origin) => {
+                self.attempt_ended(attempt, end, body.into(), origin, out);
+            }
+            Input::OrderEnded(order, end, standing) => self.order_ended(order, end, standing, out),
+            Input::Expected(function, like, within) => {
+                self.events.push_back(Event::Expected { function, like, within });
+            }
             Input::Probed(worker) => {
                 self.events.push_back(Event::Probed { worker, outcome: cresswheel::Outcome::Ok });
             }
@@ -227,7 +236,7 @@
         } else if time <= self.settings.answer_margin {
             Some("no-time")
         } else {
-            self.admission.take(&call.function, call.body.len(), on_connection).err()
+            self.admission.take(call.routed(), call.body.len(), on_connection).err()
         };
         if let Some(why) = why {
             return self.turn_away(client, why, out);
@@ -235,7 +244,7 @@
         self.next += 1;
         // The part that differs comes first: ids are compared often.
         let id = RequestId::from(format!("{:x}-{:x}", self.next, self.life).as_str());
-        let function = FunctionId::from(call.function.as_str());
+        let function = FunctionId::from(call.routed());
         let told = |value: u32| (value > 0).then_some(value);
         let shape = call.shape.clone();
         let request = Request {
@@ -260,7 +269,10 @@
             waiters.insert(client, self.now + time);
             self.await_answer(client, Waiting::Call(id.clone()), None);
         }
+        let given = |route: &Route| Origin { function: route.function.clone(), digest: String::new() };
         let open = Open {
+            origin: call.route.as_ref().map(|route| Arc::new(given(route))),
+            aim: self.now.saturating_add(self.settings.module.classes[class].aim),
             call: Arc::new(call),
             class,
             deadline: self.now + time,
@@ -390,9 +402,13 @@
     }
 
     /// The final answer of a call, to all who wait for it.
-    fn finish(&mut self, id: &RequestId, answer: Answer, out: &mut Vec<Output>) {
+    fn finish(&mut self, id: &RequestId, mut answer: Answer, out: &mut Vec<Output>) {
         let Some(open) = self.close(id) else { return };
+        answer.origin = open.origin;
         count(&mut self.counters.answers, (open.class, answer.status, answer.reason));
+        if open.call.route.is_some() {
+            out.push(Output::Over(open.call.clone(), answer.status, self.now > open.aim));
+        }
         for client in open.waiters.into_keys() {
             self.forget_client(client);
             out.push(Output::Answer(client, answer.clone()));
@@ -413,21 +429,35 @@
         }
     }
 
-    fn attempt_ended(&mut self, attempt: u64, end: AttemptEnd, body: Arc<[u8]>, out: &mut Vec<Output>) {
+    fn attempt_ended(
+        &mut self,
+        attempt: u64,
+        end: AttemptEnd,
+        body: Arc<[u8]>,
+        origin: Option<Origin>,
+        out: &mut Vec<Output>,
+    ) {
         let Some(flight) = self.flights.remove(&attempt) else {
             // It was over before; what was taken back or broke after that is no answer.
             self.counters.late_answers += u64::from(matches!(end, AttemptEnd::Answered(..)));
             return;
         };
         self.due.remove(&(flight.due, Due::Attempt(attempt)));
+        let end = self.checked(&flight.id, end, origin.as_ref(), out);
         count(&mut self.counters.attempts, end.word());
         let outcome = end.outcome();
         let served = outcome == cresswheel::Outcome::Ok;
+        let wrong = matches!(end, AttemptEnd::Wrong(_));
         let over = match self.open.get_mut(&flight.id) {
             None => true,
             Some(open) => {
                 open.never_ran &= outcome.never_ran();
-                open.last = Some((end, body.clone()));
+                // What the wrong version answered is no answer.
+                let body = if wrong { Arc::from([]) } else { body.clone() };
+                open.last = Some((end, body));
+                if served && origin.is_some() {
+                    open.origin = origin.map(Arc::new);
+                }
                 false
             }
         };
@@ -438,9 +468,8 @@
             self.counters.late_answers += 1;
         }
         let (crowd, load_failed) = match end {
-            AttemptEnd::Answered(ending, crowd) => {
-                (Some(crowd), ending == cresswheel_protocol::Ending::LoadFailed)
-            }
+            AttemptEnd::Answered(ending, crowd) => (Some(crowd), ending == Ending::LoadFailed),
+            AttemptEnd::Wrong(crowd) => (Some(crowd), false),
             _ => (None, false),
         };
         self.events.push_back(Event::Ended {
@@ -455,12 +484,35 @@
         });
     }
 
-    fn order_ended(&mut self, number: u64, end: OrderEnd, standing: u32) {
+    /// Holds a worker's word for what it ran against what it was asked for.
+    fn checked(
+        &self,
+        id: &RequestId,
+        end: AttemptEnd,
+        origin: Option<&Origin>,
+        out: &mut Vec<Output>,
+    ) -> AttemptEnd {
+        let AttemptEnd::Answered(Ending::Ok, crowd) = end else { return end };
+        let Some(call) = self.open.get(id).map(|open| &open.call) else { return end };
+        let Some(route) = &call.route else { return end };
+        let right = match origin {
+            Some(Origin { function, digest }) => {
+                *function == route.function && (route.digest.is_empty() || *digest == route.digest)
+            }
+            None => route.digest.is_empty(),
+        };
+        out.push(Output::Ran(call.clone(), origin.cloned(), !right));
+        if right { end } else { AttemptEnd::Wrong(crowd) }
+    }
+
+    fn order_ended(&mut self, number: u64, end: OrderEnd, standing: u32, out: &mut Vec<Output>) {
         let Some(order) = self.orders.remove(&number) else {
             self.counters.late_answers += u64::from(matches!(end, OrderEnd::Answered(_)));
             return;
         };
         self.due.remove(&(order.due, Due::Order(number)));
+        let stands = end == OrderEnd::Answered(Ending::Ok) && standing > 0;
+        out.push(Output::Loaded(order.function.clone(), stands));
         self.events.push_back(Event::Held {
             worker: order.worker,
             function: order.function,
@@ -536,9 +588,9 @@
                     if let Some(flight) = self.flights.get(&attempt) {
                         out.push(Output::Withdraw(flight.worker.clone(), attempt));
                     }
-                    self.attempt_ended(attempt, AttemptEnd::Silent, Arc::from([]), out);
+                    self.attempt_ended(attempt, AttemptEnd::Silent, Arc::from([]), None, out);
                 }
-                Due::Order(order) => self.order_ended(order, OrderEnd::Silent, 0),
+                Due::Order(order) => self.order_ended(order, OrderEnd::Silent, 0, out),
                 Due::Waiter(client) => match self.forget_client(client) {
                     Some(Waiting::Result(id)) => {
                         self.stop_waiting(client, &id);
@@ -574,7 +626,7 @@
                     && let Some(flight) = self.flights.get(&number)
                 {
                     out.push(Output::CancelRun(flight.worker.clone(), number));
-                    self.attempt_ended(number, AttemptEnd::CalledOff, Arc::from([]), out);
+                    self.attempt_ended(number, AttemptEnd::CalledOff, Arc::from([]), None, out);
                 }
             }
             Action::Refuse { request, retry_after } => {
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cresswheel::{FunctionId, Micros, WorkerId};
-use cresswheel_protocol::{Listed, Shape, Status};
+use cresswheel_protocol::{Listed, Origin, Shape, Status};
 
 use crate::{AdmissionLimits, AttemptEnd, OrderEnd, ResultLimits};
 
@@ -55,6 +55,28 @@
     pub shape: Shape,
     /// The arguments.
     pub body: Vec<u8>,
+    /// The account that it is about, where the client tells it.
+    pub account: Option<String>,
+    /// What it runs, if the function has versions; `None`: the function under its own name.
+    pub route: Option<Route>,
+}
+
+/// The one version of its function that a call was given, for all its attempts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// The name under which it is routed and loaded.
+    pub function: String,
+    /// What the worker must say that it ran; empty: anything.
+    pub digest: String,
+    /// The newer of two versions.
+    pub new: bool,
+}
+
+impl Call {
+    /// The name under which it is routed.
+    pub fn routed(&self) -> &str {
+        self.route.as_ref().map_or(&self.function, |route| &route.function)
+    }
 }
 
 /// What happened.
@@ -68,10 +90,12 @@
     Cancel(Client),
     /// A client's connection is gone.
     Left(u64),
-    /// An attempt ended, with the worker's answer if there is one.
-    AttemptEnded(u64, AttemptEnd, Vec<u8>),
+    /// An attempt ended, with the worker's answer if there is one, and its word for what ran.
+    AttemptEnded(u64, AttemptEnd, Vec<u8>, Option<Origin>),
     /// An order ended, with the instances that stand.
     OrderEnded(u64, OrderEnd, u32),
+    /// Calls of the first function are coming, from those of the second: it is to stand loaded for so long.
+    Expected(FunctionId, FunctionId, Micros),
     /// A worker answered a probe.
     Probed(WorkerId),
     /// The worker list: all of it, or changes.
@@ -102,11 +126,13 @@
     pub retry_after: Micros,
     /// The function's answer.
     pub body: Arc<[u8]>,
+    /// What ran by the worker's word; else, without a digest, the version that the call was given.
+    pub origin: Option<Arc<Origin>>,
 }
 
 impl Answer {
     pub(crate) fn bare(status: Status, reason: &'static str) -> Self {
-        Self { status, reason, retry_after: 0, body: Arc::from([]) }
+        Self { status, reason, retry_after: 0, body: Arc::from([]), origin: None }
     }
 }
 
@@ -161,6 +187,12 @@
     Probe(WorkerId),
     /// Ask for the worker list.
     Follow,
+    /// A call that was given a version is over: how, and whether beyond its class's aim.
+    Over(Arc<Call>, Status, bool),
+    /// A worker said what it ran for a call with a version, and whether that was something else.
+    Ran(Arc<Call>, Option<Origin>, bool),
+    /// A load order was answered: an instance stands there, or not.
+    Loaded(FunctionId, bool),
     /// A line for the operators.
     Log(String),
 }
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -48,6 +48,8 @@
         time_left: 0,
         shape: Shape { memory_mb: 100, lanes: 4, load_time: 0, work: 0 },
         body: b"in".to_vec(),
+        account: None,
+        route: None,
     }
 }
 
@@ -123,12 +125,12 @@
     let mut bed = Bed::new(3);
     let (client, out) = bed.ask(call("check"));
     let attempt = runs(&out)[0].number;
-    let out = bed.give(Input::AttemptEnded(attempt, OK, b"out".to_vec()));
+    let out = bed.give(Input::AttemptEnded(attempt, OK, b"out".to_vec(), None));
     assert_eq!(answers(&out), [(client.number, Status::Served, "")]);
-    let again = bed.give(Input::AttemptEnded(attempt, OK, b"out".to_vec()));
-    let unknown = bed.give(Input::AttemptEnded(999, OK, Vec::new()));
+    let again = bed.give(Input::AttemptEnded(attempt, OK, b"out".to_vec(), None));
+    let unknown = bed.give(Input::AttemptEnded(999, OK, Vec::new(), None));
     assert!(answers(&again).is_empty() && answers(&unknown).is_empty());
-    bed.give(Input::AttemptEnded(attempt, AttemptEnd::NotWritten, Vec::new()));
+    bed.give(Input::AttemptEnded(attempt, AttemptEnd::NotWritten, Vec::new(), None));
     assert_eq!(bed.engine.counters().late_answers, 2, "what is taken back is no answer");
     assert_eq!((bed.engine.open_calls(), bed.engine.open_attempts()), (0, 0));
 }
@@ -138,7 +140,7 @@
     let mut bed = Bed::new(3);
     let (client, out) = bed.ask(call("post"));
     let start = bed.now;
-    let out = bed.give(Input::AttemptEnded(runs(&out)[0].number, AttemptEnd::Broken, Vec::new()));
+    let out = bed.give(Input::AttemptEnded(runs(&out)[0].number, AttemptEnd::Broken, Vec::new(), None));
     assert!(runs(&out).is_empty());
     let out = [out, bed.pass(6 * S)].concat();
     assert_eq!(answers(&out), [(client.number, Status::Failed, "broken")]);
@@ -152,7 +154,7 @@
         let mut bed = Bed::new(3);
         let (_, out) = bed.ask(call("post"));
         let first = runs(&out)[0].clone();
-        let out = bed.give(Input::AttemptEnded(first.number, end, Vec::new()));
+        let out = bed.give(Input::AttemptEnded(first.number, end, Vec::new(), None));
         let second = runs(&out)[0];
         assert_ne!(second.worker, first.worker, "{end:?}");
         assert_eq!((second.before, &second.id), (1, &first.id));
@@ -184,11 +186,11 @@
         bed.now += 590 * MS;
         let mut out = Vec::new();
         if answer_first {
-            out.extend(bed.give(Input::AttemptEnded(attempt, OK, Vec::new())));
+            out.extend(bed.give(Input::AttemptEnded(attempt, OK, Vec::new(), None)));
             out.extend(bed.give(Input::Wake));
         } else {
             out.extend(bed.give(Input::Wake));
-            out.extend(bed.give(Input::AttemptEnded(attempt, OK, Vec::new())));
+            out.extend(bed.give(Input::AttemptEnded(attempt, OK, Vec::new(), None)));
         }
         let want = if answer_first { Status::Served } else { Status::Failed };
         let got = answers(&[out, bed.pass(S)].concat());
@@ -203,7 +205,7 @@
     let attempt = runs(&out)[0].number;
     let out = bed.give(Input::Left(1));
     assert!(out.iter().any(|o| matches!(o, Output::Withdraw(_, a) if *a == attempt)));
-    let out = bed.give(Input::AttemptEnded(attempt, AttemptEnd::NotWritten, Vec::new()));
+    let out = bed.give(Input::AttemptEnded(attempt, AttemptEnd::NotWritten, Vec::new(), None));
     assert!(runs(&out).is_empty() && answers(&out).is_empty());
     assert!(answers(&bed.pass(20 * S)).is_empty());
     assert_eq!(bed.engine.counters().abandoned, 1);
@@ -221,7 +223,7 @@
     assert!(answers(&bed.give(Input::Await(ask(2), id.clone(), S))).is_empty());
     assert_eq!(answers(&bed.pass(2 * S)), [(2, Status::Pending, "pending")]);
     bed.give(Input::Await(ask(3), id.clone(), 10 * S));
-    let out = bed.give(Input::AttemptEnded(attempt, OK, b"out".to_vec()));
+    let out = bed.give(Input::AttemptEnded(attempt, OK, b"out".to_vec(), None));
     assert_eq!(answers(&out), [(3, Status::Served, "")]);
     assert_eq!(answers(&bed.give(Input::Await(ask(4), id.clone(), 0)))[0].1, Status::Served);
     bed.pass(61 * S);
@@ -236,7 +238,7 @@
     for _ in 0..6 {
         let (_, out) = bed.ask(Call { deferred: true, ..call("check") });
         ids.push(accepted(&out));
-        bed.give(Input::AttemptEnded(runs(&out)[0].number, OK, vec![0; 300]));
+        bed.give(Input::AttemptEnded(runs(&out)[0].number, OK, vec![0; 300], None));
         assert!(bed.engine.result_bytes() <= 3_000);
     }
     let mut status = |n: u64| {
@@ -258,7 +260,7 @@
     assert_eq!(answers(&bed.pass(100 * MS)), [(hasty.number, Status::Failed, "still-running")]);
     let (other, out) = bed.ask(Call { body: b"else".to_vec(), ..keyed.clone() });
     assert_eq!(answers(&out), [(other.number, Status::Refused, "key-in-use")]);
-    let out = bed.give(Input::AttemptEnded(attempt, OK, b"out".to_vec()));
+    let out = bed.give(Input::AttemptEnded(attempt, OK, b"out".to_vec(), None));
     let both = [(first.number, Status::Served, ""), (second.number, Status::Served, "")];
     assert_eq!(answers(&out), both);
     let (late, out) = bed.ask(keyed);
--- a/crates/engine/tests/sequences.rs
+++ b/crates/engine/tests/sequences.rs
@@ -197,18 +197,20 @@
                         time_left: time,
                         shape: Shape { memory_mb: 1, lanes: 2, load_time: 0, work: 0 },
                         body: vec![key % 4; 10],
+                        account: None,
+            route: None,
                     };
                     left = give(&mut checked, now, Input::Call(client, call));
                 }
                 Step::End { pick, end: code } => {
                     if let Some(attempt) = checked.out.keys().nth(pick % checked.out.len().max(1)).copied() {
                         checked.ended(attempt, end(code));
-                        left = give(&mut checked, now, Input::AttemptEnded(attempt, end(code), vec![1]));
+                        left = give(&mut checked, now, Input::AttemptEnded(attempt, end(code), vec![1], None));
                     }
                 }
                 Step::Stale(number, code) => {
                     if !checked.out.contains_key(&number) {
-                        left = give(&mut checked, now, Input::AttemptEnded(number, end(code), vec![]));
+                        left = give(&mut checked, now, Input::AttemptEnded(number, end(code), vec![], None));
                     }
                 }
                 Step::Order { pick, end } => {
--- a/crates/gateway/src/holders.rs
+++ b/crates/gateway/src/holders.rs
@@ -60,6 +60,7 @@
 const LIFE: u32 = 48;
 
 /// What came from a holder.
+#[expect(clippy::large_enum_variant, reason = "made and taken apart at once, never kept")]
 pub enum FromHolder {
     /// A client asks.
     Ask(Key, Ask),
@@ -291,7 +292,10 @@
             message => {
                 let (connection, came) = holder.of.take()?;
                 match message {
-                    Message::Call { .. } | Message::Await { .. } | Message::Page { .. } => {
+                    Message::Call { .. }
+                    | Message::Await { .. }
+                    | Message::Page { .. }
+                    | Message::Versions { .. } => {
                         *holder.owed.entry(connection).or_default() += 1;
                     }
                     Message::Cancel { .. } => holder.settled(connection),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,9 @@
 mod saved_list;
 mod settings;
 mod shell;
+mod version_store;
+mod versions;
 
 pub use holders::HolderCommand;
-pub use settings::{GatewaySettings, ShellLimits};
+pub use settings::{GatewaySettings, ShellLimits, VersionSettings};
 pub use shell::{Gateway, Ready, Reload};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use cresswheel_admission::DoorCounts;
 use cresswheel_engine::Engine;
+use cresswheel_versions::{Side, Status as VersionStatus};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -23,6 +24,8 @@
     pub worker_connections: usize,
     pub accept_starved: u64,
     pub list_stale: bool,
+    /// By function.
+    pub versions: Vec<VersionStatus>,
 }
 
 pub fn text(engine: &Engine, shell: &ShellCounts) -> String {
@@ -82,6 +85,44 @@
     for (name, help, value) in plain {
         counter(name, help, vec![(Vec::new(), value)]);
     }
+    let (mut answers, mut wrong) = (Vec::new(), Vec::new());
+    for status in &shell.versions {
+        let plan = &status.record.plan;
+        wrong.push((vec![("function", plan.function.clone())], status.wrong));
+        for (class, both) in &status.answers {
+            for (side, tally) in [Side::Old, Side::New].into_iter().zip(both) {
+                let served = tally.answered - tally.errors;
+                let ends =
+                    [("in-time", served - tally.late), ("late", tally.late), ("not-served", tally.errors)];
+                answers.extend(ends.map(|(end, count)| {
+                    let version = plan.version(side).to_owned();
+                    let function = plan.function.clone();
+                    let class = class.clone();
+                    let end = end.to_owned();
+                    (
+                        vec![("function", function), ("version", version), ("class", class), ("end", end)],
+                        count,
+                    )
+                }));
+            }
+        }
+    }
+    counter("version_answers", "Final answers of functions with a plan, by version, class and end", answers);
+    counter("version_wrong", "Answers of workers that ran something else than they were asked for", wrong);
+    let mut per_function = |name: &str, help: &str, value: fn(&VersionStatus) -> i64| {
+        let family = Family::<Labels, Gauge>::default();
+        for status in &shell.versions {
+            family.get_or_create(&vec![("function", status.record.plan.function.clone())]).set(value(status));
+        }
+        registry.register(name, help, family);
+    };
+    per_function("version_share", "Share of the new version in force, in ten-thousandths", |status| {
+        i64::from(status.share.ten_thousandths())
+    });
+    per_function("version_epoch", "Epoch of the version order held", |status| status.record.epoch as i64);
+    per_function("version_held_back", "1 while the share is not what was ordered", |status| {
+        i64::from(status.hold.is_some())
+    });
     let gauges = [
         ("open_calls", "Calls without their final answer", engine.open_calls()),
         ("open_attempts", "Attempts that have not ended", engine.open_attempts()),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -164,7 +164,7 @@
                 true => AttemptEnd::NotWritten,
                 false => AttemptEnd::Broken,
             };
-            ended.push(Input::AttemptEnded(attempt, end, Vec::new()));
+            ended.push(Input::AttemptEnded(attempt, end, Vec::new(), None));
         }
         for order in carrier.orders {
             self.places.remove(&order);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,10 +27,25 @@
     pub state: Option<PathBuf>,
     /// Processes that hold the clients' connections; none given: as many as the descriptors ask for, often 0.
     pub holders: Option<usize>,
+    /// Orders on versions; none: they are refused.
+    pub versions: Option<VersionSettings>,
     /// Bounds of the shell.
     pub shell: ShellLimits,
 }
 
+/// Who may order versions.
+#[derive(Clone, PartialEq, Eq)]
+pub struct VersionSettings {
+    /// What orders must carry; empty: nothing, whoever reaches the gateway may order.
+    pub key: String,
+}
+
+impl std::fmt::Debug for VersionSettings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(if self.key.is_empty() { "VersionSettings(open)" } else { "VersionSettings(with a key)" })
+    }
+}
+
 /// Bounds of the shell.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ShellLimits {
@@ -80,6 +95,7 @@
             ("http", self.http == other.http),
             ("state", self.state == other.state),
             ("holders", self.holders == other.holders),
+            ("versions(...)", self.versions == other.versions),
             ("worker(...)", self.workers == other.workers),
             ("the decision module's part", self.engine.module == other.engine.module),
         ];
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -11,7 +11,7 @@
 use cresswheel_admission::{Budget, Intake, Parts, Verdict};
 use cresswheel_clients::{Ask, ClientTerms, Clients};
 use cresswheel_engine::{Answer, Attempt, AttemptEnd, Call, Client, Engine, Input, OrderEnd, Output};
-use cresswheel_protocol::{Listed, Message, Micros, Status};
+use cresswheel_protocol::{Listed, Message, Micros, Origin, Status};
 use cresswheel_transport::{Connection, Hub, Notice, Wire, listener};
 use foldhash::{HashMap, HashMapExt};
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
@@ -21,6 +21,7 @@
 use crate::pool::{self, Pool, PoolLimits};
 use crate::saved_list::SavedList;
 use crate::settings::GatewaySettings;
+use crate::versions::{Desk, EXPECTED_FOR};
 
 /// Reads the settings again, for HUP.
 pub type Reload = Box<dyn FnMut() -> Result<GatewaySettings, String>>;
@@ -67,6 +68,7 @@
     list_retry: Option<Micros>,
     list_stale: bool,
     saved: Option<SavedList>,
+    desk: Desk,
     pool_look: Micros,
     inputs: VecDeque<Input>,
     outputs: Vec<Output>,
@@ -153,6 +155,10 @@
             SavedList::new(folder).with_context(|| format!("state folder {}", folder.display()))
         });
         let saved = saved.transpose()?;
+        let orders = settings.versions.as_ref().map(|versions| versions.key.clone());
+        let orders = orders.zip(settings.state.as_deref());
+        let desk =
+            Desk::open(orders, &settings.name, life, module.gateways, now).map_err(anyhow::Error::msg)?;
         let mut gateway = Self {
             ready,
             reload,
@@ -173,6 +179,7 @@
             list_retry: (!settings.list.is_empty()).then_some(now),
             list_stale: !settings.list.is_empty(),
             saved,
+            desk,
             pool_look: now,
             inputs: VecDeque::new(),
             outputs: Vec::new(),
@@ -273,7 +280,9 @@
         let waits = (!self.intake.is_empty()).then_some(now);
         let doors = [self.clients.next_due(now), self.holders.next_due(now)];
         let doors = doors.into_iter().flatten().min();
-        let all = [life, waits, doors, self.list_retry, self.engine.wake_at(), Some(self.pool_look)];
+        let engine = self.engine.wake_at();
+        let look = Some(self.pool_look);
+        let all = [life, waits, doors, self.list_retry, engine, self.desk.next_due(), look];
         all.into_iter().flatten().min().unwrap_or(self.pool_look)
     }
 
@@ -377,11 +386,11 @@
 
     fn worker_message(&mut self, connection: Connection, message: Message) {
         match message {
-            Message::Ran { attempt, ending, crowd, body } => {
+            Message::Ran { attempt, ending, crowd, body, origin } => {
                 // An answer on another connection than the attempt's is an answer to nothing.
                 let number = if self.pool.carries(connection, attempt) { attempt } else { 0 };
                 self.pool.done(&self.hub, number);
-                self.give(Input::AttemptEnded(number, AttemptEnd::Answered(ending, crowd), body));
+                self.give(Input::AttemptEnded(number, AttemptEnd::Answered(ending, crowd), body, origin));
             }
             Message::Held { order, ending, standing } => {
                 let number = if self.pool.carries(connection, order) { order } else { 0 };
@@ -413,6 +422,7 @@
                 time_left,
                 shape,
                 body,
+                account,
             } => {
                 let call = Call {
                     deferred,
@@ -424,6 +434,8 @@
                     time_left,
                     shape,
                     body,
+                    account,
+                    route: None,
                 };
                 self.call(Client { connection: key, number }, ask.came, call);
             }
@@ -435,6 +447,11 @@
                     self.give(Input::Cancel(Client { connection: key, number }));
                 }
             }
+            Message::Versions { number, key: order_key, json } => {
+                let json = self.desk.answer(self.hub.clock().now(), &order_key, &json);
+                self.reply(key, &Message::Versioned { number, json });
+                self.expect();
+            }
             Message::Page { number, path } => {
                 let (status, text) = self.page(&path);
                 self.reply(key, &Message::Paged { number, status, body: text.into_bytes() });
@@ -477,15 +494,17 @@
         let class = self.classes.get(&call.class).map(|class| &engine.module.classes[*class]);
         let usual = if call.deferred { engine.deferred_time } else { class.map_or(0, |class| class.give_up) };
         let asked = if call.time_left == 0 { usual } else { call.time_left };
-        let waited = self.hub.clock().now().saturating_sub(came);
+        let now = self.hub.clock().now();
+        let waited = now.saturating_sub(came);
         call.time_left = asked.min(engine.most_time).saturating_sub(waited).max(1);
+        call.route = self.desk.choose(now, &call, (client.connection, client.number));
         self.give(Input::Call(client, call));
     }
 
     fn refuse_busy(&mut self, asked: Asked, reason: &str, retry_after: Micros) {
         self.busy[asked.class] += 1;
         let (number, status, reason) = (asked.client.number, Status::Refused, reason.to_owned());
-        let answer = Message::Answer { number, status, reason, retry_after, body: Vec::new() };
+        let answer = Message::Answer { number, status, reason, retry_after, body: Vec::new(), origin: None };
         self.reply(asked.client.connection, &answer);
     }
 
@@ -536,6 +555,7 @@
             worker_connections: self.pool.connections(),
             accept_starved: self.hub.starved,
             list_stale: self.list_stale,
+            versions: self.desk.status(self.hub.clock().now()),
         }
     }
 
@@ -607,7 +627,7 @@
             Output::Withdraw(_, attempt) => {
                 if self.pool.withdraw(&mut self.hub, attempt) {
                     let end = AttemptEnd::NotWritten;
-                    self.inputs.push_back(Input::AttemptEnded(attempt, end, Vec::new()));
+                    self.inputs.push_back(Input::AttemptEnded(attempt, end, Vec::new(), None));
                 }
             }
             Output::CancelRun(_, attempt) => self.pool.call_off(&mut self.hub, attempt),
@@ -627,6 +647,9 @@
             }
             // The list is followed from the start, and again whenever its connection was lost.
             Output::Follow => {}
+            Output::Over(call, status, late) => self.desk.over(&call, status, late),
+            Output::Ran(call, origin, wrong) => self.desk.ran(&call, origin.as_ref(), wrong),
+            Output::Loaded(function, stands) => self.desk.loaded(&function.0, stands),
             Output::Log(text) => tracing::info!("{text}"),
         }
     }
@@ -640,6 +663,7 @@
             reason: reason.into(),
             retry_after: answer.retry_after,
             body: answer.body.to_vec(),
+            origin: answer.origin.map(|origin| Origin::clone(&origin)),
         };
         self.reply(client.connection, &message);
     }
@@ -654,7 +678,7 @@
             attempt: attempt.number,
             trace: or_id(&call.trace),
             before: attempt.before,
-            function: call.function.clone(),
+            function: call.routed().to_owned(),
             class: call.class.clone(),
             key: or_id(&call.key),
             time_left: attempt.time_left,
@@ -663,7 +687,7 @@
         };
         if !self.hand_to(&attempt.worker, (attempt.number, false), &message) {
             let end = AttemptEnd::NotConnected;
-            self.inputs.push_back(Input::AttemptEnded(attempt.number, end, Vec::new()));
+            self.inputs.push_back(Input::AttemptEnded(attempt.number, end, Vec::new(), None));
         }
     }
 
@@ -678,8 +702,17 @@
         self.pool.give(&mut self.hub, &limits, hello, (worker, address), number, message)
     }
 
-    /// Looks at what has a time: the list service, idle connections to workers.
+    /// Tells the engine which functions are to be kept loaded, when it is time to.
+    fn expect(&mut self) {
+        for expected in self.desk.look(self.hub.clock().now()) {
+            let (function, like) = (expected.function.as_str().into(), expected.like.as_str().into());
+            self.give(Input::Expected(function, like, EXPECTED_FOR));
+        }
+    }
+
+    /// Looks at what has a time: versions, the list service, idle connections to workers.
     fn look(&mut self, now: Micros) {
+        self.expect();
         if self.list_retry.is_some_and(|at| at <= now) {
             self.list_retry = None;
             let at = self.settings.list.get(self.list_turn % self.settings.list.len().max(1)).copied();
--- a/crates/protocol/src/field.rs
+++ b/crates/protocol/src/field.rs
@@ -15,6 +15,11 @@
         Self { rest: payload, field: "" }
     }
 
+    /// Whether all was read.
+    pub fn is_empty(&self) -> bool {
+        self.rest.is_empty()
+    }
+
     fn take(&mut self, count: usize) -> Result<&'a [u8], FrameError> {
         let short = FrameError::Short { field: self.field };
         let (taken, rest) = self.rest.split_at_checked(count).ok_or(short)?;
@@ -83,6 +88,16 @@
     }
 }
 
+/// A field that was added to the end of a message later: peers of before neither send nor miss it.
+impl<T: Field> Field for Option<T> {
+    fn put(&self, out: &mut Vec<u8>) {
+        self.iter().for_each(|field| field.put(out));
+    }
+    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
+        if reader.is_empty() { Ok(None) } else { T::take(reader).map(Some) }
+    }
+}
+
 /// A body: its length before it as 32 bits; the frame's own bound bounds it.
 impl Field for Vec<u8> {
     fn put(&self, out: &mut Vec<u8>) {
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -113,6 +113,16 @@
     }
 );
 
+record!(
+    /// Which bytes ran, in the worker's own word.
+    Origin {
+        /// The function, as it was asked of the worker: with its version, if it has one.
+        function: String,
+        /// A digest of its bytes, such as `sha256:...`; empty: not told.
+        digest: String,
+    }
+);
+
 impl Field for Vec<Listed> {
     fn put(&self, out: &mut Vec<u8>) {
         put_list(self, out);
@@ -210,6 +220,8 @@
         shape: Shape,
         /// The arguments.
         body: Vec<u8>,
+        /// The account that the call is about, where versions stick to accounts.
+        account: Option<String>,
     }
     /// Gateway to client: a deferred call was taken.
     11 Accepted {
@@ -230,6 +242,8 @@
         retry_after: Micros,
         /// The function's answer.
         body: Vec<u8>,
+        /// What ran; where nothing is known to have run, what the call was given, without a digest.
+        origin: Option<Origin>,
     }
     /// Client to gateway: the result of a deferred call, once it is there.
     13 Await {
@@ -276,6 +290,8 @@
         crowd: u32,
         /// The function's answer.
         body: Vec<u8>,
+        /// What ran.
+        origin: Option<Origin>,
     }
     /// Gateway to worker: nobody waits for this attempt any more.
     22 CancelRun {
@@ -384,4 +400,20 @@
     }
     /// Gateway to holder: take no more connections, and ask all to leave.
     55 Leave {}
+    /// Operator's tool to gateway: an order on a function's versions, or a question about them.
+    60 Versions {
+        /// Chosen by the sender, used once on its connection.
+        number: u64,
+        /// The gateway's order key; it answers nobody who lacks it.
+        key: String,
+        /// As JSON; `docs/VERSIONS.md` has its forms.
+        json: Vec<u8>,
+    }
+    /// Gateway to operator's tool: the answer.
+    61 Versioned {
+        /// From `Versions`.
+        number: u64,
+        /// As JSON.
+        json: Vec<u8>,
+    }
 }
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -35,10 +35,16 @@
     )
 }
 
+fn origin() -> impl Strategy<Value = Option<Origin>> {
+    prop::option::of((name(), name()).prop_map(|(function, digest)| Origin { function, digest }))
+}
+
 fn message() -> impl Strategy<Value = Message> {
     let status = prop::sample::select(Status::ALL);
     let ending = prop::sample::select(Ending::ALL);
-    let call = (any::<(u64, bool, u64)>(), name(), name(), name(), name(), name(), shape(), body());
+    let account = prop::option::of(name());
+    let call =
+        (any::<(u64, bool, u64)>(), name(), name(), name(), name(), name(), shape(), (body(), account));
     let run = (any::<(u64, u32, u64)>(), name(), name(), name(), name(), shape(), body());
     prop_oneof![
         (prop::sample::select(Role::ALL), name(), name()).prop_map(|(role, name, zone)| Message::Hello {
@@ -48,27 +54,39 @@
         }),
         name().prop_map(|reason| Message::Bye { reason }),
         any::<u64>().prop_map(|number| Message::Probe { number }),
-        call.prop_map(|((number, deferred, time_left), function, class, tenant, key, trace, shape, body)| {
-            Message::Call { number, deferred, function, class, tenant, key, trace, time_left, shape, body }
-        }),
-        (any::<(u64, u64)>(), status, name(), body()).prop_map(
-            |((number, retry_after), status, reason, body)| Message::Answer {
+        call.prop_map(
+            |((number, deferred, time_left), function, class, tenant, key, trace, shape, (body, account))| {
+                Message::Call {
+                    number,
+                    deferred,
+                    function,
+                    class,
+                    tenant,
+                    key,
+                    trace,
+                    time_left,
+                    shape,
+                    body,
+                    account,
+                }
+            }
+        ),
+        (any::<(u64, u64)>(), status, name(), body(), origin()).prop_map(
+            |((number, retry_after), status, reason, body, origin)| Message::Answer {
                 number,
                 status,
                 reason,
                 retry_after,
-                body
+                body,
+                origin
             }
         ),
         run.prop_map(|((attempt, before, time_left), trace, function, class, key, shape, body)| {
             Message::Run { attempt, trace, before, function, class, key, time_left, shape, body }
         }),
-        (any::<(u64, u32)>(), ending, body()).prop_map(|((attempt, crowd), ending, body)| Message::Ran {
-            attempt,
-            ending,
-            crowd,
-            body
-        }),
+        (any::<(u64, u32)>(), ending, body(), origin()).prop_map(
+            |((attempt, crowd), ending, body, origin)| Message::Ran { attempt, ending, crowd, body, origin }
+        ),
         Just(Message::Follow {}),
         (any::<(bool, u64)>(), prop::collection::vec(listed(), 0..5))
             .prop_map(|((whole, version), workers)| Message::List { whole, version, workers }),
@@ -146,3 +164,24 @@
     assert_eq!(decoder.skipped, 1);
     assert_eq!(decoder.decode(), Ok(None));
 }
+
+#[test]
+fn fields_that_came_later_may_be_missing_but_not_be_cut() {
+    let origin = Some(Origin { function: "f@2".into(), digest: "d".into() });
+    let answer = |origin| Message::Ran { attempt: 1, ending: Ending::Ok, crowd: 0, body: vec![7], origin };
+    let read = |bytes: &[u8]| {
+        let mut decoder = Decoder::new(Limits::default());
+        decoder.push(bytes);
+        decoder.decode()
+    };
+    let (mut with, mut without) = (Vec::new(), Vec::new());
+    encode(&answer(origin.clone()), &mut with);
+    encode(&answer(None), &mut without);
+    assert_eq!(read(&without), Ok(Some(answer(None))));
+    assert_eq!(read(&with), Ok(Some(answer(origin))));
+    for cut in without.len() + 1..with.len() {
+        let mut short = with[..cut].to_vec();
+        short[..4].copy_from_slice(&((cut - 4) as u32).to_be_bytes());
+        assert!(read(&short).is_err(), "cut at {cut}");
+    }
+}
--- a/crates/rehearsal/src/audit.rs
+++ b/crates/rehearsal/src/audit.rs
@@ -21,6 +21,9 @@
     "load orders within the ration",
 ];
 
+/// What is judged of functions with versions.
+const VERSIONS: &str = "one version for each call, and the answer names it";
+
 /// What the rules mean in figures. Times are in microseconds.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
@@ -94,6 +97,10 @@
     pub classes: BTreeMap<String, ClassTable>,
     /// Lines of records that could not be read: a run without all its records proves nothing.
     pub unreadable: Vec<String>,
+    /// Each call ran one version of its function, and its answer names that one, by its worker's bytes.
+    pub versions: RuleVerdict,
+    /// Calls served by version, as their answers say.
+    pub served: BTreeMap<String, usize>,
     /// Deferred calls that were accepted and lost with a killed gateway: a broken promise that this version makes.
     pub deferred_lost: usize,
 }
@@ -101,7 +108,8 @@
 impl Verdict {
     /// Whether all rules held and all records were there.
     pub fn held(&self) -> bool {
-        self.unreadable.is_empty() && self.rules.iter().all(|rule| rule.broken.is_empty())
+        let rules = self.rules.iter().chain([&self.versions]);
+        self.unreadable.is_empty() && rules.into_iter().all(|rule| rule.broken.is_empty())
     }
 }
 
@@ -168,7 +176,7 @@
                 (call.asked, call.deadline, call.deferred) = (record.at, *deadline, *deferred);
             }
             What::Accepted { trace } => calls.entry(trace).or_default().accepted = true,
-            What::Answered { trace, status, reason } => match calls.get_mut(trace.as_str()) {
+            What::Answered { trace, status, reason, .. } => match calls.get_mut(trace.as_str()) {
                 Some(call) => call.answers.push((record.at, status.clone(), reason.clone())),
                 None => strays.push(format!("an answer to nothing that was asked: {trace}, {status}")),
             },
@@ -186,7 +194,7 @@
                 let last = runs.get_mut(trace.as_str()).and_then(|r| last_open(r, &record.by));
                 last.into_iter().for_each(|run| run.began = true);
             }
-            What::Ran { trace, ending, lost } => {
+            What::Ran { trace, ending, lost, .. } => {
                 let last = runs.get_mut(trace.as_str()).and_then(|r| last_open(r, &record.by));
                 last.into_iter().for_each(|run| run.ending = Some((ending.clone(), !lost)));
             }
@@ -202,6 +210,7 @@
     verdict.rules[2] = drains(records, terms);
     verdict.rules[3] = cold_starts(records);
     verdict.rules[4] = ration(records, terms);
+    (verdict.versions, verdict.served) = versions(records);
     verdict.classes = tables(&calls, terms);
     let lost = |c: &&Call| c.accepted && c.gone.is_some_and(|(_, unreached)| !unreached);
     verdict.deferred_lost = calls.values().filter(lost).count();
@@ -298,6 +307,45 @@
     RuleVerdict { looked_at, broken }
 }
 
+/// Calls of functions with versions, which stand behind an `@` in the names that workers read.
+fn versions(records: &[Record]) -> (RuleVerdict, BTreeMap<String, usize>) {
+    let mut verdict = RuleVerdict::default();
+    let mut served: BTreeMap<String, usize> = BTreeMap::new();
+    let mut asked: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    // What ran to its end, by the bytes.
+    let mut images: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for record in records {
+        match &record.what {
+            What::Run { trace, function, .. } => _ = asked.entry(trace).or_default().insert(function),
+            What::Ran { trace, ending, image, .. } if ending == "ok" => {
+                images.entry(trace).or_default().insert(image);
+            }
+            _ => {}
+        }
+    }
+    for (trace, names) in asked.iter().filter(|(_, names)| names.iter().any(|name| name.contains('@'))) {
+        verdict.looked_at += 1;
+        if names.len() > 1 {
+            verdict.broken.push(format!("{trace} went to workers as {names:?}"));
+        }
+    }
+    for record in records {
+        let What::Answered { trace, status, function, digest, .. } = &record.what else { continue };
+        if status != "served" || !function.contains('@') {
+            continue;
+        }
+        *served.entry(function.clone()).or_default() += 1;
+        if !asked.get(trace.as_str()).is_some_and(|names| names.contains(function.as_str())) {
+            verdict.broken.push(format!("{trace} was answered by {function}, which no worker was asked for"));
+        }
+        let ran = images.get(trace.as_str()).is_some_and(|images| images.contains(function.as_str()));
+        if !ran || *digest != cresswheel_standins::digest(function) {
+            verdict.broken.push(format!("{trace} was answered as {function} {digest}, and other bytes ran"));
+        }
+    }
+    (verdict, served)
+}
+
 /// Zone and cell of each worker.
 fn zones(records: &[Record]) -> BTreeMap<String, (String, u64)> {
     let zone = |record: &Record| match &record.what {
@@ -480,7 +528,9 @@
 
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (rule, verdict) in RULES.iter().zip(&self.rules) {
+        let versions = [(&VERSIONS, &self.versions)];
+        let versions = versions.into_iter().filter(|(_, verdict)| verdict.looked_at > 0);
+        for (rule, verdict) in RULES.iter().zip(&self.rules).chain(versions) {
             let word = if verdict.broken.is_empty() { "held" } else { "BROKEN" };
             writeln!(f, "{word:6}  {rule} ({} looked at)", verdict.looked_at)?;
             for broken in verdict.broken.iter().take(5) {
@@ -509,6 +559,10 @@
                 t.reasons.iter().map(|(why, count)| format!("{why} {count}")).collect();
             writeln!(f, "{class}: {}", reasons.join(", "))?;
         }
+        if !self.served.is_empty() {
+            let all: Vec<String> = self.served.iter().map(|(name, n)| format!("{name} {n}")).collect();
+            writeln!(f, "served by version: {}", all.join(", "))?;
+        }
         if self.deferred_lost > 0 {
             writeln!(
                 f,
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -125,8 +125,13 @@
     pub gateways: Vec<Option<Process>>,
     /// Where each gateway listens, also while it is dead.
     pub gateway_at: Vec<SocketAddr>,
+    /// Operators' commands that were begun: what each was, the process, the exit code wanted of it.
+    orders: Vec<(String, std::process::Child, i32)>,
 }
 
+/// After the last call, orders may take so long to end.
+const ORDERS_WITHIN: Duration = Duration::from_secs(20);
+
 const ANY_PORT: &str = "127.0.0.1:0";
 
 impl Fleet {
@@ -162,6 +167,7 @@
             worker_at: Vec::new(),
             gateways: Vec::new(),
             gateway_at: Vec::new(),
+            orders: Vec::new(),
         };
         for number in 0..scene.workers.len() {
             let worker = fleet.worker(number, ANY_PORT, true)?;
@@ -260,6 +266,45 @@
         }
     }
 
+    /// Begins `cresswheel versions ORDER` over all gateways; a plan goes to a file whose name is put after the order.
+    pub fn order(&mut self, order: &str, plan: Option<&str>, exits: i32) -> anyhow::Result<()> {
+        let number = self.orders.len();
+        let log = File::create(self.folder.join(format!("order-{number}.log")))?;
+        let mut command = Command::new(&self.exe);
+        command.arg("versions").args(order.split_whitespace());
+        if let Some(plan) = plan {
+            let file = self.folder.join(format!("plan-{number}.star"));
+            std::fs::write(&file, plan)?;
+            command.arg(file);
+        }
+        for at in &self.gateway_at {
+            command.arg("--gateway").arg(at.to_string());
+        }
+        command.env("CRESSWHEEL_TIED", "true").stdin(Stdio::piped()).stdout(log.try_clone()?).stderr(log);
+        self.orders.push((order.into(), command.spawn()?, exits));
+        Ok(())
+    }
+
+    /// Waits for all orders; tells which did not end as wanted.
+    pub fn end_orders(&mut self) -> anyhow::Result<Vec<String>> {
+        let end = Instant::now() + ORDERS_WITHIN;
+        let mut bad = Vec::new();
+        for (order, mut child, exits) in std::mem::take(&mut self.orders) {
+            let status = loop {
+                match child.try_wait()? {
+                    None if Instant::now() < end => std::thread::sleep(Duration::from_millis(5)),
+                    status => break status.and_then(|status| status.code()),
+                }
+            };
+            if status != Some(exits) {
+                let _ = child.kill();
+                let _ = child.wait();
+                bad.push(format!("versions {order}: ended with {status:?}, {exits} was wanted"));
+            }
+        }
+        Ok(bad)
+    }
+
     /// Tells the list something.
     pub fn tell_list(&self, words: &str) -> anyhow::Result<()> {
         control(self.list.main, words)
@@ -329,5 +374,5 @@
     if let (window @ 1.., free, per_call) = terms.ration {
         script += &format!("ration(window = ms({window}), free = {free}, per_call = {per_call})\n");
     }
-    script + "limits(stop_within = s(4))\n"
+    script + "versions(open = True)\nlimits(stop_within = s(4))\n"
 }
--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -120,8 +120,20 @@
             let attempt = number;
             Message::Run { attempt, trace, before: 0, function, class, key, time_left, shape, body }
         } else {
-            let (deferred, tenant) = (false, String::new());
-            Message::Call { number, deferred, function, class, tenant, key, trace, time_left, shape, body }
+            let (deferred, tenant, account) = (false, String::new(), None);
+            Message::Call {
+                number,
+                deferred,
+                function,
+                class,
+                tenant,
+                key,
+                trace,
+                time_left,
+                shape,
+                body,
+                account,
+            }
         };
         self.due.insert(number, due);
         let door = self.doors[number as usize % self.doors.len()];
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -71,6 +71,7 @@
     }
     let done = clients.join().map_err(|_| anyhow::anyhow!("the clients panicked"))?;
     done?;
+    bad_ends.extend(fleet.end_orders()?);
     for number in 0..scene.gateways.len() {
         bad_ends.extend(director.stop(&mut fleet, number)?);
     }
@@ -92,6 +93,7 @@
         Event::StartGateway(n) => format!("gateway-{n} starts"),
         Event::CutZone(zone, ms) => format!("{zone} is cut off for {ms} ms"),
         Event::List(words) => format!("list: {words}"),
+        Event::Versions { order, .. } => format!("an operator: versions {order}"),
         Event::Store(words) => format!("store: {words}"),
         Event::Hot { share, functions, ms } => {
             format!("{:.0}% of the calls go to {functions} new functions a class for {ms} ms", share * 100.0)
@@ -143,6 +145,10 @@
                 }
             }
             Event::List(words) => fleet.tell_list(words)?,
+            Event::Versions { order, plan, exits } => {
+                self.note(format!("order {order}"));
+                fleet.order(order, plan.as_deref(), *exits)?;
+            }
             Event::Store(words) => fleet.tell_store(words)?,
             Event::Hot { .. } | Event::Heavy { .. } | Event::Wake { .. } | Event::GiveUp { .. } => {}
         }
--- a/crates/rehearsal/src/scene.rs
+++ b/crates/rehearsal/src/scene.rs
@@ -171,6 +171,15 @@
     CutZone(String, u64),
     /// The worker list is told something.
     List(String),
+    /// An operator gives `cresswheel versions` this order over all gateways.
+    Versions {
+        /// The order, as on the command line.
+        order: String,
+        /// The plan, if it takes one.
+        plan: Option<String>,
+        /// The exit code that it is to end with.
+        exits: i32,
+    },
     /// The model store is told something.
     Store(String),
     /// This share of the calls goes to so many functions that were not called before, for a time.
--- a/crates/rehearsal/src/split.rs
+++ b/crates/rehearsal/src/split.rs
@@ -145,13 +145,15 @@
             time_left: 10_000_000,
             shape: Shape { memory_mb: 10, lanes: 100_000, load_time: 0, work: 0 },
             body: answer.clone(),
+            account: None,
+            route: None,
         };
         engine.handle(now, Input::Call(Client { connection: number % 8, number }, call), &mut outputs);
         if out.len() >= OUT
             && let Some(attempt) = out.pop_front()
         {
             let end = AttemptEnd::Answered(Ending::Ok, 0);
-            engine.handle(now, Input::AttemptEnded(attempt, end, answer.clone()), &mut outputs);
+            engine.handle(now, Input::AttemptEnded(attempt, end, answer.clone(), None), &mut outputs);
         }
         if engine.wake_at().is_some_and(|at| at <= now) {
             engine.handle(now, Input::Wake, &mut outputs);
@@ -182,8 +184,9 @@
         time_left: 1,
         shape: shape.clone(),
         body: body.clone(),
+        account: None,
     };
-    let ran = Message::Ran { attempt: 1, ending: Ending::Ok, crowd: 0, body: body.clone() };
+    let ran = Message::Ran { attempt: 1, ending: Ending::Ok, crowd: 0, body: body.clone(), origin: None };
     let run = Message::Run {
         attempt: 1,
         trace: "0123456789abcdef-1".into(),
@@ -195,8 +198,8 @@
         shape,
         body: body.clone(),
     };
-    let answer =
-        Message::Answer { number: 1, status: Status::Served, reason: String::new(), retry_after: 0, body };
+    let (reason, origin) = (String::new(), None);
+    let answer = Message::Answer { number: 1, status: Status::Served, reason, retry_after: 0, body, origin };
     let (mut incoming, mut outgoing) = (Vec::new(), Vec::new());
     encode(&call, &mut incoming);
     encode(&ran, &mut incoming);
--- a/crates/rehearsal/src/traffic.rs
+++ b/crates/rehearsal/src/traffic.rs
@@ -22,6 +22,9 @@
 /// After its deadline a call is waited for so long yet, to see what comes late.
 const GRACE: Micros = 500 * MS;
 
+/// Accounts that calls are about, in turn.
+const ACCOUNTS: u64 = 9_973;
+
 struct Door {
     at: SocketAddr,
     name: String,
@@ -373,6 +376,7 @@
                 load_time: spec.load_ms * MS,
                 work: (work * 1e3) as Micros,
             },
+            account: Some(format!("account-{}", self.traces % ACCOUNTS)),
             body: trace.into_bytes(),
         };
         let sent = connection.is_some_and(|connection| self.hub.send(connection, &message, Some(number)));
@@ -396,7 +400,7 @@
                 // The call's own number is free again: the answer to it was 'accepted'.
                 self.hub.send(open.connection, &Message::Await { number, id, wait }, None);
             }
-            Message::Answer { number, status, reason, .. } => {
+            Message::Answer { number, status, reason, origin, .. } => {
                 if self.left.contains(&number) {
                     return;
                 }
@@ -404,7 +408,7 @@
                     // An answer to nothing: the auditor is to see it.
                     let trace = format!("number {number}");
                     let status = status.word().to_owned();
-                    return self.recorder.write(now, What::Answered { trace, status, reason });
+                    return self.recorder.write(now, What::answered(trace, status, reason, origin));
                 };
                 if status == Status::Pending && now < open.deadline + GRACE / 2 {
                     // The await ended with the deadline; the result is due now.
@@ -414,7 +418,7 @@
                     return;
                 }
                 let word = status.word().to_owned();
-                self.recorder.write(now, What::Answered { trace: open.trace.clone(), status: word, reason });
+                self.recorder.write(now, What::answered(open.trace.clone(), word, reason, origin));
                 match status {
                     Status::Refused => self.repeat(open, true),
                     Status::Failed => self.repeat(open, false),
--- a/crates/rehearsal/tests/auditor.rs
+++ b/crates/rehearsal/tests/auditor.rs
@@ -58,7 +58,7 @@
 
     fn answered(&mut self, at: u64, trace: &str, status: &str) -> &mut Self {
         let (status, reason) = (status.into(), String::new());
-        self.add(at, "c", What::Answered { trace: trace.into(), status, reason })
+        self.add(at, "c", What::answered(trace.into(), status, reason, None))
     }
 
     fn run(&mut self, at: u64, worker: &str, trace: &str) -> &mut Self {
@@ -72,7 +72,11 @@
     }
 
     fn ran(&mut self, at: u64, worker: &str, trace: &str, ending: &str, lost: bool) -> &mut Self {
-        self.add(at, worker, What::Ran { trace: trace.into(), ending: ending.into(), lost })
+        self.add(
+            at,
+            worker,
+            What::Ran { trace: trace.into(), ending: ending.into(), lost, image: String::new() },
+        )
     }
 
     fn hold(&mut self, at: u64, worker: &str) -> &mut Self {
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -37,7 +37,8 @@
         }
     }
 
-    fn read<T>(
+    /// A field of another kind, with words for what is wanted.
+    pub fn read<T>(
         &mut self,
         name: &'static str,
         wanted: &str,
@@ -60,7 +61,8 @@
         value.unwrap_or_default()
     }
 
-    fn there(&self, name: &str) -> bool {
+    /// Whether the script names it.
+    pub fn there(&self, name: &str) -> bool {
         self.fields.iter().any(|(key, value, _)| key == name && *value != Raw::None)
     }
 
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -4,7 +4,7 @@
 
 use cresswheel::{Class, ColdStart, Effect, Group, OrderRation, Settings, Tenant, WhenAbsent};
 use cresswheel_engine::{AdmissionLimits, EngineSettings, ResultLimits};
-use cresswheel_gateway::{GatewaySettings, ShellLimits};
+use cresswheel_gateway::{GatewaySettings, ShellLimits, VersionSettings};
 use cresswheel_protocol::{Listed, Standing};
 
 use crate::Fault;
@@ -25,6 +25,11 @@
             let what = format!("{kind}: a second one, the first stands at {first}");
             faults.push(Fault { place: place.clone(), what });
         }
+        if crate::plan::SECTIONS.contains(&kind.as_str()) {
+            let what = format!("{kind}(...) belongs in a plan, not in a gateway's settings");
+            faults.push(Fault { place: place.clone(), what });
+            continue;
+        }
         seen.push((kind.clone(), place));
         let mut fields = Fields::new(section, &mut faults);
         match kind.as_str() {
@@ -33,6 +38,7 @@
             "call_class" => class(&mut fields, &mut settings.engine.module),
             "tenant" => tenant(&mut fields, &mut settings.engine.module),
             "cold_start" => cold_start(&mut fields, &mut settings.engine.module),
+            "versions" => versions(&mut fields, &mut settings),
             "ration" => ration(&mut fields, &mut settings.engine.module),
             "worker" => worker(&mut fields, &mut settings.workers),
             _ => limits(&mut fields, &mut settings),
@@ -84,6 +90,7 @@
         workers: Vec::new(),
         state: None,
         holders: None,
+        versions: None,
         shell: ShellLimits::default(),
     }
 }
@@ -204,6 +211,30 @@
     to.ration = Some(ration);
 }
 
+/// Shortest order key, in bytes.
+const LEAST_KEY: usize = 16;
+
+fn versions(f: &mut Fields, to: &mut GatewaySettings) {
+    let file = f.text("key_file");
+    let open = f.flag("open", false);
+    f.must(
+        file.is_some() != open,
+        "key_file = \"...\" is wanted, or open = True: whoever reaches it may order",
+    );
+    let mut key = String::new();
+    if let Some(file) = file {
+        match std::fs::read_to_string(&file) {
+            Ok(text) => {
+                key = text.trim().to_owned();
+                let long = (LEAST_KEY..=cresswheel_protocol::MAX_NAME).contains(&key.len());
+                f.must(long, &format!("key_file = {file:?}: a key has from {LEAST_KEY} to 512 bytes"));
+            }
+            Err(error) => f.must(false, &format!("key_file = {file:?}: {error}")),
+        }
+    }
+    to.versions = Some(VersionSettings { key });
+}
+
 fn worker(f: &mut Fields, to: &mut Vec<Listed>) {
     let address = f.needed_address("address").to_string();
     let id = f.text("id").unwrap_or_else(|| address.clone());
@@ -297,6 +328,9 @@
             fault("call_class", format!("{name:?}: give_up = {give_up} is longer than most_time, {most}"));
         }
     }
+    if settings.versions.is_some() && settings.state.is_none() {
+        fault("versions", "orders are written down: state = \"...\" is wanted in gateway(...)".into());
+    }
     if settings.list.is_empty() && settings.workers.is_empty() {
         fault("gateway", "neither a list nor a worker(...): there is nothing to send calls to".into());
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod fields;
 mod gateway;
+mod plan;
 mod raw;
 mod script;
 
 use std::path::Path;
 
 use cresswheel_gateway::GatewaySettings;
+use cresswheel_versions::Plan;
 
 pub use raw::Place;
 
@@ -30,11 +32,19 @@
 #[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
 pub struct Faults(pub Vec<Fault>);
 
+/// Reads a plan for a shift between versions; its choices are keyed with `salt`.
+pub fn read_plan(path: &Path, salt: [u64; 2]) -> Result<Plan, Faults> {
+    let sections = script::run(path).map_err(|fault| Faults(vec![fault]))?;
+    plan::check(path, sections, salt).map_err(in_order)
+}
+
+fn in_order(mut faults: Vec<Fault>) -> Faults {
+    faults.sort_by(|a, b| a.place.cmp(&b.place));
+    Faults(faults)
+}
+
 /// Reads a gateway's settings.
 pub fn read(path: &Path) -> Result<GatewaySettings, Faults> {
     let sections = script::run(path).map_err(|fault| Faults(vec![fault]))?;
-    gateway::check(path, sections).map_err(|mut faults| {
-        faults.sort_by(|a, b| a.place.cmp(&b.place));
-        Faults(faults)
-    })
+    gateway::check(path, sections).map_err(in_order)
 }
--- a/crates/settings/src/raw.rs
+++ b/crates/settings/src/raw.rs
@@ -32,6 +32,8 @@
     Time(u64),
     /// Bytes.
     Size(u64),
+    /// Ten-thousandths.
+    Share(u64),
     /// `keyed(...)`: the group, the memory in microseconds.
     Keyed(String, u64),
     List(Vec<Raw>),
@@ -53,6 +55,7 @@
             Self::Time(us) if us % 1_000 == 0 => write!(f, "ms({})", us / 1_000),
             Self::Time(us) => write!(f, "us({us})"),
             Self::Size(bytes) => write!(f, "{bytes} bytes"),
+            Self::Share(share) => write!(f, "percent({})", *share as f64 / 100.0),
             Self::Keyed(group, memory) => write!(f, "keyed({group:?}, {})", Self::Time(*memory)),
             Self::List(items) => write!(f, "a list of {}", items.len()),
             Self::Dict(items) => write!(f, "a dict of {}", items.len()),
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -230,6 +230,7 @@
         return match text(UNIT) {
             "time" => Raw::Time(number("value")),
             "size" => Raw::Size(number("value")),
+            "share" => Raw::Share(number("value")),
             "keyed" => Raw::Keyed(text("group").into(), number("value")),
             _ => Raw::Other(value.to_str()),
         };
@@ -270,6 +271,15 @@
     fn mb<'v>(n: Value<'v>, eval: &mut Evaluator<'v, '_, '_>) -> anyhow::Result<Value<'v>> {
         quantity(eval, "size", n, 1_048_576.0)
     }
+    /// A share of the calls, in steps of a hundredth of a percent.
+    fn percent<'v>(n: Value<'v>, eval: &mut Evaluator<'v, '_, '_>) -> anyhow::Result<Value<'v>> {
+        if let Raw::Float(x) = raw(n, 0)
+            && ((x * 100.0).round() - x * 100.0).abs() > 1e-6
+        {
+            anyhow::bail!("percent({x}): shares go in steps of 0.01 percent");
+        }
+        quantity(eval, "share", n, 100.0)
+    }
     /// An effect: repeats are dropped by the workers of a group for a time.
     fn keyed<'v>(
         #[starlark(require = named)] group: &str,
@@ -320,6 +330,30 @@
     ) -> anyhow::Result<NoneType> {
         section(eval, "ration", &f)
     }
+    fn shift<'v>(
+        #[starlark(kwargs)] f: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        section(eval, "shift", &f)
+    }
+    fn step<'v>(
+        #[starlark(kwargs)] f: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        section(eval, "step", &f)
+    }
+    fn guard<'v>(
+        #[starlark(kwargs)] f: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        section(eval, "guard", &f)
+    }
+    fn versions<'v>(
+        #[starlark(kwargs)] f: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        section(eval, "versions", &f)
+    }
     fn worker<'v>(
         #[starlark(kwargs)] f: DictRef<'v>,
         eval: &mut Evaluator<'v, '_, '_>,
--- a/crates/standins/src/control.rs
+++ b/crates/standins/src/control.rs
@@ -27,6 +27,10 @@
     Twice(f64),
     /// With each answer comes one to a call that it never got.
     Stray,
+    /// This share of the calls of a version ends in an error, after running.
+    BadVersion(String, f64),
+    /// Under the first function's name it holds the bytes of the second.
+    Swap(String, String),
 }
 
 /// The faults in force, each until its time.
@@ -53,6 +57,10 @@
             ["fail", part, span] => ("fail", Fault::Fail(share(part)?), span),
             ["load-fail", part, span] => ("load-fail", Fault::LoadFail(share(part)?), span),
             ["twice", part, span] => ("twice", Fault::Twice(share(part)?), span),
+            ["bad-version", version, part, span] => {
+                ("bad-version", Fault::BadVersion(version.into(), share(part)?), span)
+            }
+            ["swap", name, image, span] => ("swap", Fault::Swap(name.into(), image.into()), span),
             ["stray", span] => ("stray", Fault::Stray, span),
             ["refuse", span] => ("refuse", Fault::Refuse, span),
             ["cut", zone, span] => ("cut", Fault::Cut(zone.into()), span),
@@ -90,6 +98,26 @@
         }
     }
 
+    /// The share of the calls of this function, as routed, that its version makes fail.
+    pub fn version_share(&self, now: u64, function: &str) -> f64 {
+        match self.get(now, "bad-version") {
+            Some(Fault::BadVersion(version, share))
+                if function.rsplit_once('@').is_some_and(|(_, of)| of == version) =>
+            {
+                *share
+            }
+            _ => 0.0,
+        }
+    }
+
+    /// Whose bytes it holds under this function's name, if they are not the function's own.
+    pub fn swapped(&self, now: u64, function: &str) -> Option<&str> {
+        match self.get(now, "swap") {
+            Some(Fault::Swap(name, image)) if name == function => Some(image),
+            _ => None,
+        }
+    }
+
     /// How many times as long everything takes.
     pub fn slowness(&self, now: u64) -> f64 {
         if let Some(Fault::Slow(times)) = self.get(now, "slow") { *times } else { 1.0 }
--- a/crates/standins/src/echo.rs
+++ b/crates/standins/src/echo.rs
@@ -53,8 +53,9 @@
                         };
                         self.recorder.write(at, run);
                         self.recorder.write(at, What::Began { trace: trace.clone(), class });
-                        self.recorder.write(at, What::Ran { trace, ending, lost: false });
-                        let ran = Message::Ran { attempt, ending: Ending::Ok, crowd: 0, body };
+                        self.recorder
+                            .write(at, What::Ran { trace, ending, lost: false, image: String::new() });
+                        let ran = Message::Ran { attempt, ending: Ending::Ok, crowd: 0, body, origin: None };
                         self.hub.send(connection, &ran, None);
                     }
                     Message::Hold { order, .. } => {
@@ -136,7 +137,7 @@
             Message::Ran { attempt, body, .. } => {
                 if let Some((client, number)) = self.open.remove(&attempt) {
                     let (status, reason, retry_after) = (Status::Served, String::new(), 0);
-                    let answer = Message::Answer { number, status, reason, retry_after, body };
+                    let answer = Message::Answer { number, status, reason, retry_after, body, origin: None };
                     self.hub.send(client, &answer, None);
                 }
             }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -18,5 +18,5 @@
 pub use list::WorkerList;
 pub use records::{Record, Recorder, What};
 pub use store::Store;
-pub use worker::{Worker, WorkerSettings};
+pub use worker::{Worker, WorkerSettings, digest};
 pub use worker_model::{Effect, Job, Model, Profile};
--- a/crates/standins/src/records.rs
+++ b/crates/standins/src/records.rs
@@ -4,6 +4,7 @@
 use std::io::{self, BufWriter, Write};
 use std::path::Path;
 
+use cresswheel_protocol::Origin;
 use serde::{Deserialize, Serialize};
 
 /// One thing that passed.
@@ -70,6 +71,9 @@
         ending: String,
         /// The answer was not sent, on purpose.
         lost: bool,
+        /// Whose bytes ran.
+        #[serde(default)]
+        image: String,
     },
     /// A worker read a hold order.
     Hold {
@@ -122,6 +126,12 @@
         status: String,
         /// Why.
         reason: String,
+        /// What ran, as the client was told.
+        #[serde(default)]
+        function: String,
+        /// Its digest, as the client was told.
+        #[serde(default)]
+        digest: String,
     },
     /// A client stopped waiting, by its own will.
     GaveUp {
@@ -142,6 +152,14 @@
     },
 }
 
+impl What {
+    /// A client got a final answer, and was told that this ran.
+    pub fn answered(trace: String, status: String, reason: String, origin: Option<Origin>) -> Self {
+        let (function, digest) = origin.map(|o| (o.function, o.digest)).unwrap_or_default();
+        Self::Answered { trace, status, reason, function, digest }
+    }
+}
+
 /// Writes records to a file, each line whole.
 pub struct Recorder {
     by: String,
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -15,6 +15,8 @@
     capacity: usize,
     /// Fetches that it takes at once.
     most: usize,
+    /// Functions that it does not have.
+    absent: BTreeSet<String>,
     stopped_until: Micros,
     due: BTreeSet<(Micros, Connection, u64)>,
 }
@@ -24,7 +26,15 @@
     pub fn start(at: SocketAddr, capacity: usize, most: usize) -> io::Result<Self> {
         let mut hub = Hub::new(HubLimits::default())?;
         let (_, address) = hub.listen(at, Wire::Frames)?;
-        Ok(Self { hub, address, capacity: capacity.max(1), most, stopped_until: 0, due: BTreeSet::new() })
+        Ok(Self {
+            hub,
+            address,
+            capacity: capacity.max(1),
+            most,
+            stopped_until: 0,
+            due: BTreeSet::new(),
+            absent: BTreeSet::new(),
+        })
     }
 
     /// Where it listens.
@@ -40,8 +50,9 @@
                 let Notice::Message(connection, message) = notice else { continue };
                 let now = self.hub.clock().now();
                 match message {
-                    Message::Fetch { number, time, .. } => {
-                        if now < self.stopped_until || self.due.len() >= self.most {
+                    Message::Fetch { number, time, function } => {
+                        let absent = self.absent.contains(&function);
+                        if absent || now < self.stopped_until || self.due.len() >= self.most {
                             self.hub.send(connection, &Message::Fetched { number, there: false }, None);
                             continue;
                         }
@@ -50,6 +61,10 @@
                         self.due.insert((now + time, connection, number));
                     }
                     Message::Control { words } if words == "stop" => return Ok(()),
+                    Message::Control { words } if words.starts_with("absent ") => {
+                        self.absent.insert(words["absent ".len()..].into());
+                        self.hub.send(connection, &Message::Controlled { wrong: String::new() }, None);
+                    }
                     Message::Control { words } => {
                         let span = words.strip_prefix("down ").and_then(|ms| ms.parse::<u64>().ok());
                         let wrong = match span {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -6,10 +6,11 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use cresswheel_protocol::{Ending, Listed, Message, Micros, Role, Standing};
+use cresswheel_protocol::{Ending, Listed, Message, Micros, Origin, Role, Standing};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
+use sha2::{Digest, Sha256};
 
 use crate::control::Faults;
 use crate::records::{Recorder, What};
@@ -45,6 +46,14 @@
     attempt: u64,
     trace: String,
     class: String,
+    function: String,
+}
+
+/// What a worker says of a function's bytes. A stand-in has none but the name.
+pub fn digest(function: &str) -> String {
+    let bytes = Sha256::digest(function.as_bytes());
+    let hex = bytes.iter().map(|byte| format!("{byte:02x}"));
+    format!("sha256:{}", hex.collect::<String>())
 }
 
 /// A worker process.
@@ -240,7 +249,8 @@
                     return true;
                 }
                 self.next += 1;
-                self.jobs.insert(self.next, Out { connection, attempt, trace, class });
+                let out = Out { connection, attempt, trace, class, function: function.clone() };
+                self.jobs.insert(self.next, out);
                 let job = Job { number: self.next, function, shape, deadline: now.saturating_add(time_left) };
                 self.model.run(now, job, &mut self.effects);
             }
@@ -346,7 +356,14 @@
     }
 
     fn ended(&mut self, now: Micros, number: u64, ending: Ending, crowd: u32) {
-        let Some(Out { connection, attempt, trace, class }) = self.jobs.remove(&number) else { return };
+        let Some(Out { connection, attempt, trace, class, function }) = self.jobs.remove(&number) else {
+            return;
+        };
+        let bad = self.faults.version_share(now, &function);
+        let ending =
+            if ending == Ending::Ok && bad > 0.0 && self.lot() < bad { Ending::Error } else { ending };
+        // One that holds other bytes under the name says whose they are.
+        let image = self.faults.swapped(now, &function).unwrap_or(&function).to_owned();
         let (lose, reset, twice) = (
             self.faults.share(now, "lose"),
             self.faults.share(now, "reset"),
@@ -357,7 +374,8 @@
         let lost = self.cut_off(now, connection) || (lose > 0.0 && self.lot() < lose);
         let breaks = !lost && reset > 0.0 && self.lot() < reset;
         let word = ending.word().into();
-        self.recorder.write(now, What::Ran { trace, ending: word, lost: lost || breaks });
+        let ran = What::Ran { trace, ending: word, lost: lost || breaks, image: image.clone() };
+        self.recorder.write(now, ran);
         if breaks {
             return self.hub.close(connection, "reset on purpose");
         }
@@ -365,14 +383,15 @@
             return;
         }
         let body = self.settings.id.clone().into_bytes();
-        let answer = Message::Ran { attempt, ending, crowd, body };
+        let origin = Some(Origin { function, digest: digest(&image) });
+        let answer = Message::Ran { attempt, ending, crowd, body, origin };
         self.hub.send(connection, &answer, None);
         if twice > 0.0 && self.lot() < twice {
             self.hub.send(connection, &answer, None);
         }
         if self.faults.get(now, "stray").is_some() {
-            let stray =
-                Message::Ran { attempt: attempt ^ 1 << 40, ending: Ending::Ok, crowd: 0, body: vec![] };
+            let (attempt, ending, body) = (attempt ^ 1 << 40, Ending::Ok, Vec::new());
+            let stray = Message::Ran { attempt, ending, crowd: 0, body, origin: None };
             self.hub.send(connection, &stray, None);
         }
     }
--- a/crates/transport/tests/hub.rs
+++ b/crates/transport/tests/hub.rs
@@ -122,6 +122,7 @@
         reason: String::new(),
         retry_after: 0,
         body: vec![0; 100_000],
+        origin: None,
     };
     let mut sent = 0;
     while hub.send(connection, &bulky, None) {
--- /dev/null
+++ b/crates/versions/src/wire.rs
@@ -0,0 +1,87 @@
+//! What the operator's tool asks a gateway, and what it hears.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Hold, Mark, Micros, Record, Share};
+
+/// Answers of one version to calls of one class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Final answers.
+    pub answered: u64,
+    /// Those that were not served.
+    pub errors: u64,
+    /// Those that were served beyond the class's aim.
+    pub late: u64,
+}
+
+impl Tally {
+    /// What came after `before` was taken down.
+    pub fn since(&self, before: &Self) -> Self {
+        Self {
+            answered: self.answered.saturating_sub(before.answered),
+            errors: self.errors.saturating_sub(before.errors),
+            late: self.late.saturating_sub(before.late),
+        }
+    }
+
+    /// Both together.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            answered: self.answered + other.answered,
+            errors: self.errors + other.errors,
+            late: self.late + other.late,
+        }
+    }
+}
+
+/// A question to a gateway.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Question {
+    /// Take this order.
+    Order(Box<Record>),
+    /// What holds there, for one function or all.
+    Status(Option<String>),
+    /// The one who conducts is still there: the order of this mark stays in force.
+    Renew(String, Mark),
+    /// The last orders on a function, oldest first.
+    History(String),
+}
+
+/// A gateway's answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reply {
+    /// What holds there now.
+    Status(Vec<Status>),
+    /// Orders that it took.
+    History(Vec<Record>),
+    /// It does not do so, and why.
+    Refused(String),
+}
+
+/// What a gateway does about a function.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The gateway.
+    pub gateway: String,
+    /// Tells its lives apart: counts begin at nothing in each.
+    pub life: u64,
+    /// The order that it holds.
+    pub record: Record,
+    /// The share in force there.
+    pub share: Share,
+    /// Why that is not the order's.
+    pub hold: Option<Hold>,
+    /// Since when it has heard nothing of the order.
+    pub unheard: Micros,
+    /// Answers since its start, by class: of the old version, of the new.
+    pub answers: BTreeMap<String, [Tally; 2]>,
+    /// What workers said that they ran: by routed name and digest, answers.
+    pub ran: BTreeMap<String, BTreeMap<String, u64>>,
+    /// Answers of workers that ran something else than they were asked for.
+    pub wrong: u64,
+}
