--- a/crates/cli/src/versions.rs
+++ b/crates/cli/src/versions.rs
@@ -474,9 +474,11 @@
 fn tallies(record: &Record, answers: &std::collections::BTreeMap<String, [Tally; 2]>) {
     for (class, both) in answers {
         for (side, tally) in [Side::Old, Side::New].into_iter().zip(both) {
-            let Tally { answered, errors, late } = tally;
+            let Tally { answered, errors, late, erred } = tally;
             let routed = record.plan.routed(side);
-            println!("  {class} by {routed}: {answered} answered, {errors} not served, {late} late");
+            println!(
+                "  {class} by {routed}: {answered} answered, {errors} not served, {late} late, {erred} erred"
+            );
         }
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -35,6 +35,8 @@
     origin: Option<Arc<Origin>>,
     /// An answer after this is late.
     aim: Micros,
+    /// An attempt ended in an error, or ran something else.
+    erred: bool,
 }
 
 /// An attempt that has not ended. It outlives its call: the module is told of each end.
@@ -280,6 +282,7 @@
             attempts: Vec::new(),
             never_ran: true,
             last: None,
+            erred: false,
         };
         self.open.insert(id, open);
         self.events.push_back(Event::Arrived(request));
@@ -407,7 +410,8 @@
         answer.origin = open.origin;
         count(&mut self.counters.answers, (open.class, answer.status, answer.reason));
         if open.call.route.is_some() {
-            out.push(Output::Over(open.call.clone(), answer.status, self.now > open.aim));
+            let (call, status, late) = (open.call.clone(), answer.status, self.now > open.aim);
+            out.push(Output::Over { call, status, late, erred: open.erred });
         }
         for client in open.waiters.into_keys() {
             self.forget_client(client);
@@ -452,6 +456,7 @@
             None => true,
             Some(open) => {
                 open.never_ran &= outcome.never_ran();
+                open.erred |= outcome == cresswheel::Outcome::Error;
                 // What the wrong version answered is no answer.
                 let body = if wrong { Arc::from([]) } else { body.clone() };
                 open.last = Some((end, body));
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -187,8 +187,17 @@
     Probe(WorkerId),
     /// Ask for the worker list.
     Follow,
-    /// A call that was given a version is over: how, and whether beyond its class's aim.
-    Over(Arc<Call>, Status, bool),
+    /// A call that was given a version is over.
+    Over {
+        /// The call.
+        call: Arc<Call>,
+        /// How it ended.
+        status: Status,
+        /// Beyond its class's aim.
+        late: bool,
+        /// One of its attempts ended in an error, or ran something else.
+        erred: bool,
+    },
     /// A worker said what it ran for a call with a version, and whether that was something else.
     Ran(Arc<Call>, Option<Origin>, bool),
     /// A load order was answered: an instance stands there, or not.
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -647,7 +647,7 @@
             }
             // The list is followed from the start, and again whenever its connection was lost.
             Output::Follow => {}
-            Output::Over(call, status, late) => self.desk.over(&call, status, late),
+            Output::Over { call, status, late, erred } => self.desk.over(&call, status, late, erred),
             Output::Ran(call, origin, wrong) => self.desk.ran(&call, origin.as_ref(), wrong),
             Output::Loaded(function, stands) => self.desk.loaded(&function.0, stands),
             Output::Log(text) => tracing::info!("{text}"),
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -5,7 +5,7 @@
 use cresswheel_engine::{Call, Route};
 use cresswheel_protocol::{Micros, Origin, Status};
 use cresswheel_versions::{
-    Callers, Expected, Question, Reply, Side, Status as VersionStatus, Versions, Weight,
+    Callers, End, Expected, Question, Reply, Side, Status as VersionStatus, Versions, Weight,
 };
 
 use crate::version_store::{Kept, VersionStore};
@@ -72,10 +72,15 @@
     }
 
     /// A call that was given a version is over.
-    pub fn over(&mut self, call: &Call, status: Status, late: bool) {
+    pub fn over(&mut self, call: &Call, status: Status, late: bool, erred: bool) {
         let Some(route) = &call.route else { return };
         let side = if route.new { Side::New } else { Side::Old };
-        self.versions.answered(&call.function, side, &call.class, status == Status::Served, late);
+        let end = match (status, late) {
+            (Status::Served, false) => End::InTime,
+            (Status::Served, true) => End::Late,
+            _ => End::NotServed,
+        };
+        self.versions.answered(&call.function, side, &call.class, end, erred);
     }
 
     /// A worker said what it ran.
--- a/crates/versions/src/conductor.rs
+++ b/crates/versions/src/conductor.rs
@@ -160,7 +160,7 @@
                 self.judge.add(class, old, new);
             }
             if self.settled.is_some() && self.record.plan.guard.classes.contains(class) {
-                self.answers += new.answered;
+                self.answers = self.answers.saturating_add(new.answered);
             }
             let sum = self.sums.entry(class.clone()).or_default();
             *sum = [sum[0].plus(old), sum[1].plus(new)];
--- a/crates/versions/src/evidence.rs
+++ b/crates/versions/src/evidence.rs
@@ -42,7 +42,7 @@
         logs.push(log);
         highest = highest.max(log);
         let up = (new - at) as f64 * (bad - at) as f64;
-        let down = (at + 1) as f64 * ((old + at + 1).saturating_sub(bad)) as f64;
+        let down = (at + 1) as f64 * (old.saturating_add(at + 1).saturating_sub(bad)) as f64;
         log += (up / down * odds).ln();
     }
     highest + logs.iter().map(|log| (log - highest).exp()).sum::<f64>().ln()
@@ -57,7 +57,7 @@
     /// Takes a stretch in: for each version its answers, and the bad ones among them.
     pub fn add(&mut self, (new, new_bad): Counts, (old, old_bad): Counts) {
         let (new_bad, old_bad) = (new_bad.min(new), old_bad.min(old));
-        let bad = new_bad + old_bad;
+        let bad = new_bad.saturating_add(old_bad);
         if bad == 0 || new == 0 || old == 0 || bad > MOST_BAD {
             return;
         }
@@ -115,7 +115,8 @@
     /// Takes in the answers of a stretch of time to calls of a class.
     pub fn add(&mut self, class: &str, old: &Tally, new: &Tally) {
         let Some([errors, late]) = self.comparisons.get_mut(class) else { return };
-        errors.add((new.answered, new.errors), (old.answered, old.errors));
+        // A further attempt hides an error from the client, not from the judge.
+        errors.add((new.answered, new.erred), (old.answered, old.erred));
         // What was not served was no late answer, nor an early one.
         let served = |tally: &Tally| (tally.answered.saturating_sub(tally.errors), tally.late);
         late.add(served(new), served(old));
--- a/crates/versions/src/lib.rs
+++ b/crates/versions/src/lib.rs
@@ -29,4 +29,4 @@
 pub use plan::{Guard, MOST_STEPS, Plan, Side, Step};
 pub use record::{Kind, Mark, Record, Stage};
 pub use seat::{Chosen, Expected, Hold, Versions, Weight};
-pub use wire::{Question, Reply, Status, Tally};
+pub use wire::{End, Question, Reply, Status, Tally};
--- a/crates/versions/src/seat.rs
+++ b/crates/versions/src/seat.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Callers, Judge, Mark, Micros, Record, Share, Side, Stage, Status, Tally, point};
+use crate::{Callers, End, Judge, Mark, Micros, Record, Share, Side, Stage, Status, Tally, point};
 
 /// Most functions that have a plan.
 const MOST_FUNCTIONS: usize = 10_000;
@@ -216,8 +216,8 @@
         Some(Chosen { routed: plan.routed(side), digest: plan.digest(side).into(), side })
     }
 
-    /// A call that was given a version has its final answer.
-    pub fn answered(&mut self, function: &str, side: Side, class: &str, served: bool, late: bool) {
+    /// A call that was given a version has its final answer; `erred`: one of its attempts ended in an error.
+    pub fn answered(&mut self, function: &str, side: Side, class: &str, end: End, erred: bool) {
         let Some(seat) = self.seats.get_mut(function) else { return };
         if !seat.answers.contains_key(class) {
             seat.answers.insert(class.into(), Default::default());
@@ -225,9 +225,10 @@
         let Some(both) = seat.answers.get_mut(class) else { return };
         let tally = &mut both[side as usize];
         tally.answered += 1;
-        tally.errors += u64::from(!served);
-        tally.late += u64::from(served && late);
-        seat.stood |= served && side == Side::New;
+        tally.errors += u64::from(end == End::NotServed);
+        tally.late += u64::from(end == End::Late);
+        tally.erred += u64::from(end == End::NotServed || erred);
+        seat.stood |= end != End::NotServed && side == Side::New;
     }
 
     /// A worker's word for what it ran, and whether that was what it was asked for.
--- a/crates/versions/src/wire.rs
+++ b/crates/versions/src/wire.rs
@@ -15,6 +15,19 @@
     pub errors: u64,
     /// Those that were served beyond the class's aim.
     pub late: u64,
+    /// Those that were not served, or served by a further attempt after the function had failed.
+    pub erred: u64,
+}
+
+/// How a call ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served within its class's aim.
+    InTime,
+    /// Served later.
+    Late,
+    /// Refused or failed.
+    NotServed,
 }
 
 impl Tally {
@@ -24,15 +37,17 @@
             answered: self.answered.saturating_sub(before.answered),
             errors: self.errors.saturating_sub(before.errors),
             late: self.late.saturating_sub(before.late),
+            erred: self.erred.saturating_sub(before.erred),
         }
     }
 
     /// Both together.
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            answered: self.answered + other.answered,
-            errors: self.errors + other.errors,
-            late: self.late + other.late,
+            answered: self.answered.saturating_add(other.answered),
+            errors: self.errors.saturating_add(other.errors),
+            late: self.late.saturating_add(other.late),
+            erred: self.erred.saturating_add(other.erred),
         }
     }
 }
