Scene shift, cresswheel load shifts: a rollback's time, a bad version's harm, what a shift costs

Proofs of the versions work over real processes. Rehearsal shift: two functions from 1 to 100 percent and back through a killed worker, lost and doubled answers and two gateways killed with -9; five rules and one version a call held.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod logs;
 mod peers;
 mod rehearse;
+mod shifts;
 mod versions;
 
 use std::os::unix::process::CommandExt;
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -135,6 +135,11 @@
     /// Prints memory, CPU and wake-ups of idleness, accepts a second, and what became of the calls by class, judged by
     /// the rehearsals' auditor. Exits 1 if a rule broke. Nearly two minutes for each size.
     Idle(IdleArgs),
+    /// Roll a function back on more and more gateways, and let a bad version be found at one percent.
+    ///
+    /// Prints when the last call went to the new version, as its worker saw it, and how many calls a version harmed that
+    /// always fails. About a minute.
+    Shifts(super::shifts::ShiftArgs),
 }
 
 #[derive(Args)]
@@ -213,8 +218,10 @@
 
 pub fn load(args: LoadArgs) -> anyhow::Result<ExitCode> {
     let LoadArgs { what, seconds, rounds, connections, window, body, open } = args;
-    if let Some(LoadWhat::Idle(args)) = what {
-        return idle(args);
+    match what {
+        Some(LoadWhat::Idle(args)) => return idle(args),
+        Some(LoadWhat::Shifts(args)) => return super::shifts::run(args),
+        None => {}
     }
     if seconds == 0 || rounds == 0 || connections == 0 || window == 0 || open == 0 {
         eprintln!("cresswheel: seconds, rounds, connections, window and open must be above zero");
--- a/crates/cli/tests/rehearsals.rs
+++ b/crates/cli/tests/rehearsals.rs
@@ -8,26 +8,38 @@
 
 #[test]
 fn every_rule_holds_while_idle_connections_of_two_holders_wake_through_trouble() {
-    holds("wake");
+    _ = holds("wake");
 }
 
 #[test]
 fn every_rule_holds_through_the_short_rehearsal() {
-    holds("short");
+    _ = holds("short");
 }
 
-fn holds(scene: &str) {
+#[test]
+fn every_rule_holds_while_versions_shift_and_are_rolled_back_through_kills() {
+    let said = holds("shift");
+    assert!(said.contains("held    one version for each call, and the answer names it"), "{said}");
+    let served = said.lines().find_map(|line| line.strip_prefix("served by version: ")).expect("a line");
+    for function in ["charge-estimate/f0@1", "charge-estimate/f0@2", "payment-post/f0@1", "payment-post/f0@2"]
+    {
+        assert!(served.contains(function), "{served}");
+    }
+}
+
+fn holds(scene: &str) -> String {
     let folder = tempfile::tempdir().unwrap();
     let keep = folder.path().join("run");
     let done = Command::new(EXE).args(["rehearse", scene, "--keep"]).arg(&keep).output().unwrap();
     let said = String::from_utf8_lossy(&done.stdout);
     assert_eq!(done.status.code(), Some(0), "{said}{}", String::from_utf8_lossy(&done.stderr));
-    assert_eq!(said.matches("\nheld ").count(), 5, "{said}");
+    assert_eq!(said.matches("\nheld ").count(), if scene == "shift" { 6 } else { 5 }, "{said}");
     // The records are there and are judged alike a second time.
     let again = Command::new(EXE).args(["rehearse", "--judge"]).arg(&keep).output().unwrap();
     assert_eq!(again.status.code(), Some(0));
     let table = String::from_utf8_lossy(&again.stdout);
     assert!(said.contains(table.trim()), "{table}");
+    said.into_owned()
 }
 
 #[test]
@@ -45,7 +57,7 @@
     assert_eq!(none.status.code(), Some(2));
     assert!(
         String::from_utf8_lossy(&none.stderr)
-            .contains("nowhere is no ready scene (month-end, short, wake, quiet)")
+            .contains("nowhere is no ready scene (month-end, short, wake, shift, quiet)")
     );
 }
 
--- a/crates/rehearsal/src/audit.rs
+++ b/crates/rehearsal/src/audit.rs
@@ -101,6 +101,8 @@
     pub versions: RuleVerdict,
     /// Calls served by version, as their answers say.
     pub served: BTreeMap<String, usize>,
+    /// Memory that workers held, added up over time, in GB seconds; load orders for instances.
+    pub held: (f64, usize),
     /// Deferred calls that were accepted and lost with a killed gateway: a broken promise that this version makes.
     pub deferred_lost: usize,
 }
@@ -211,6 +213,7 @@
     verdict.rules[3] = cold_starts(records);
     verdict.rules[4] = ration(records, terms);
     (verdict.versions, verdict.served) = versions(records);
+    verdict.held = held(records);
     verdict.classes = tables(&calls, terms);
     let lost = |c: &&Call| c.accepted && c.gone.is_some_and(|(_, unreached)| !unreached);
     verdict.deferred_lost = calls.values().filter(lost).count();
@@ -307,6 +310,30 @@
     RuleVerdict { looked_at, broken }
 }
 
+/// What instances cost, beside their calls.
+fn held(records: &[Record]) -> (f64, usize) {
+    let end = records.last().map_or(0, |record| record.at);
+    let mut now: BTreeMap<&str, (u64, u32)> = BTreeMap::new();
+    let (mut mb_us, mut orders) = (0.0, 0);
+    let sum = |(since, mb): (u64, u32), until: u64| f64::from(mb) * until.saturating_sub(since) as f64;
+    for record in records {
+        let mb = match record.what {
+            What::Memory { mb } => mb,
+            // A new life begins with nothing.
+            What::Started { .. } => 0,
+            What::Hold { count: 1.., .. } => {
+                orders += 1;
+                continue;
+            }
+            _ => continue,
+        };
+        let before = now.insert(&record.by, (record.at, mb));
+        mb_us += before.map_or(0.0, |before| sum(before, record.at));
+    }
+    mb_us += now.into_values().map(|last| sum(last, end)).sum::<f64>();
+    (mb_us / 1e9, orders)
+}
+
 /// Calls of functions with versions, which stand behind an `@` in the names that workers read.
 fn versions(records: &[Record]) -> (RuleVerdict, BTreeMap<String, usize>) {
     let mut verdict = RuleVerdict::default();
@@ -559,6 +586,8 @@
                 t.reasons.iter().map(|(why, count)| format!("{why} {count}")).collect();
             writeln!(f, "{class}: {}", reasons.join(", "))?;
         }
+        let (memory, orders) = self.held;
+        writeln!(f, "workers held {memory:.1} GB seconds of instances, gateways gave {orders} load orders")?;
         if !self.served.is_empty() {
             let all: Vec<String> = self.served.iter().map(|(name, n)| format!("{name} {n}")).collect();
             writeln!(f, "served by version: {}", all.join(", "))?;
--- a/crates/rehearsal/src/catalogue.rs
+++ b/crates/rehearsal/src/catalogue.rs
@@ -3,13 +3,14 @@
 use crate::scene::{ClassSpec, Event, FleetTerms, GatewaySpec, Scene, Timed, Traffic, WorkerSpec};
 
 /// Names of the ready scenes, and what each shows.
-pub const SCENES: [(&str, &str); 4] = [
+pub const SCENES: [(&str, &str); 5] = [
     (
         "month-end",
         "a surge, workers and a gateway killed, a building cut off, lost answers, a drain, a cold return",
     ),
     ("short", "the same kinds of trouble within twenty seconds, for continuous integration"),
     ("wake", "idle connections wake together: through a worker's death, a drain and a gateway's stop"),
+    ("shift", "two functions go from version 1 to 2 in steps and back, through faults and kills of gateways"),
     ("quiet", "nothing goes wrong: what the fleet does on a good day"),
 ];
 
@@ -19,6 +20,7 @@
         "month-end" => Some(month_end(seed)),
         "short" => Some(short(seed)),
         "wake" => Some(wake(seed)),
+        "shift" => Some(shift(seed)),
         "quiet" => {
             let Scene { length_ms, traffic, .. } = short(seed);
             Some(Scene { length_ms, traffic, ..base("quiet", seed, 2, 4) })
@@ -199,6 +201,48 @@
     scene
 }
 
+/// A plan as an operator would write it.
+fn shift_plan(function: &str, class: &str, shares: [u32; 3]) -> String {
+    let steps: String =
+        shares.iter().map(|share| format!("step(share = percent({share}), hold = ms(1500))\n")).collect();
+    format!(
+        "shift(function = {function:?}, old = \"1\", new = \"2\", stick = \"account\", lease = s(12), \
+         preload = s(1), keep_old = s(10))\n{steps}\
+         guard(classes = [{class:?}], least = 0, worse = 4, false_alarm = 0.001, settle = ms(500))\n"
+    )
+}
+
+fn shift(seed: u64) -> Scene {
+    let mut scene = base("shift", seed, 3, 4);
+    scene.length_ms = 26_000;
+    scene.traffic.rate = 150.0;
+    scene.classes.iter_mut().for_each(|class| class.functions = 3);
+    let order = |at_ms, order: &str, plan: Option<String>, exits| {
+        at(at_ms, Event::Versions { order: order.into(), plan, exits })
+    };
+    let (estimate, post) = ("charge-estimate/f0", "payment-post/f0");
+    scene.events = vec![
+        order(500, "start --every 200", Some(shift_plan(estimate, "charge-estimate", [1, 30, 100])), 0),
+        order(700, "start --every 200", Some(shift_plan(post, "payment-post", [1, 50, 100])), 0),
+        // A gateway dies in the middle of a step and comes back to the present one.
+        at(3_000, Event::KillGateway(1)),
+        at(4_200, Event::StartGateway(1)),
+        // Answers of payment posts are lost, answers come twice, a worker dies and comes back cold.
+        fault(5_000, 1, "lose 0.2 1500"),
+        fault(6_500, 2, "twice 0.5 1500"),
+        fault(7_800, 0, "slow 15 400"),
+        at(8_200, Event::KillWorker(0)),
+        at(10_500, Event::StartWorker(0)),
+        // Back again: one gateway dies as the order comes, and hears it when it is up.
+        order(19_000, "rollback payment-post/f0 --within 8000 --why tried", None, 0),
+        at(19_010, Event::KillGateway(2)),
+        order(19_500, "rollback charge-estimate/f0 --within 8000 --why tried", None, 0),
+        at(20_500, Event::StartGateway(2)),
+        fault(21_000, 3, "reset 0.3 1000"),
+    ];
+    scene
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/rehearsal/tests/auditor.rs
+++ b/crates/rehearsal/tests/auditor.rs
@@ -285,6 +285,38 @@
     lives.holds();
 }
 
+/// A call to version 2 that a worker ran as it was asked.
+fn versioned(image: &str, told: &str, digest: &str) -> Story {
+    let mut story = Story::new();
+    story.asked(S, "v", "post");
+    let (gateway, class) = ("g".into(), "post".into());
+    let run = What::Run { gateway, trace: "v".into(), attempt: 1, class, function: "f@2".into(), work: MS };
+    story.add(S + MS, "w1", run).began(S + MS, "w1", "v");
+    let (ending, image) = ("ok".into(), image.into());
+    story.add(S + 2 * MS, "w1", What::Ran { trace: "v".into(), ending, lost: false, image });
+    let (function, digest) = (told.into(), digest.into());
+    let (status, reason) = ("served".into(), String::new());
+    story.add(S + 3 * MS, "c", What::Answered { trace: "v".into(), status, reason, function, digest });
+    story
+}
+
+#[test]
+fn a_call_that_crosses_versions_or_whose_answer_names_another() {
+    let digest = cresswheel_standins::digest;
+    let broken = |story: &Story| audit(&story.0, &terms()).versions.broken;
+    assert_eq!(broken(&versioned("f@2", "f@2", &digest("f@2"))), Vec::<String>::new());
+    let lied = broken(&versioned("f@1", "f@2", &digest("f@2")));
+    assert!(lied[0].contains("and other bytes ran"), "{lied:?}");
+    let forged = broken(&versioned("f@2", "f@2", "sha256:0"));
+    assert!(forged[0].contains("and other bytes ran"), "{forged:?}");
+    let other = broken(&versioned("f@2", "f@3", &digest("f@3")));
+    assert!(other[0].contains("which no worker was asked for"), "{other:?}");
+    let mut crossed = versioned("f@2", "f@2", &digest("f@2"));
+    crossed.run(S + MS / 2, "w2", "v");
+    let crossed = broken(&crossed);
+    assert!(crossed[0].contains("went to workers as {\"f\", \"f@2\"}"), "{crossed:?}");
+}
+
 #[test]
 fn missing_records_are_no_proof() {
     let mut verdict = Story::new().verdict();
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -194,3 +194,21 @@
     let found = in_folder(&[(main.0, &main.1), def]).unwrap_err();
     assert!(found.to_string().starts_with("b.star:2:5: call_class: aim is longer"), "{found}");
 }
+
+#[test]
+fn version_orders_need_a_place_to_be_written_and_a_key_or_a_word() {
+    assert_eq!(
+        with("versions(open = True)"),
+        ["a.star:4:1: orders are written down: state = \"...\" is wanted in gateway(...)"]
+    );
+    let wanted = "versions: key_file = \"...\" is wanted, or open = True: whoever reaches it may order";
+    assert_eq!(with("versions()"), [format!("a.star:4:1: {wanted}")]);
+    let none = with("versions(key_file = \"/nowhere/key\")");
+    assert!(none[0].starts_with("a.star:4:1: versions: key_file = \"/nowhere/key\": "), "{none:?}");
+    let empty = with("versions(key_file = \"/dev/null\")");
+    assert!(empty[0].ends_with("a key has from 16 to 512 bytes"), "{empty:?}");
+    assert_eq!(
+        with("shift(function = \"f\")"),
+        ["a.star:4:1: shift(...) belongs in a plan, not in a gateway's settings"]
+    );
+}
--- a/crates/standins/src/records.rs
+++ b/crates/standins/src/records.rs
@@ -84,6 +84,11 @@
         /// Instances wanted.
         count: u32,
     },
+    /// Memory that a worker's instances hold from now on.
+    Memory {
+        /// In MB, those that load included.
+        mb: u32,
+    },
     /// A cold worker was pushed over.
     Fell {
         /// Work sent to it within the window, in core-microseconds.
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -78,6 +78,8 @@
     jobs: HashMap<u64, Out>,
     orders: HashMap<u64, (Connection, u64)>,
     next: u64,
+    /// As it was last taken down, in MB.
+    memory: u32,
     effects: Vec<Effect>,
 }
 
@@ -128,6 +130,7 @@
             jobs: HashMap::new(),
             orders: HashMap::new(),
             next: 0,
+            memory: 0,
             effects: Vec::new(),
             settings,
         })
@@ -145,6 +148,10 @@
             let fetch = self.local_fetches.first().map(|(at, _)| *at);
             let fault = self.faults.next_end(now);
             let due = [self.model.next(), fetch, self.list_retry, fault];
+            let mb = self.model.memory();
+            if std::mem::replace(&mut self.memory, mb) != mb {
+                self.recorder.write(now, What::Memory { mb });
+            }
             // Records are with the kernel before an answer is: a kill can't take them.
             self.recorder.flush();
             self.hub.wait(due.into_iter().flatten().min())?;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -380,3 +380,45 @@
         assert_eq!(sends(&arrive(&mut bench, "next", 1, "f"))[0].1 == home, failed, "failed: {failed}");
     }
 }
+
+#[test]
+fn a_function_whose_calls_are_to_come_is_held_until_then_and_dropped_if_none_came() {
+    let mut bench = Bench::new(settings());
+    bench.give(workers(5));
+    // Its twin is called, which earns the orders.
+    for n in 0..8 {
+        bench.now = n * S;
+        let id = format!("twin-{n}");
+        let to = sends(&arrive(&mut bench, &id, 0, "f@1"))[0].1.clone();
+        bench.give(ended(&id, 0, &to, Outcome::Ok));
+    }
+    let expected = |within| Event::Expected { function: "f@2".into(), like: "f@1".into(), within };
+    let of_new = |actions: &[Action]| -> Vec<WorkerId> {
+        holds(actions)
+            .into_iter()
+            .filter(|(_, function)| function.0 == "f@2".into())
+            .map(|(w, _)| w)
+            .collect()
+    };
+    let first = of_new(&bench.give(expected(30 * S)));
+    assert_eq!(first.len(), 1, "held at once, at one home");
+    bench.now += 300 * MS;
+    bench.give(held(&first[0], "f@2", Outcome::Ok, 300 * MS));
+    // Told again and again, it is ordered no oftener than it is renewed.
+    let mut renewed = 0;
+    for _ in 0..20 {
+        let until = bench.now + S;
+        let actions = bench.run_to(until);
+        let mut orders = of_new(&actions);
+        orders.extend(of_new(&bench.give(expected(5 * S))));
+        renewed += orders.len();
+        orders.iter().for_each(|worker| _ = bench.give(held(worker, "f@2", Outcome::Ok, 300 * MS)));
+    }
+    assert!((2..=5).contains(&renewed), "{renewed} renewals in twenty seconds");
+    let until = bench.now + 60 * S;
+    let after = bench.run_to(until);
+    let dropped =
+        |action: &Action| matches!(action, Action::Drop { function, .. } if function.0 == "f@2".into());
+    assert!(after.iter().any(dropped), "nobody called it");
+    assert!(of_new(&after).len() <= 1, "no renewal after it is over");
+}
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -55,6 +55,13 @@
                 pending.push(Event::Arrived(request));
             }
         }
+        if below(40) == 0 {
+            // Also of functions that nobody ever calls.
+            let (function, like) = (format!("f{}", below(15)), format!("f{}", below(15)));
+            let within = Micros::from(below(20_000)) * MS;
+            let (function, like) = (function.as_str().into(), like.as_str().into());
+            pending.push(Event::Expected { function, like, within });
+        }
         if below(80) == 0 {
             let at = below(6) as usize;
             list[at].state = [WorkerState::In, WorkerState::Draining, WorkerState::Out][below(3) as usize];
