--- a/crates/cli/src/versions.rs
+++ b/crates/cli/src/versions.rs
@@ -3,7 +3,7 @@
 use std::collections::hash_map::RandomState;
 use std::hash::BuildHasher;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -12,7 +12,7 @@
 use cresswheel_protocol::Message;
 use cresswheel_rehearsal::Client;
 use cresswheel_versions::{
-    Act, Conductor, Hold, Kind, Micros, Question, Record, Reply, Side, Stage, Status, Tally,
+    Act, Conductor, Hold, Kind, Micros, Plan, Question, Record, Reply, Side, Stage, Status, Tally,
 };
 
 #[derive(Args)]
@@ -56,6 +56,11 @@
         #[arg(long)]
         no_watch: bool,
     },
+    /// Read the plan in FILE and tell every fault with its line.
+    Check {
+        /// A plan.
+        file: PathBuf,
+    },
     /// Conduct a plan that has begun, in the place of one who can't any more.
     Watch {
         /// The function.
@@ -97,6 +102,16 @@
     if tied {
         super::peers::tie();
     }
+    if let Order::Check { file } = &args.order {
+        return Ok(match plan(file) {
+            Some(plan) => {
+                let (old, new) = (plan.routed(Side::Old), plan.routed(Side::New));
+                println!("{}: sound; {old} to {new} in {} steps", file.display(), plan.steps.len());
+                ExitCode::SUCCESS
+            }
+            None => ExitCode::from(2),
+        });
+    }
     let mut addresses = args.gateway.clone();
     if let Some(file) = &args.gateways {
         let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
@@ -119,13 +134,7 @@
     match &tool.args.order {
         Order::Start { file, no_watch } => {
             let (file, no_watch) = (file.clone(), *no_watch);
-            let plan = match cresswheel_settings::read_plan(&file, salt()) {
-                Ok(plan) => plan,
-                Err(faults) => {
-                    eprintln!("{faults}");
-                    return Ok(ExitCode::from(2));
-                }
-            };
+            let Some(plan) = plan(&file) else { return Ok(ExitCode::from(2)) };
             let before = tool.newest(&plan.function)?;
             let (by, why) = (&tool.args.by, &tool.args.why);
             let record = Record::start(plan, before.as_ref(), draw(), now(), by, why);
@@ -150,9 +159,15 @@
             let function = function.clone();
             tool.history(&function)
         }
+        Order::Check { .. } => Ok(ExitCode::SUCCESS),
     }
 }
 
+/// The plan in a file; its faults go to standard error.
+fn plan(file: &Path) -> Option<Plan> {
+    cresswheel_settings::read_plan(file, salt()).map_err(|faults| eprintln!("{faults}")).ok()
+}
+
 fn now() -> Micros {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as Micros)
 }
--- a/crates/cli/tests/rehearsals.rs
+++ b/crates/cli/tests/rehearsals.rs
@@ -68,6 +68,8 @@
         let done = Command::new(EXE).arg("check").arg(deploy.join(name)).output().unwrap();
         assert_eq!(done.status.code(), Some(0), "{name}: {done:?}");
     }
+    let done = Command::new(EXE).args(["versions", "check"]).arg(deploy.join("plan.star")).output().unwrap();
+    assert_eq!(done.status.code(), Some(0), "{done:?}");
 }
 
 #[test]
--- a/crates/versions/src/conductor.rs
+++ b/crates/versions/src/conductor.rs
@@ -143,7 +143,11 @@
     fn count(&mut self, now: Micros) {
         let mut stretch = Answers::new();
         for (at, heard) in self.gateways.iter().enumerate() {
+            // A gateway that still holds an earlier plan tells that one's answers.
             let Some(status) = &heard.status else { continue };
+            if !status.record.plan.is_same(&self.record.plan) {
+                continue;
+            }
             let counted = self.counted.entry((at, status.life)).or_default();
             for (class, both) in &status.answers {
                 let before = counted.get(class).copied().unwrap_or_default();
--- a/crates/versions/src/plan.rs
+++ b/crates/versions/src/plan.rs
@@ -76,6 +76,12 @@
 }
 
 impl Plan {
+    /// Whether two records are of one plan: the same versions, and the same callers to each.
+    pub fn is_same(&self, other: &Self) -> bool {
+        let of = |plan: &Self| (plan.function.clone(), plan.old.clone(), plan.new.clone(), plan.salt);
+        of(self) == of(other)
+    }
+
     /// The name under which one of its versions is routed and loaded.
     pub fn routed(&self, side: Side) -> String {
         let version = self.version(side);
--- a/crates/versions/src/seat.rs
+++ b/crates/versions/src/seat.rs
@@ -158,10 +158,7 @@
         }
         let function = record.plan.function.clone();
         let held = self.seats.remove(&function);
-        let twin = held.filter(|held| {
-            let (a, b) = (&held.record.plan, &record.plan);
-            (&a.old, &a.new, a.salt) == (&b.old, &b.new, b.salt)
-        });
+        let twin = held.filter(|held| held.record.plan.is_same(&record.plan));
         for side in [Side::Old, Side::New] {
             self.routed.entry(record.plan.routed(side)).or_default().insert(function.clone());
         }
--- a/crates/versions/tests/conductor.rs
+++ b/crates/versions/tests/conductor.rs
@@ -212,3 +212,25 @@
     fleet.second();
     assert_eq!(fleet.shares(), [10_000; 2]);
 }
+
+#[test]
+fn a_plan_that_follows_another_is_judged_by_its_own_answers_alone() {
+    let mut fleet = Fleet::new(3, Plan { preload: 0, ..plan() });
+    fleet.seconds(70);
+    assert_eq!(fleet.stage(), Stage::Promoted);
+    let before = fleet.conductor.record().clone();
+    let next = Plan { old: "8".into(), new: "9".into(), salt: [8, 8], preload: 0, ..plan() };
+    let record = Record::start(next, Some(&before), 900, fleet.now, "ann", "").unwrap();
+    fleet.conductor = Conductor::new(record, 3, fleet.now);
+    // The tool looks before it orders, and is told of the plan before.
+    for at in 0..3 {
+        let status = fleet.gateways[at].status(fleet.now, None).into_iter().next();
+        fleet.conductor.heard(at, fleet.now, Ok(status));
+    }
+    (fleet.bad, fleet.new) = ([0.01, 0.9], 0);
+    fleet.second();
+    assert!(fleet.conductor.sums().is_empty(), "nothing of this plan was answered yet");
+    fleet.seconds(15);
+    assert_eq!(fleet.stage(), Stage::RolledBack);
+    assert!(fleet.new < 100, "{} calls of the new version", fleet.new);
+}
