--- a/crates/versions/tests/conductor.rs
+++ b/crates/versions/tests/conductor.rs
@@ -227,8 +227,8 @@
         let status = fleet.gateways[at].status(fleet.now, None).into_iter().next();
         fleet.conductor.heard(at, fleet.now, Ok(status));
     }
-    (fleet.bad, fleet.new) = ([0.01, 0.9], 0);
     fleet.second();
+    (fleet.bad, fleet.new) = ([0.01, 0.9], 0);
     assert!(fleet.conductor.sums().is_empty(), "nothing of this plan was answered yet");
     fleet.seconds(15);
     assert_eq!(fleet.stage(), Stage::RolledBack);
