Answers of both versions to the same calls are compared; a step needs answers of both

A guard saw errors and lateness only. With compare, part of the new version's safe calls is run by the old one as well, as calls that no client waits for; bodies are alike byte for byte or but for numbers within a stated part, and the part that differs is tested with the rest under one rate of false alarms.

--- a/crates/cli/src/shifts.rs
+++ b/crates/cli/src/shifts.rs
@@ -189,7 +189,14 @@
         );
     }
     let gateways = args.gateways[0];
-    let guard = Guard { classes: vec![CLASS.into()], false_alarm: 0.01, worse: 1.5, least: 0, settle: 0 };
+    let guard = Guard {
+        classes: vec![CLASS.into()],
+        false_alarm: 0.01,
+        worse: 1.5,
+        least: 0,
+        settle: 0,
+        compare: None,
+    };
     let promised = promised_calls(&guard, 1, 0.01, (1e-3, 1.0));
     println!("\na version that always fails, at 1% on {gateways} gateways, looked at every 200 ms");
     println!("{promised:.0} calls promised, with one bad call in a thousand of the old version");
--- a/crates/cli/src/versions.rs
+++ b/crates/cli/src/versions.rs
@@ -481,6 +481,10 @@
             println!("  ran {routed} {digest}: {count}");
         }
     }
+    let [pairs, differ] = status.compared;
+    if pairs > 0 {
+        println!("  {differ} of {pairs} answers differ from the old version's to the same call");
+    }
     if status.wrong > 0 {
         println!("  {} answers came from other versions than were asked for", status.wrong);
     }
--- a/crates/cli/tests/versions.rs
+++ b/crates/cli/tests/versions.rs
@@ -13,7 +13,7 @@
 use cresswheel_protocol::{Ending, Message, Origin, Shape};
 use cresswheel_rehearsal::{Client, Process};
 use cresswheel_versions::{
-    Guard, Hold, Kind, Plan, Question, Record, Reply, Share, Side, Status, Step, Stick, point,
+    Compare, Guard, Hold, Kind, Plan, Question, Record, Reply, Share, Side, Status, Step, Stick, point,
 };
 
 const MS: u64 = 1_000;
@@ -167,7 +167,7 @@
         stick: Stick::Account,
         salt: [11, 12],
         steps: shares.iter().map(step).collect(),
-        guard: Guard { classes, false_alarm: 0.01, worse: 1.5, least: 0, settle: 0 },
+        guard: Guard { classes, false_alarm: 0.01, worse: 1.5, least: 0, settle: 0, compare: None },
         lease: 0,
         preload: 0,
         keep_old: S,
@@ -603,3 +603,50 @@
     assert!(said.contains("versions.redb: "), "{said}");
     fleet.gateways.clear();
 }
+
+#[test]
+fn answers_of_both_versions_to_the_same_calls_are_compared() {
+    let (listener, at) = listener();
+    let mut fleet = Fleet::new(0, 0, false);
+    fleet.settings(0, &[at], "127.0.0.1:0", "load", 1);
+    let gateway = fleet.gateway(0);
+    fleet.gateways.push(gateway);
+    let mut plan = plan(&[10_000]);
+    plan.guard.compare = Some(Compare { share: Share::ALL, differ: 0.01, within: 0.01 });
+    let mut client = fleet.client(0);
+    order(&mut client, &start(plan));
+    let worker = std::thread::spawn(move || {
+        let mut played = Played::accept(&listener);
+        let mut ran = BTreeMap::new();
+        while let Some(message) = played.next() {
+            let Message::Run { attempt, function, trace, .. } = message else { continue };
+            let number: u64 = trace.trim_start_matches('t').trim_end_matches("~twin").parse().unwrap();
+            // Every third answer of the new version is far off, the others a little.
+            let value = match (function.as_str(), number % 3) {
+                ("f@1", _) => "100",
+                (_, 0) => "250",
+                _ => "100.4",
+            };
+            *ran.entry(function.clone()).or_insert(0) += 1;
+            let origin = Some(Origin { function, digest: "d".into() });
+            let (ending, body) = (Ending::Ok, format!("{{\"due\": {value}}}").into_bytes());
+            played.send(&Message::Ran { attempt, ending, crowd: 0, body, origin });
+        }
+        ran
+    });
+    for number in 1..=30 {
+        client.send(&about(number, "check", "a", false)).unwrap();
+        let (answered, status, _, origin) = answered(&mut client);
+        assert_eq!((answered, status.as_str(), origin.function.as_str()), (number, "served", "f@2"));
+    }
+    // A post never has a twin.
+    client.send(&about(31, "post", "a", false)).unwrap();
+    answered(&mut client);
+    fleet.until(0, "compared all", |status| status.compared == [30, 10]);
+    let status = fleet.status(0);
+    assert_eq!(status.answers["check"][0].answered, 0, "twins are nobody's answers");
+    assert_eq!(status.answers["check"][1].answered, 30);
+    fleet.gateways.clear();
+    let ran = worker.join().unwrap();
+    assert_eq!((ran["f@2"], ran["f@1"]), (31, 30));
+}
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -70,6 +70,8 @@
     pub digest: String,
     /// The newer of two versions.
     pub new: bool,
+    /// Run beside the call of a client, only to compare its answer.
+    pub twin: bool,
 }
 
 impl Call {
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Context;
 use calloop::signals::Signal;
-use cresswheel::WorkerId;
+use cresswheel::{Effect, WorkerId};
 use cresswheel_admission::{Budget, Intake, Parts, Verdict};
 use cresswheel_clients::{Ask, ClientTerms, Clients};
 use cresswheel_engine::{Answer, Attempt, AttemptEnd, Call, Client, Engine, Input, OrderEnd, Output};
@@ -498,7 +498,13 @@
         let waited = now.saturating_sub(came);
         call.time_left = asked.min(engine.most_time).saturating_sub(waited).max(1);
         call.route = self.desk.choose(now, &call, (client.connection, client.number));
+        let safe = class.is_some_and(|class| class.effect == Effect::Safe);
+        // Only where nothing waits: a twin is worth no client's time.
+        let twin = (safe && self.intake.is_empty()).then(|| self.desk.twin(now, &call, client)).flatten();
         self.give(Input::Call(client, call));
+        if let Some((client, twin)) = twin {
+            self.give(Input::Call(client, twin));
+        }
     }
 
     fn refuse_busy(&mut self, asked: Asked, reason: &str, retry_after: Micros) {
@@ -621,7 +627,11 @@
                 tracing::debug!(%id, "accepted");
                 self.reply(client.connection, &Message::Accepted { number: client.number, id });
             }
-            Output::Answer(client, answer) => self.answer(client, answer),
+            Output::Answer(client, answer) => {
+                if !self.desk.compare(client, &answer) {
+                    self.answer(client, answer);
+                }
+            }
             Output::Close(connection, reason) => self.end(connection, reason),
             Output::Run(attempt) => self.run_attempt(attempt),
             Output::Withdraw(_, attempt) => {
--- a/crates/gateway/src/version_store.rs
+++ b/crates/gateway/src/version_store.rs
@@ -206,7 +206,14 @@
 
     fn plan() -> Plan {
         let step = |share| Step { share: Share::new(share).unwrap(), hold: 1_000_000 };
-        let guard = Guard { classes: vec!["c".into()], false_alarm: 0.01, worse: 1.5, least: 1, settle: 0 };
+        let guard = Guard {
+            classes: vec!["c".into()],
+            false_alarm: 0.01,
+            worse: 1.5,
+            least: 1,
+            settle: 0,
+            compare: None,
+        };
         Plan {
             function: "f".into(),
             old: "1".into(),
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -2,10 +2,12 @@
 
 use std::path::Path;
 
-use cresswheel_engine::{Call, Route};
+use std::collections::HashMap;
+
+use cresswheel_engine::{Answer, Call, Client, Route};
 use cresswheel_protocol::{Micros, Origin, Status};
 use cresswheel_versions::{
-    Callers, End, Expected, Question, Reply, Side, Status as VersionStatus, Versions, Weight,
+    Callers, Compare, End, Expected, Question, Reply, Side, Status as VersionStatus, Versions, Weight,
 };
 
 use crate::version_store::{Kept, VersionStore};
@@ -24,6 +26,24 @@
     key: String,
     life: u64,
     look_at: Micros,
+    /// Calls that both versions run, by a number of their own; who waits for the new version's answer.
+    pairs: HashMap<u64, Pair>,
+    waits: HashMap<Client, u64>,
+    pair: u64,
+}
+
+/// The connection of twins: clients' numbers come nowhere near it.
+pub const TWIN: u64 = u64::MAX;
+/// Most pairs whose answers are waited for, and for how long.
+const MOST_PAIRS: usize = 500;
+const PAIR_FOR: Micros = 60_000_000;
+
+/// The answers to one call, of the new version and of the old.
+struct Pair {
+    function: String,
+    compare: Compare,
+    since: Micros,
+    answers: [Option<Answer>; 2],
 }
 
 /// Whether two keys are the same, without telling by the time it takes how much of them is.
@@ -51,7 +71,16 @@
             tracing::info!(%function, epoch, ?stage, "goes on with the version orders of its last life");
             versions.restore(now, heard, record, braked);
         }
-        Ok(Self { versions, store, key: key.unwrap_or_default(), life, look_at: now })
+        Ok(Self {
+            versions,
+            store,
+            key: key.unwrap_or_default(),
+            life,
+            look_at: now,
+            pairs: HashMap::new(),
+            waits: HashMap::new(),
+            pair: 0,
+        })
     }
 
     /// The version that a call gets, as it arrives. Two calls of one client connection differ in their number.
@@ -68,12 +97,17 @@
             call: &own,
         };
         let chosen = self.versions.choose(now, &call.function, &callers)?;
-        Some(Route { function: chosen.routed, digest: chosen.digest, new: chosen.side == Side::New })
+        Some(Route {
+            function: chosen.routed,
+            digest: chosen.digest,
+            new: chosen.side == Side::New,
+            twin: false,
+        })
     }
 
     /// A call that was given a version is over.
     pub fn over(&mut self, call: &Call, status: Status, late: bool, erred: bool) {
-        let Some(route) = &call.route else { return };
+        let Some(route) = call.route.as_ref().filter(|route| !route.twin) else { return };
         let side = if route.new { Side::New } else { Side::Old };
         let end = match (status, late) {
             (Status::Served, false) => End::InTime,
@@ -83,6 +117,44 @@
         self.versions.answered(&call.function, side, &call.class, end, erred);
     }
 
+    /// The same call for the old version, if its answer is to be compared with that of the new one: a safe call
+    /// that nobody fetches later, and not the client's to repeat.
+    pub fn twin(&mut self, now: Micros, call: &Call, client: Client) -> Option<(Client, Call)> {
+        let route = call.route.as_ref().filter(|route| route.new && !call.deferred)?;
+        let (plan, compare) = self.versions.compare(&call.function)?;
+        let name = format!("{:x}-{:x}-{:x}", self.life, client.connection, client.number);
+        if self.pairs.len() >= MOST_PAIRS || !compare.takes(plan.salt, &name) {
+            return None;
+        }
+        let (function, digest) = (plan.routed(Side::Old), plan.digest(Side::Old).to_owned());
+        let route = Route { function, digest, twin: true, new: !route.new };
+        let trace = if call.trace.is_empty() { String::new() } else { format!("{}~twin", call.trace) };
+        self.pair += 1;
+        let pair = Pair { function: call.function.clone(), compare, since: now, answers: [None, None] };
+        self.pairs.insert(self.pair, pair);
+        self.waits.insert(client, self.pair);
+        let twin = Call { key: String::new(), trace, route: Some(route), ..call.clone() };
+        Some((Client { connection: TWIN, number: self.pair }, twin))
+    }
+
+    /// An answer, to a client or to a twin; true for a twin's, which nobody else waits for.
+    pub fn compare(&mut self, client: Client, answer: &Answer) -> bool {
+        let twin = client.connection == TWIN;
+        let pair = if twin { Some(client.number) } else { self.waits.remove(&client) };
+        let Some(pair) = pair else { return twin };
+        let Some(entry) = self.pairs.get_mut(&pair) else { return twin };
+        entry.answers[usize::from(twin)] = Some(answer.clone());
+        if let [Some(a), Some(b)] = &entry.answers {
+            // One that was not served has nothing to compare; errors are judged by themselves.
+            if a.status == Status::Served && b.status == Status::Served {
+                let same = entry.compare.same(&a.body, &b.body);
+                self.versions.compared(&entry.function, same);
+            }
+            self.pairs.remove(&pair);
+        }
+        twin
+    }
+
     /// A worker said what it ran.
     pub fn ran(&mut self, call: &Call, origin: Option<&Origin>, wrong: bool) {
         let Some(route) = &call.route else { return };
@@ -171,6 +243,10 @@
             return Vec::new();
         }
         self.look_at = now + LOOK_EVERY;
+        // A client that left gets no answer.
+        self.pairs.retain(|_, pair| now < pair.since.saturating_add(PAIR_FOR));
+        let pairs = &self.pairs;
+        self.waits.retain(|_, pair| pairs.contains_key(pair));
         for function in self.versions.look(now) {
             let Some((record, heard, Some(why))) = self.versions.heard(&function) else { continue };
             tracing::error!(%function, %why, "the new version is held to be worse: the old one takes all calls here");
--- a/crates/settings/src/plan.rs
+++ b/crates/settings/src/plan.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use cresswheel_versions::{Guard, Plan, Share, Step, Stick};
+use cresswheel_versions::{Compare, Guard, Plan, Share, Step, Stick};
 
 use crate::Fault;
 use crate::fields::Fields;
@@ -17,7 +17,8 @@
 pub fn check(path: &Path, sections: Vec<Section>, salt: [u64; 2]) -> Result<Plan, Vec<Fault>> {
     let mut faults = Vec::new();
     let mut seen: Vec<(String, Place)> = Vec::new();
-    let guard = Guard { classes: Vec::new(), false_alarm: 0.01, worse: 1.5, least: 100, settle: 0 };
+    let guard =
+        Guard { classes: Vec::new(), false_alarm: 0.01, worse: 1.5, least: 100, settle: 0, compare: None };
     let mut plan = Plan {
         function: String::new(),
         old: String::new(),
@@ -86,16 +87,20 @@
     f.must(to.lease == 0 || to.lease >= 2 * S, "lease must be s(2) at least, or 0 s for none");
 }
 
-fn step(f: &mut Fields) -> Option<Step> {
+fn share(f: &mut Fields, name: &'static str) -> Option<Share> {
     let share = |raw: &Raw| match raw {
         Raw::Share(share) => u16::try_from(*share).ok().and_then(Share::new),
         _ => None,
     };
+    f.read(name, "a share such as percent(1), at most percent(100),", share).map(|(share, _)| share)
+}
+
+fn step(f: &mut Fields) -> Option<Step> {
     let there = f.there("share");
-    let share = f.read("share", "a share such as percent(1), at most percent(100),", share);
+    let share = share(f, "share");
     f.must(share.is_some() || there, "share is missing");
     let hold = f.needed_time("hold");
-    share.map(|(share, _)| Step { share, hold })
+    share.map(|share| Step { share, hold })
 }
 
 fn guard(f: &mut Fields, to: &mut Guard) {
@@ -110,4 +115,12 @@
     to.worse = f.number("worse", to.worse, (1.0, 100.0));
     to.least = f.count("least", to.least as usize, (0, usize::MAX >> 1)) as u64;
     to.settle = f.time("settle", to.settle);
+    let there = ["differ", "within"].into_iter().any(|name| f.there(name));
+    let share = share(f, "compare");
+    f.must(
+        share.is_some() || !there,
+        "differ and within say how to compare; compare = percent(...) is missing",
+    );
+    let (differ, within) = (f.number("differ", 0.01, (1e-6, 0.99)), f.number("within", 0.0, (0.0, 0.99)));
+    to.compare = share.map(|share| Compare { share, differ, within });
 }
--- a/crates/versions/src/conductor.rs
+++ b/crates/versions/src/conductor.rs
@@ -37,11 +37,13 @@
     judge: Judge,
     /// By gateway and its life, what was counted at the last turn.
     counted: BTreeMap<(usize, u64), Answers>,
-    /// Since when all gateways that were to be had are at the record, and answers of the new version since.
+    /// Since when all gateways that were to be had are at the record, and answers since, of old and new.
     settled: Option<Micros>,
-    answers: u64,
+    answers: [u64; 2],
     /// All answers so far.
     sums: Answers,
+    /// By gateway and its life, pairs of answers compared and those that differed, at the last turn.
+    compared: BTreeMap<(usize, u64), [u64; 2]>,
     overruled: bool,
 }
 
@@ -55,8 +57,9 @@
             gateways: vec![Heard::default(); gateways],
             counted: BTreeMap::new(),
             settled: None,
-            answers: 0,
+            answers: [0; 2],
             sums: BTreeMap::new(),
+            compared: BTreeMap::new(),
             overruled: false,
         }
     }
@@ -84,7 +87,7 @@
     /// Orders the next thing, by whoever asks for it.
     pub fn order(&mut self, kind: Kind, id: u64, at: Micros, by: &str, why: &str) -> Result<(), String> {
         self.record = self.record.then(kind, id, at, by, why)?;
-        (self.settled, self.answers) = (None, 0);
+        (self.settled, self.answers) = (None, [0; 2]);
         Ok(())
     }
 
@@ -136,7 +139,7 @@
         if let Some(newest) = newest.filter(|newest| newest.mark() > self.record.mark()) {
             self.record = newest.clone();
             self.overruled = true;
-            (self.settled, self.answers) = (None, 0);
+            (self.settled, self.answers) = (None, [0; 2]);
         }
     }
 
@@ -157,6 +160,9 @@
                 }
             }
             *counted = status.answers.clone();
+            let [pairs, differ] = status.compared;
+            let before = self.compared.insert((at, status.life), status.compared).unwrap_or_default();
+            self.judge.compared(pairs.saturating_sub(before[0]), differ.saturating_sub(before[1]));
         }
         let settled = self.settled.is_some_and(|at| now >= at.saturating_add(self.record.plan.guard.settle));
         for (class, [old, new]) in &stretch {
@@ -164,7 +170,8 @@
                 self.judge.add(class, old, new);
             }
             if self.settled.is_some() && self.record.plan.guard.classes.contains(class) {
-                self.answers = self.answers.saturating_add(new.answered);
+                let [of_old, of_new] = self.answers;
+                self.answers = [of_old.saturating_add(old.answered), of_new.saturating_add(new.answered)];
             }
             let sum = self.sums.entry(class.clone()).or_default();
             *sum = [sum[0].plus(old), sum[1].plus(new)];
@@ -200,7 +207,10 @@
         let since = *self.settled.get_or_insert(now);
         let Stage::Step(at) = self.record.stage else { return };
         let step = self.record.plan.steps[at];
-        let enough = self.answers >= self.record.plan.guard.least || share == Share::NONE;
+        // A step that heard little of either version has compared nothing; at all calls there is no old one to hear.
+        let least = self.record.plan.guard.least;
+        let [old, new] = self.answers;
+        let enough = new >= least && (old >= least || share == Share::ALL);
         if self.record.paused || !enough || now < since.saturating_add(step.hold) {
             return;
         }
@@ -213,9 +223,8 @@
         // The last step of a plan that ends below all calls is held: to promote is for a person to say.
         if !last || share == Share::ALL {
             let kind = if last { Kind::Promote } else { Kind::Widen };
-            let why = format!("{} answers of {} and nothing against it", self.answers, {
-                self.record.plan.routed(Side::New)
-            });
+            let routed = self.record.plan.routed(Side::New);
+            let why = format!("{new} answers of {routed} and nothing against it");
             _ = self.order(kind, id, now, "plan", &why);
         }
     }
--- a/crates/versions/src/evidence.rs
+++ b/crates/versions/src/evidence.rs
@@ -13,7 +13,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::{Guard, Tally};
+use crate::{Differing, Guard, Tally};
 
 /// How many times greater than borne the odds of a bad answer may be: those that the test looks for.
 pub const ALTERNATIVES: [f64; 5] = [1.5, 3.0, 10.0, 100.0, 1000.0];
@@ -78,7 +78,7 @@
 pub struct Worse {
     /// The class with the most evidence.
     pub class: String,
-    /// `errors` or `late`.
+    /// `errors`, `late` or `differing answers`.
     pub what: &'static str,
     /// By how much chance would have to be stretched: 1000 is one in a thousand.
     pub evidence: f64,
@@ -99,6 +99,7 @@
     comparisons: BTreeMap<String, [Comparison; 2]>,
     /// By class, the stretch that is not over: of the old version, of the new.
     open: BTreeMap<String, [Tally; 2]>,
+    differing: Option<Differing>,
 }
 
 /// A stretch ends once one version has so many answers and the other has one: where both have a few, one by one,
@@ -116,6 +117,7 @@
             threshold: f64::from(judges.max(1)) / guard.false_alarm,
             comparisons: guard.classes.iter().map(both).collect(),
             open: BTreeMap::new(),
+            differing: guard.compare.map(|compare| Differing::new(compare.differ)),
         }
     }
 
@@ -133,6 +135,11 @@
         }
     }
 
+    /// Takes in pairs of answers to the same calls, and those among them that differed.
+    pub fn compared(&mut self, pairs: u64, differ: u64) {
+        self.differing.iter_mut().for_each(|differing| differing.add(pairs, differ));
+    }
+
     /// Ends all stretches: what is to be decided now must not miss what came last.
     pub fn close(&mut self) {
         for class in self.open.keys().cloned().collect::<Vec<_>>() {
@@ -153,11 +160,12 @@
     /// Why the new version is held to be worse, if it is.
     pub fn verdict(&self) -> Option<Worse> {
         let all = self.comparisons.iter().flat_map(|(class, both)| {
-            both.iter().zip(WHAT).map(move |(one, what)| (class, what, one.evidence()))
+            both.iter().zip(WHAT).map(move |(one, what)| (class.as_str(), what, one.evidence()))
         });
+        let differing = self.differing.map(|differing| ("all", "differing answers", differing.evidence()));
         let (mut sum, mut count) = (0.0, 0.0);
-        let mut most = None::<(&String, &str, f64)>;
-        for (class, what, evidence) in all {
+        let mut most = None::<(&str, &'static str, f64)>;
+        for (class, what, evidence) in all.chain(differing) {
             sum += evidence;
             count += 1.0;
             if most.is_none_or(|(.., highest)| evidence > highest) {
@@ -165,7 +173,7 @@
             }
         }
         let (class, what, _) = most.filter(|_| sum / count >= self.threshold)?;
-        Some(Worse { class: class.clone(), what, evidence: sum / count })
+        Some(Worse { class: class.into(), what, evidence: sum / count })
     }
 }
 
@@ -174,7 +182,8 @@
 /// It reckons with many calls in each stretch; the last stretch comes on top.
 pub fn promised_calls(guard: &Guard, judges: u32, share: f64, bad: (f64, f64)) -> f64 {
     let (old, new) = bad;
-    let comparisons = (2 * guard.classes.len() * ALTERNATIVES.len()) as f64;
+    let streams = 2 * guard.classes.len() + usize::from(guard.compare.is_some());
+    let comparisons = (streams * ALTERNATIVES.len()) as f64;
     let needed = (f64::from(judges.max(1)) * comparisons / guard.false_alarm).ln();
     // A bad answer falls to the new version with this chance; under an odds ratio r it would be with `under(r)`.
     let rate = share * new + (1.0 - share) * old;
--- a/crates/versions/src/lib.rs
+++ b/crates/versions/src/lib.rs
@@ -13,6 +13,7 @@
 //! `docs/VERSIONS.md` weighs the ways that were not taken.
 
 mod choice;
+mod compare;
 mod conductor;
 mod evidence;
 mod plan;
@@ -24,6 +25,7 @@
 pub type Micros = u64;
 
 pub use choice::{Callers, Share, Stick, point};
+pub use compare::{Compare, Differing};
 pub use conductor::{Act, Conductor, Heard};
 pub use evidence::{ALTERNATIVES, Comparison, Judge, Worse, promised_calls};
 pub use plan::{Guard, MOST_STEPS, Plan, Side, Step};
--- a/crates/versions/src/plan.rs
+++ b/crates/versions/src/plan.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Micros, Share, Stick};
+use crate::{Compare, Micros, Share, Stick};
 
 /// Most steps of a plan, and most classes of a guard.
 pub const MOST_STEPS: usize = 100;
@@ -40,10 +40,13 @@
     pub false_alarm: f64,
     /// The odds of an error or a late answer may be so many times the old version's.
     pub worse: f64,
-    /// Answers of the new version that a step needs before the next.
+    /// Answers of each version that a step needs before the next; at all calls, of the new one.
     pub least: u64,
     /// After a step answers are not compared for so long: what the step itself causes has passed then.
     pub settle: Micros,
+    /// Answers of both versions to the same calls are compared; `None`: not.
+    #[serde(default)]
+    pub compare: Option<Compare>,
 }
 
 /// A plan.
@@ -135,6 +138,11 @@
         must(different == guard.classes.len(), "the guard names a class twice".into());
         let alarm = guard.false_alarm;
         must(alarm > 0.0 && alarm < 1.0, format!("false_alarm = {alarm}: above 0 and below 1 is wanted"));
+        if let Some(Compare { share, differ, within }) = guard.compare {
+            must(share > Share::NONE, "compare: a share of nothing compares nothing".into());
+            must(differ > 0.0 && differ < 1.0, format!("differ = {differ}: above 0 and below 1 is wanted"));
+            must((0.0..1.0).contains(&within), format!("within = {within}: from 0 to below 1 is wanted"));
+        }
         let worse = guard.worse;
         must((1.0..=100.0).contains(&worse), format!("worse = {worse}: from 1 to 100 times is wanted"));
         faults
--- a/crates/versions/src/seat.rs
+++ b/crates/versions/src/seat.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Callers, End, Judge, Mark, Micros, Record, Share, Side, Stage, Status, Tally, point};
+use crate::{
+    Callers, Compare, End, Judge, Mark, Micros, Plan, Record, Share, Side, Stage, Status, Tally, point,
+};
 
 /// Most functions that have a plan.
 const MOST_FUNCTIONS: usize = 10_000;
@@ -80,6 +82,8 @@
     answers: BTreeMap<String, [Tally; 2]>,
     ran: BTreeMap<String, BTreeMap<String, u64>>,
     wrong: u64,
+    compared: [u64; 2],
+    compared_seen: [u64; 2],
 }
 
 impl Seat {
@@ -185,6 +189,8 @@
                 answers: BTreeMap::new(),
                 ran: BTreeMap::new(),
                 wrong: 0,
+                compared: [0; 2],
+                compared_seen: [0; 2],
             },
         };
         self.seats.insert(function, seat);
@@ -228,6 +234,20 @@
         seat.stood |= end != End::NotServed && side == Side::New;
     }
 
+    /// How answers of a function's versions are compared, and where the choice of calls comes from.
+    pub fn compare(&self, function: &str) -> Option<(&Plan, Compare)> {
+        let plan = &self.seats.get(function)?.record.plan;
+        plan.guard.compare.map(|compare| (plan, compare))
+    }
+
+    /// Both versions answered the same call.
+    pub fn compared(&mut self, function: &str, same: bool) {
+        if let Some(seat) = self.seats.get_mut(function) {
+            seat.compared[0] += 1;
+            seat.compared[1] += u64::from(!same);
+        }
+    }
+
     /// A worker's word for what it ran, and whether that was what it was asked for.
     pub fn ran(&mut self, function: &str, routed: &str, digest: &str, wrong: bool) {
         let Some(seat) = self.seats.get_mut(function) else { return };
@@ -291,6 +311,9 @@
                 }
             }
             seat.seen = seat.answers.clone();
+            let [pairs, differ] = seat.compared;
+            let [pairs_seen, differ_seen] = std::mem::replace(&mut seat.compared_seen, seat.compared);
+            seat.judge.compared(pairs - pairs_seen, differ - differ_seen);
             if let Some(worse) = seat.judge.verdict() {
                 seat.braked = Some(worse.to_string());
                 braked.push(function.clone());
@@ -315,6 +338,7 @@
                 answers: seat.answers.clone(),
                 ran: seat.ran.clone(),
                 wrong: seat.wrong,
+                compared: seat.compared,
             }
         };
         seats.map(status).collect()
--- a/crates/versions/src/wire.rs
+++ b/crates/versions/src/wire.rs
@@ -95,6 +95,9 @@
     pub unheard: Micros,
     /// Answers since its start, by class: of the old version, of the new.
     pub answers: BTreeMap<String, [Tally; 2]>,
+    /// Calls that both versions answered, and those among them whose answers differed.
+    #[serde(default)]
+    pub compared: [u64; 2],
     /// What workers said that they ran: by routed name and digest, answers.
     pub ran: BTreeMap<String, BTreeMap<String, u64>>,
     /// Answers of workers that ran something else than they were asked for.
--- a/crates/versions/tests/common/mod.rs
+++ b/crates/versions/tests/common/mod.rs
@@ -21,7 +21,7 @@
         stick: Stick::Account,
         salt: [3, 4],
         steps: vec![step(100, 10 * S), step(1_000, 10 * S), step(10_000, 10 * S)],
-        guard: Guard { classes, false_alarm: 0.01, worse: 1.5, least: 50, settle: 2 * S },
+        guard: Guard { classes, false_alarm: 0.01, worse: 1.5, least: 50, settle: 2 * S, compare: None },
         lease: 30 * S,
         preload: 5 * S,
         keep_old: 60 * S,
--- a/crates/versions/tests/conductor.rs
+++ b/crates/versions/tests/conductor.rs
@@ -234,3 +234,30 @@
     assert_eq!(fleet.stage(), Stage::RolledBack);
     assert!(fleet.new < 100, "{} calls of the new version", fleet.new);
 }
+
+#[test]
+fn a_step_waits_until_both_versions_were_heard() {
+    let step = step(9_990, 2 * S);
+    let mut fleet =
+        Fleet::new(1, Plan { steps: vec![step, common::step(10_000, 2 * S)], preload: 0, ..plan() });
+    fleet.seconds(60);
+    assert_eq!(fleet.stage(), Stage::Step(0), "some six answers of the old version, fifty are wanted");
+}
+
+#[test]
+fn answers_that_differ_pull_all_back() {
+    let mut plan = Plan { preload: 0, ..plan() };
+    plan.guard.compare = Some(Compare { share: Share::ALL, differ: 0.02, within: 0.0 });
+    let mut fleet = Fleet::new(3, plan);
+    fleet.seconds(3);
+    for n in 0..40 {
+        fleet.gateways[n % 3].compared("arrears", n % 2 == 0);
+    }
+    fleet.seconds(3);
+    assert_eq!(fleet.stage(), Stage::RolledBack);
+    assert!(
+        fleet.conductor.record().why.starts_with("all: more differing answers"),
+        "{}",
+        fleet.conductor.record().why
+    );
+}
