No twin where load orders are rationed: it would count as a client's call

The ration allows orders for each call taken; a call that is run again for comparison would have earned some. Documented; the module would have to tell twins apart.

--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -499,8 +499,10 @@
         call.time_left = asked.min(engine.most_time).saturating_sub(waited).max(1);
         call.route = self.desk.choose(now, &call, (client.connection, client.number));
         let safe = class.is_some_and(|class| class.effect == Effect::Safe);
-        // Only where nothing waits: a twin is worth no client's time.
-        let twin = (safe && self.intake.is_empty()).then(|| self.desk.twin(now, &call, client)).flatten();
+        // Only where nothing waits: a twin is worth no client's time. Nor may it earn load orders: the ration counts
+        // clients' calls, and the module can't tell them apart.
+        let free = self.settings.engine.module.ration.is_none() && self.intake.is_empty();
+        let twin = (safe && free).then(|| self.desk.twin(now, &call, client)).flatten();
         self.give(Input::Call(client, call));
         if let Some((client, twin)) = twin {
             self.give(Input::Call(client, twin));
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -1,8 +1,7 @@
 //! The gateway's part in versions: takes orders, writes them down, acts on them; `cresswheel_versions` decides.
 
-use std::path::Path;
-
 use std::collections::HashMap;
+use std::path::Path;
 
 use cresswheel_engine::{Answer, Call, Client, Route};
 use cresswheel_protocol::{Micros, Origin, Status};
