Folded: a call's own name, the tool's orders in one match, one wall clock, one mean of logs

Read once more. A name was made for every call once any function had a plan, and made a second time for twins: now only for functions with a plan, in one place. The tool matched a plan's check twice, cloned each order's fields one by one, looked for a held record in two ways and kept a flag for its first round; the gateway and the versions crate each had the time between looks; two tests kept the same sum of logarithms; the measurement had its own wall clock.

--- a/crates/cli/src/shifts.rs
+++ b/crates/cli/src/shifts.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use anyhow::{Context, ensure};
 use clap::Args;
@@ -13,6 +13,8 @@
 use cresswheel_standins::What;
 use cresswheel_versions::{Guard, promised_calls};
 
+use crate::versions::now;
+
 #[derive(Args)]
 pub struct ShiftArgs {
     /// Gateways, one run each.
@@ -87,10 +89,6 @@
     }
 }
 
-fn now() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as u64)
-}
-
 /// Calls one gateway until told to stop, each call about another account.
 fn call(at: SocketAddr, rate: u64, stop: &AtomicBool) -> anyhow::Result<()> {
     let mut client = Client::connect(at, "load")?;
--- a/crates/cli/src/versions.rs
+++ b/crates/cli/src/versions.rs
@@ -42,7 +42,7 @@
     order: Order,
 }
 
-#[derive(Subcommand)]
+#[derive(Clone, Subcommand)]
 enum Order {
     /// Begin the plan in FILE and conduct it: widen step by step, promote at its end, roll back if the guard speaks.
     ///
@@ -102,16 +102,6 @@
     if tied {
         super::peers::tie();
     }
-    if let Order::Check { file } = &args.order {
-        return Ok(match plan(file) {
-            Some(plan) => {
-                let (old, new) = (plan.routed(Side::Old), plan.routed(Side::New));
-                println!("{}: sound; {old} to {new} in {} steps", file.display(), plan.steps.len());
-                ExitCode::SUCCESS
-            }
-            None => ExitCode::from(2),
-        });
-    }
     let mut addresses = args.gateway.clone();
     if let Some(file) = &args.gateways {
         let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
@@ -131,9 +121,14 @@
     };
     let desk = |address| Gateway { address, client: None };
     let mut tool = Tool { gateways: addresses.into_iter().map(desk).collect(), key, args };
-    match &tool.args.order {
+    match tool.args.order.clone() {
+        Order::Check { file } => {
+            let Some(plan) = plan(&file) else { return Ok(ExitCode::from(2)) };
+            let (old, new) = (plan.routed(Side::Old), plan.routed(Side::New));
+            println!("{}: sound; {old} to {new} in {} steps", file.display(), plan.steps.len());
+            Ok(ExitCode::SUCCESS)
+        }
         Order::Start { file, no_watch } => {
-            let (file, no_watch) = (file.clone(), *no_watch);
             let Some(plan) = plan(&file) else { return Ok(ExitCode::from(2)) };
             let before = tool.newest(&plan.function)?;
             let (by, why) = (&tool.args.by, &tool.args.why);
@@ -142,24 +137,15 @@
             if no_watch { tool.order(record) } else { tool.conduct(record) }
         }
         Order::Watch { function } => {
-            let function = function.clone();
-            let record =
-                tool.newest(&function)?.with_context(|| format!("no gateway has a plan for {function}"))?;
+            let record = tool.held(&function)?;
             tool.conduct(record)
         }
-        Order::Status { function } => {
-            let function = function.clone();
-            tool.status(function)
-        }
-        Order::Pause { function } => tool.next(&function.clone(), Kind::Pause),
-        Order::Resume { function } => tool.next(&function.clone(), Kind::Resume),
-        Order::Promote { function } => tool.next(&function.clone(), Kind::Promote),
-        Order::Rollback { function } => tool.next(&function.clone(), Kind::RollBack),
-        Order::History { function } => {
-            let function = function.clone();
-            tool.history(&function)
-        }
-        Order::Check { .. } => Ok(ExitCode::SUCCESS),
+        Order::Status { function } => tool.status(function),
+        Order::Pause { function } => tool.next(&function, Kind::Pause),
+        Order::Resume { function } => tool.next(&function, Kind::Resume),
+        Order::Promote { function } => tool.next(&function, Kind::Promote),
+        Order::Rollback { function } => tool.next(&function, Kind::RollBack),
+        Order::History { function } => tool.history(&function),
     }
 }
 
@@ -168,7 +154,8 @@
     cresswheel_settings::read_plan(file, salt()).map_err(|faults| eprintln!("{faults}")).ok()
 }
 
-fn now() -> Micros {
+/// The time, in microseconds since 1970.
+pub fn now() -> Micros {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as Micros)
 }
 
@@ -272,8 +259,13 @@
         Ok(records.max_by_key(Record::mark))
     }
 
+    /// The same, where there must be one.
+    fn held(&mut self, function: &str) -> anyhow::Result<Record> {
+        self.newest(function)?.with_context(|| format!("no gateway has a plan for {function}"))
+    }
+
     fn next(&mut self, function: &str, kind: Kind) -> anyhow::Result<ExitCode> {
-        let held = self.newest(function)?.with_context(|| format!("no gateway has a plan for {function}"))?;
+        let held = self.held(function)?;
         // Safe to repeat: what was ordered already is only carried to those who lack it.
         let done = match kind {
             Kind::RollBack => held.stage == Stage::RolledBack,
@@ -328,13 +320,7 @@
             conductor.heard(at, now(), said.map(|said| said.into_iter().next()));
         }
         let (mut told, mut waits) = (conductor.record().mark(), String::new());
-        // Orders go out at once; after that, one round every so often.
-        let mut at_once = true;
         loop {
-            if !at_once {
-                std::thread::sleep(Duration::from_millis(self.args.every));
-            }
-            at_once = false;
             let acts = conductor.turn(now(), draw());
             let record = conductor.record().clone();
             if record.mark() != told {
@@ -362,6 +348,7 @@
                 tallies(&record, conductor.sums());
                 return Ok(end);
             }
+            std::thread::sleep(Duration::from_millis(self.args.every));
         }
     }
 
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -497,7 +497,7 @@
         let now = self.hub.clock().now();
         let waited = now.saturating_sub(came);
         call.time_left = asked.min(engine.most_time).saturating_sub(waited).max(1);
-        call.route = self.desk.choose(now, &call, (client.connection, client.number));
+        call.route = self.desk.choose(now, &call, client);
         let safe = class.is_some_and(|class| class.effect == Effect::Safe);
         // Only where nothing waits: a twin is worth no client's time. Nor may it earn load orders: the ration counts
         // clients' calls, and the module can't tell them apart.
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -6,13 +6,12 @@
 use cresswheel_engine::{Answer, Call, Client, Route};
 use cresswheel_protocol::{Micros, Origin, Status};
 use cresswheel_versions::{
-    Callers, Compare, End, Expected, Question, Reply, Side, Status as VersionStatus, Versions, Weight,
+    Callers, Compare, End, Expected, LOOK_EVERY, Question, Reply, Side, Status as VersionStatus, Versions,
+    Weight,
 };
 
 use crate::version_store::{Kept, VersionStore};
 
-/// How often own figures are looked at and expectations told.
-const LOOK_EVERY: Micros = 1_000_000;
 /// For how long a function is told to be expected: a look may come late.
 pub const EXPECTED_FOR: Micros = 3 * LOOK_EVERY;
 
@@ -82,12 +81,16 @@
         })
     }
 
-    /// The version that a call gets, as it arrives. Two calls of one client connection differ in their number.
-    pub fn choose(&self, now: Micros, call: &Call, client: (u64, u64)) -> Option<Route> {
-        if self.versions.is_empty() {
-            return None;
-        }
-        let own = format!("{:x}-{:x}-{:x}", self.life, client.0, client.1);
+    /// Names a call, here and nowhere else: two calls of one connection differ in their number.
+    fn name(&self, client: Client) -> String {
+        format!("{:x}-{:x}-{:x}", self.life, client.connection, client.number)
+    }
+
+    /// The version that a call gets, as it arrives.
+    pub fn choose(&self, now: Micros, call: &Call, client: Client) -> Option<Route> {
+        // Most functions have no plan, and their calls need no name.
+        self.versions.heard(&call.function)?;
+        let own = self.name(client);
         let callers = Callers {
             tenant: &call.tenant,
             account: call.account.as_deref().unwrap_or_default(),
@@ -121,8 +124,7 @@
     pub fn twin(&mut self, now: Micros, call: &Call, client: Client) -> Option<(Client, Call)> {
         let route = call.route.as_ref().filter(|route| route.new && !call.deferred)?;
         let (plan, compare) = self.versions.compare(&call.function)?;
-        let name = format!("{:x}-{:x}-{:x}", self.life, client.connection, client.number);
-        if self.pairs.len() >= MOST_PAIRS || !compare.takes(plan.salt, &name) {
+        if self.pairs.len() >= MOST_PAIRS || !compare.takes(plan.salt, &self.name(client)) {
             return None;
         }
         let (function, digest) = (plan.routed(Side::Old), plan.digest(Side::Old).to_owned());
--- a/crates/versions/src/compare.rs
+++ b/crates/versions/src/compare.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::evidence::mean;
 use crate::{Share, point};
 
 /// How answers are compared.
@@ -83,6 +84,6 @@
 
     /// One at the start.
     pub fn evidence(&self) -> f64 {
-        self.logs.iter().map(|log| log.exp()).sum::<f64>() / self.logs.len() as f64
+        mean(&self.logs)
     }
 }
--- a/crates/versions/src/evidence.rs
+++ b/crates/versions/src/evidence.rs
@@ -69,10 +69,15 @@
 
     /// One at the start; its mean stays at most one while the new version is no worse than borne.
     pub fn evidence(&self) -> f64 {
-        self.logs.iter().map(|log| log.exp()).sum::<f64>() / self.logs.len() as f64
+        mean(&self.logs)
     }
 }
 
+/// The mean of evidence that is kept in logarithms: alternatives are weighed alike.
+pub fn mean(logs: &[f64]) -> f64 {
+    logs.iter().map(|log| log.exp()).sum::<f64>() / logs.len() as f64
+}
+
 /// Why a version was held to be worse.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Worse {
--- a/crates/versions/src/seat.rs
+++ b/crates/versions/src/seat.rs
@@ -13,7 +13,7 @@
 /// Most different digests of a version that are told apart.
 const MOST_DIGESTS: usize = 16;
 /// How often own figures are judged.
-const LOOK_EVERY: Micros = 1_000_000;
+pub const LOOK_EVERY: Micros = 1_000_000;
 
 /// What a call is given when it arrives.
 #[derive(Clone, Debug, PartialEq, Eq)]
