--- a/crates/admission/src/door.rs
+++ b/crates/admission/src/door.rs
@@ -23,6 +23,8 @@
     pub accepts_per_s: u64,
     /// When all places are taken, a connection that has been idle for so long gives way to a new one.
     pub evict_after: Micros,
+    /// A connection that has asked for nothing yet is closed after this; 0: as an idle one. It gives way first.
+    pub unasked: Micros,
     /// Idle connections are closed after this: those of HTTP, and of the main protocol if there are no pings.
     pub idle: Micros,
     /// A message must be whole this long after its first byte.
@@ -48,6 +50,7 @@
             connections: 10_000,
             accepts_per_s: 20_000,
             evict_after: 10 * S,
+            unasked: 0,
             idle: 300 * S,
             half: 10 * S,
             half_bytes: 256 << 20,
@@ -125,14 +128,16 @@
 const ASKED: usize = 3;
 const HALF: usize = 4;
 const STALLED: usize = 5;
-const QUEUES: usize = 6;
+/// It has asked for nothing yet.
+const NEW: usize = 6;
+const QUEUES: usize = 7;
 
 /// When all places are taken, whether that is still so is looked at again after this.
 const LOOK_AGAIN: Micros = 1_000_000;
 /// So many a second may leave together without harm to whoever takes them.
 const FEW: u64 = 100;
 /// In the order in which they are looked through for one that gives way.
-const IDLE: [usize; 4] = [ASKED, PINGED, FRAMED, HTTP];
+const IDLE: [usize; 5] = [ASKED, NEW, PINGED, FRAMED, HTTP];
 
 /// Tenants that shares are kept for; what comes after shares one.
 const MOST_TENANTS: usize = 1_024;
@@ -200,6 +205,8 @@
     http: bool,
     stalled: bool,
     asked: bool,
+    /// It has asked for nothing yet.
+    new: bool,
 }
 
 const NO_TENANT: u32 = u32::MAX;
@@ -212,6 +219,7 @@
     http: false,
     stalled: false,
     asked: false,
+    new: true,
 };
 
 /// Asking connections to leave, spread over time.
@@ -303,6 +311,7 @@
             (ASKED, limits.ping_wait),
             (HALF, limits.half),
             (STALLED, limits.stall),
+            (NEW, limits.unasked),
         ];
         spans.into_iter().for_each(|(queue, span)| self.spans.change(queue, span));
     }
@@ -361,8 +370,11 @@
         }
     }
 
-    /// The connection that has been silent for the longest time, without an open call.
+    /// The connection that has been silent for the longest time, without an open call; one that never asked first.
     fn longest_idle(&self) -> Option<(usize, Micros)> {
+        if let Some((slot, _)) = self.spans.first(NEW) {
+            return Some((slot, self.spans.since(slot)?));
+        }
         // Those pinged were silent for `ping_after` before.
         let earlier = |queue, before: Micros| {
             let (slot, _) = self.spans.first(queue)?;
@@ -455,6 +467,8 @@
             return self.spans.take_out(slot);
         } else if guest.asked {
             ASKED
+        } else if guest.new && self.limits.unasked > 0 {
+            NEW
         } else if guest.http {
             HTTP
         } else {
@@ -495,6 +509,7 @@
     pub fn asks(&mut self, now: Micros, slot: usize, tenant: &str) {
         let Some(guest) = self.guest(slot) else { return };
         guest.open += 1;
+        guest.new = false;
         let before = guest.tenant;
         let same = before != NO_TENANT && self.tenants.counts[before as usize].0.as_deref() == Some(tenant);
         if !tenant.is_empty() && !same {
@@ -558,6 +573,7 @@
             (ASKED, "asked-to-leave"),
             (HALF, "half-sent"),
             (STALLED, "does-not-read"),
+            (NEW, "never-asked"),
         ];
         for (queue, why) in endings {
             if let Some((slot, _)) = self.spans.first(queue).filter(|(_, due)| *due <= now) {
@@ -624,7 +640,7 @@
 
     /// When [`Door::act`] has something to say at the earliest.
     pub fn next_due(&self, now: Micros) -> Option<Micros> {
-        let queues = [HTTP, PINGED, ASKED, HALF, STALLED];
+        let queues = [HTTP, PINGED, ASKED, HALF, STALLED, NEW];
         let firsts = queues.into_iter().filter_map(|queue| self.spans.first(queue).map(|(_, due)| due));
         let ping = self.spans.first(FRAMED).map(|(_, due)| {
             if self.limits.pings_per_s == 0 {
--- /dev/null
+++ b/crates/carriers/src/lib.rs
@@ -0,0 +1,260 @@
+//! Connections to the workers: which one carries an attempt, what is out on each.
+//!
+//! The carriers know no calls and no protocol: a shell says what its wire is and writes its own frames. A connection
+//! is opened when those that stand are full, up to a bound; for a closed one each attempt and order on it is told
+//! how it ended. Both shells use this, so that what proves 'never ran' is found out in one way.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use cresswheel::WorkerId;
+use cresswheel_engine::{AttemptEnd, Input, OrderEnd};
+use cresswheel_protocol::Micros;
+use cresswheel_transport::{Connection, Hub, Wire};
+use foldhash::HashMap;
+
+/// One connection to a worker.
+struct Carrier {
+    worker: WorkerId,
+    stands: bool,
+    attempts: BTreeSet<u64>,
+    orders: BTreeSet<u64>,
+    idle_since: Micros,
+    /// Nothing new here: the worker said that it goes away, or the shell gave the connection up.
+    leaving: bool,
+}
+
+impl Carrier {
+    fn load(&self) -> usize {
+        self.attempts.len() + self.orders.len()
+    }
+}
+
+/// All connections to workers.
+#[derive(Default)]
+pub struct Carriers {
+    carriers: HashMap<Connection, Carrier>,
+    by_worker: HashMap<WorkerId, Vec<Connection>>,
+    /// Where each attempt and order is out.
+    places: HashMap<u64, Connection>,
+}
+
+/// Bounds of the carriers.
+#[derive(Clone, Copy, Debug)]
+pub struct CarrierLimits {
+    /// What is spoken on them.
+    pub wire: Wire,
+    /// Connections to one worker.
+    pub connections: usize,
+    /// Attempts and orders that one connection carries at once.
+    pub streams: usize,
+    /// Another connection is opened, while there is room for one, when each carries so many.
+    pub spread: usize,
+    /// A connection must stand after this.
+    pub connect_timeout: Micros,
+}
+
+/// What is to be carried, by its number.
+#[derive(Clone, Copy, Debug)]
+pub enum Cargo {
+    /// An attempt.
+    Attempt(u64),
+    /// A hold order.
+    Order(u64),
+}
+
+impl Carriers {
+    /// Hands a frame to a connection to the worker and tells which; `None`: none is to be had. `begin` writes what
+    /// a new connection begins with; `usable` may rule out connections.
+    pub fn give(
+        &mut self,
+        hub: &mut Hub,
+        limits: &CarrierLimits,
+        (worker, address): (&WorkerId, SocketAddr),
+        cargo: Cargo,
+        usable: impl Fn(Connection) -> bool,
+        begin: impl FnOnce(&mut Vec<u8>),
+        frame: impl FnOnce(&mut Vec<u8>),
+    ) -> Option<Connection> {
+        let now = hub.clock().now();
+        if !self.by_worker.contains_key(worker) {
+            self.by_worker.insert(worker.clone(), Vec::new());
+        }
+        let here = self.by_worker.get_mut(worker)?;
+        let load = |c: Connection| self.carriers[&c].load();
+        let all = here.iter().copied().filter(|c| !self.carriers[c].leaving && usable(*c));
+        let least = all.min_by_key(|c| load(*c)).filter(|c| load(*c) < limits.streams);
+        let room = here.len() < limits.connections;
+        let connection = match least.filter(|c| !room || load(*c) < limits.spread) {
+            Some(connection) => connection,
+            None if !room => return None,
+            None => {
+                let connection = hub.connect(address, limits.wire, limits.connect_timeout);
+                if !hub.is_open(connection) {
+                    return None;
+                }
+                let carrier = Carrier {
+                    worker: worker.clone(),
+                    stands: false,
+                    attempts: BTreeSet::new(),
+                    orders: BTreeSet::new(),
+                    idle_since: now,
+                    leaving: false,
+                };
+                self.carriers.insert(connection, carrier);
+                here.push(connection);
+                hub.write(connection, None, begin);
+                connection
+            }
+        };
+        let (Cargo::Attempt(number) | Cargo::Order(number)) = cargo;
+        if !hub.write(connection, Some(number), frame) {
+            return None;
+        }
+        if let Some(carrier) = self.carriers.get_mut(&connection) {
+            match cargo {
+                Cargo::Attempt(_) => carrier.attempts.insert(number),
+                Cargo::Order(_) => carrier.orders.insert(number),
+            };
+        }
+        self.places.insert(number, connection);
+        Some(connection)
+    }
+
+    /// A frame without an answer, if a connection stands.
+    pub fn tell(&mut self, hub: &mut Hub, worker: &WorkerId, frame: impl FnOnce(&mut Vec<u8>)) {
+        let stands = |c: &&Connection| self.carriers.get(c).is_some_and(|c| c.stands && !c.leaving);
+        if let Some(connection) = self.by_worker.get(worker).and_then(|here| here.iter().find(stands)) {
+            hub.write(*connection, None, frame);
+        }
+    }
+
+    /// Tells the worker that an attempt is called off, on the connection that carries it, which is given back.
+    pub fn call_off(
+        &mut self,
+        hub: &mut Hub,
+        attempt: u64,
+        frame: impl FnOnce(&mut Vec<u8>),
+    ) -> Option<Connection> {
+        let connection = self.done(hub, attempt)?;
+        hub.write(connection, None, frame);
+        Some(connection)
+    }
+
+    /// Takes an attempt or order back; true: no byte of it had left.
+    pub fn withdraw(&mut self, hub: &mut Hub, number: u64) -> bool {
+        let Some(connection) = self.places.get(&number).copied() else { return false };
+        let taken = hub.withdraw(connection, number);
+        if taken {
+            self.done(hub, number);
+        }
+        taken
+    }
+
+    /// Takes back all for a worker of which no byte has left, and tells how it ended.
+    pub fn withdraw_all(&mut self, hub: &mut Hub, worker: &WorkerId) -> Vec<Input> {
+        let here = self.by_worker.get(worker).cloned().unwrap_or_default();
+        let mut ended = Vec::new();
+        for carrier in here.iter().filter_map(|connection| self.carriers.get(connection)) {
+            ended.extend(carrier.attempts.iter().copied().map(Cargo::Attempt));
+            ended.extend(carrier.orders.iter().copied().map(Cargo::Order));
+        }
+        ended.retain(|(Cargo::Attempt(number) | Cargo::Order(number))| self.withdraw(hub, *number));
+        let told = |cargo| match cargo {
+            Cargo::Attempt(number) => never_left(number, false),
+            Cargo::Order(number) => Input::OrderEnded(number, OrderEnd::NotConnected, 0),
+        };
+        ended.into_iter().map(told).collect()
+    }
+
+    /// An attempt or order is no longer out; gives the connection that carried it.
+    pub fn done(&mut self, hub: &Hub, number: u64) -> Option<Connection> {
+        let connection = self.places.remove(&number)?;
+        let carrier = self.carriers.get_mut(&connection)?;
+        carrier.attempts.remove(&number);
+        carrier.orders.remove(&number);
+        carrier.idle_since = hub.clock().now();
+        Some(connection)
+    }
+
+    /// Whose connection it is.
+    pub fn worker(&self, connection: Connection) -> Option<WorkerId> {
+        self.carriers.get(&connection).map(|carrier| carrier.worker.clone())
+    }
+
+    /// Whether it is a connection to a worker.
+    pub fn is_ours(&self, connection: Connection) -> bool {
+        self.carriers.contains_key(&connection)
+    }
+
+    /// Whether the answer to this number is expected from this connection.
+    pub fn carries(&self, connection: Connection, number: u64) -> bool {
+        self.places.get(&number) == Some(&connection)
+    }
+
+    /// A connection stands.
+    pub fn stands(&mut self, connection: Connection) {
+        self.carriers.entry(connection).and_modify(|c| c.stands = true);
+    }
+
+    /// Nothing new goes to this connection.
+    pub fn leaving(&mut self, connection: Connection) {
+        self.carriers.entry(connection).and_modify(|c| c.leaving = true);
+    }
+
+    /// Nothing new goes to the connections that stand or are begun to a worker.
+    pub fn all_leaving(&mut self, worker: &WorkerId) {
+        for connection in self.by_worker.get(worker).cloned().unwrap_or_default() {
+            self.leaving(connection);
+        }
+    }
+
+    /// A connection is gone: how each attempt and order on it ended.
+    pub fn closed(&mut self, connection: Connection, never_stood: bool, unsent: &[u64]) -> Vec<Input> {
+        let Some(carrier) = self.carriers.remove(&connection) else { return Vec::new() };
+        if let Some(here) = self.by_worker.get_mut(&carrier.worker) {
+            here.retain(|c| *c != connection);
+            if here.is_empty() {
+                self.by_worker.remove(&carrier.worker);
+            }
+        }
+        let unsent: BTreeSet<u64> = unsent.iter().copied().collect();
+        let mut ended = Vec::new();
+        for attempt in carrier.attempts {
+            self.places.remove(&attempt);
+            ended.push(match unsent.contains(&attempt) {
+                true => never_left(attempt, never_stood),
+                false => Input::AttemptEnded(attempt, AttemptEnd::Broken, Vec::new(), None),
+            });
+        }
+        for order in carrier.orders {
+            self.places.remove(&order);
+            let end = if never_stood { OrderEnd::NotConnected } else { OrderEnd::Broken };
+            ended.push(Input::OrderEnded(order, end, 0));
+        }
+        ended
+    }
+
+    /// Closes connections on which nothing has been out for a while, and those given up once nothing is.
+    pub fn close_idle(&mut self, hub: &mut Hub, idle: Micros) {
+        let now = hub.clock().now();
+        let over = |c: &Carrier| c.stands && c.load() == 0 && (c.leaving || c.idle_since + idle <= now);
+        let closing: Vec<_> = self.carriers.iter().filter(|(_, c)| over(c)).map(|(id, _)| *id).collect();
+        closing.into_iter().for_each(|connection| hub.close(connection, "idle"));
+    }
+
+    /// Connections to workers.
+    pub fn connections(&self) -> usize {
+        self.carriers.len()
+    }
+
+    /// Attempts and orders that are out.
+    pub fn out(&self) -> usize {
+        self.places.len()
+    }
+}
+
+fn never_left(attempt: u64, never_stood: bool) -> Input {
+    let end = if never_stood { AttemptEnd::NotConnected } else { AttemptEnd::NotWritten };
+    Input::AttemptEnded(attempt, end, Vec::new(), None)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -13,6 +13,8 @@
 
 use clap::{Parser, Subcommand};
 use cresswheel_gateway::{Gateway, HolderCommand};
+use cresswheel_platform::Platform;
+use cresswheel_platform_wire::config::Config;
 
 /// A gateway that runs calls on workers which load functions on demand.
 ///
@@ -48,6 +50,15 @@
         /// A settings script, such as deploy/gateway.star.
         file: PathBuf,
     },
+    /// Run a gateway on the operators' platform, as docs/PLATFORM.md tells.
+    ///
+    /// TERM: it sends its clients elsewhere, answers what they asked and exits 0. HUP: it reads the configuration
+    /// again; only the directory's address may change.
+    Platform {
+        /// The platform's configuration, as JSON.
+        #[arg(env = "NODE_CONFIG")]
+        config: PathBuf,
+    },
     /// Read the settings in FILE and tell every fault with its line.
     Check {
         /// A settings script.
@@ -99,6 +110,7 @@
     }
     let done = match cli.command {
         Command::Gateway { ref file } => gateway(file, &cli),
+        Command::Platform { ref config } => platform(config),
         Command::Crowd(args) => peers::crowd(args, cli.tied),
         Command::Hold => cresswheel_clients::trunk::hold().map(|()| ExitCode::SUCCESS),
         Command::Check { file } => match cresswheel_settings::read(&file) {
@@ -161,3 +173,23 @@
     gateway.run()?;
     Ok(ExitCode::SUCCESS)
 }
+
+fn platform(file: &std::path::Path) -> anyhow::Result<ExitCode> {
+    let file = file.to_path_buf();
+    let read = move || -> Result<Config, String> {
+        let text = std::fs::read_to_string(&file).map_err(|error| format!("{}: {error}", file.display()))?;
+        Config::read(&text).map_err(|error| format!("{}: {error}", file.display()))
+    };
+    let config = match read() {
+        Ok(config) => config,
+        Err(error) => {
+            eprintln!("cresswheel: {error}");
+            return Ok(ExitCode::from(2));
+        }
+    };
+    let mut gateway = Platform::start(&config, Box::new(read))?;
+    drop(config);
+    tracing::info!(address = %gateway.address(), "listens");
+    gateway.run()?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -591,7 +591,7 @@
                 }
                 Due::Attempt(attempt) => {
                     if let Some(flight) = self.flights.get(&attempt) {
-                        out.push(Output::Withdraw(flight.worker.clone(), attempt));
+                        out.push(Output::Overdue(flight.worker.clone(), attempt));
                     }
                     self.attempt_ended(attempt, AttemptEnd::Silent, Arc::from([]), None, out);
                 }
@@ -708,6 +708,7 @@
             id: id.0.to_string(),
             before: number as u32,
             time_left: open.deadline.saturating_sub(self.now),
+            timeout,
             call: open.call.clone(),
         };
         open.attempts.push(self.next);
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -151,6 +151,8 @@
     pub before: u32,
     /// Time until nobody waits any more.
     pub time_left: Micros,
+    /// The attempt itself is given up after this.
+    pub timeout: Micros,
     /// The call.
     pub call: Arc<Call>,
 }
@@ -168,6 +170,8 @@
     Run(Attempt),
     /// Nobody waits for this attempt any more: take it back if no byte of it has left.
     Withdraw(WorkerId, u64),
+    /// Nothing was heard of this attempt in time: take it back as with `Withdraw`, or else give it up at the worker.
+    Overdue(WorkerId, u64),
     /// Tell the worker that an attempt is called off.
     CancelRun(WorkerId, u64),
     /// Carry a hold order.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,6 @@
 
 mod holders;
 mod metrics;
-mod pool;
 mod saved_list;
 mod settings;
 mod shell;
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -9,16 +9,16 @@
 use calloop::signals::Signal;
 use cresswheel::{Effect, WorkerId};
 use cresswheel_admission::{Budget, Intake, Parts, Verdict};
+use cresswheel_carriers::{Cargo, CarrierLimits, Carriers};
 use cresswheel_clients::{Ask, ClientTerms, Clients};
 use cresswheel_engine::{Answer, Attempt, AttemptEnd, Call, Client, Engine, Input, OrderEnd, Output};
-use cresswheel_protocol::{Listed, Message, Micros, Origin, Status};
+use cresswheel_protocol::{Listed, Message, Micros, Origin, Role, Status, encode};
 use cresswheel_transport::{Connection, Hub, Notice, Wire, listener};
 use foldhash::{HashMap, HashMapExt};
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 
 use crate::holders::{self, FromHolder, HolderCommand, Holders, Key};
 use crate::metrics::{self, ShellCounts};
-use crate::pool::{self, Pool, PoolLimits};
 use crate::saved_list::SavedList;
 use crate::settings::GatewaySettings;
 use crate::versions::{Desk, EXPECTED_FOR};
@@ -50,7 +50,7 @@
     reload: Reload,
     hub: Hub,
     engine: Engine,
-    pool: Pool,
+    carriers: Carriers,
     ready: Ready,
     clients: Clients,
     holders: Holders,
@@ -164,7 +164,7 @@
             reload,
             hub,
             engine,
-            pool: Pool::default(),
+            carriers: Carriers::default(),
             clients,
             holders,
             budget,
@@ -303,7 +303,9 @@
                     None => {}
                 }
             }
-            Notice::Connected(connection) if Some(connection) != self.list => self.pool.stands(connection),
+            Notice::Connected(connection) if Some(connection) != self.list => {
+                self.carriers.stands(connection)
+            }
             Notice::Message(connection, message) => self.message(connection, message),
             Notice::Closed { connection, never_stood, unsent, why, .. } => {
                 self.closed(connection, never_stood, &unsent, &why);
@@ -379,7 +381,7 @@
                 _ => {}
             };
         }
-        if self.pool.is_ours(connection) {
+        if self.carriers.is_ours(connection) {
             self.worker_message(connection, message);
         }
     }
@@ -388,21 +390,21 @@
         match message {
             Message::Ran { attempt, ending, crowd, body, origin } => {
                 // An answer on another connection than the attempt's is an answer to nothing.
-                let number = if self.pool.carries(connection, attempt) { attempt } else { 0 };
-                self.pool.done(&self.hub, number);
+                let number = if self.carriers.carries(connection, attempt) { attempt } else { 0 };
+                self.carriers.done(&self.hub, number);
                 self.give(Input::AttemptEnded(number, AttemptEnd::Answered(ending, crowd), body, origin));
             }
             Message::Held { order, ending, standing } => {
-                let number = if self.pool.carries(connection, order) { order } else { 0 };
-                self.pool.done(&self.hub, number);
+                let number = if self.carriers.carries(connection, order) { order } else { 0 };
+                self.carriers.done(&self.hub, number);
                 self.give(Input::OrderEnded(number, OrderEnd::Answered(ending), standing));
             }
             Message::Probed { .. } => {
-                if let Some(worker) = self.pool.worker(connection) {
+                if let Some(worker) = self.carriers.worker(connection) {
                     self.give(Input::Probed(worker));
                 }
             }
-            Message::GoingAway { .. } => self.pool.leaving(connection),
+            Message::GoingAway { .. } => self.carriers.leaving(connection),
             Message::Bye { reason } => tracing::warn!(%reason, "a worker refuses"),
             _ => {}
         }
@@ -560,7 +562,7 @@
             busy: self.busy.clone(),
             waiting: self.intake.len(),
             intake_rate: self.intake.rate(),
-            worker_connections: self.pool.connections(),
+            worker_connections: self.carriers.connections(),
             accept_starved: self.hub.starved,
             list_stale: self.list_stale,
             versions: self.desk.status(self.hub.clock().now()),
@@ -576,7 +578,7 @@
             self.list_retry = Some(self.hub.clock().now() + self.settings.shell.list_retry);
             return self.give(Input::ListLost);
         }
-        let ended = self.pool.closed(connection, never_stood, unsent);
+        let ended = self.carriers.closed(connection, never_stood, unsent);
         if !ended.is_empty() {
             tracing::info!(%why, never_stood, ended = ended.len(), "a worker connection ended");
         }
@@ -636,26 +638,30 @@
             }
             Output::Close(connection, reason) => self.end(connection, reason),
             Output::Run(attempt) => self.run_attempt(attempt),
-            Output::Withdraw(_, attempt) => {
-                if self.pool.withdraw(&mut self.hub, attempt) {
+            Output::Withdraw(_, attempt) | Output::Overdue(_, attempt) => {
+                if self.carriers.withdraw(&mut self.hub, attempt) {
                     let end = AttemptEnd::NotWritten;
                     self.inputs.push_back(Input::AttemptEnded(attempt, end, Vec::new(), None));
                 }
             }
-            Output::CancelRun(_, attempt) => self.pool.call_off(&mut self.hub, attempt),
+            Output::CancelRun(_, attempt) => {
+                let message = Message::CancelRun { attempt };
+                self.carriers.call_off(&mut self.hub, attempt, |out| encode(&message, out));
+            }
             Output::Hold { worker, order, function, count, shape } => {
                 tracing::debug!(%worker, %function, count, "hold");
                 let message = Message::Hold { order, function: function.to_string(), count, shape };
-                if !self.hand_to(&worker, (order, true), &message) {
+                if !self.hand_to(&worker, Cargo::Order(order), &message) {
                     self.inputs.push_back(Input::OrderEnded(order, OrderEnd::NotConnected, 0));
                 }
             }
             Output::Drop(worker, function) => {
                 let message = Message::Drop { function: function.to_string() };
-                self.pool.tell(&mut self.hub, &worker, &message);
+                self.carriers.tell(&mut self.hub, &worker, |out| encode(&message, out));
             }
             Output::Probe(worker) => {
-                self.pool.tell(&mut self.hub, &worker, &Message::Probe { number: 0 });
+                let message = Message::Probe { number: 0 };
+                self.carriers.tell(&mut self.hub, &worker, |out| encode(&message, out));
             }
             // The list is followed from the start, and again whenever its connection was lost.
             Output::Follow => {}
@@ -697,21 +703,27 @@
             shape: call.shape.clone(),
             body: call.body.clone(),
         };
-        if !self.hand_to(&attempt.worker, (attempt.number, false), &message) {
+        if !self.hand_to(&attempt.worker, Cargo::Attempt(attempt.number), &message) {
             let end = AttemptEnd::NotConnected;
             self.inputs.push_back(Input::AttemptEnded(attempt.number, end, Vec::new(), None));
         }
     }
 
-    fn hand_to(&mut self, worker: &WorkerId, number: (u64, bool), message: &Message) -> bool {
+    fn hand_to(&mut self, worker: &WorkerId, cargo: Cargo, message: &Message) -> bool {
         let Some(address) = self.addresses.get(worker).copied() else { return false };
-        let limits = PoolLimits {
+        let streams = self.settings.shell.worker_streams;
+        let limits = CarrierLimits {
+            wire: Wire::Frames,
             connections: self.settings.shell.worker_connections,
-            streams: self.settings.shell.worker_streams,
+            streams,
+            spread: streams,
             connect_timeout: self.settings.engine.module.connect_timeout,
         };
-        let hello = || pool::hello(&self.settings.name, &self.settings.engine.module.zone);
-        self.pool.give(&mut self.hub, &limits, hello, (worker, address), number, message)
+        let hello = hello(&self.settings);
+        let (begin, frame) =
+            (|out: &mut Vec<u8>| encode(&hello, out), |out: &mut Vec<u8>| encode(message, out));
+        let to = (worker, address);
+        self.carriers.give(&mut self.hub, &limits, to, cargo, |_| true, begin, frame).is_some()
     }
 
     /// Tells the engine which functions are to be kept loaded, when it is time to.
@@ -731,22 +743,23 @@
             if let (Some(at), Life::Running) = (at, self.life) {
                 let list = self.hub.connect(at, Wire::Frames, self.settings.engine.module.connect_timeout);
                 self.list = Some(list);
-                self.hub.send(
-                    list,
-                    &pool::hello(&self.settings.name, &self.settings.engine.module.zone),
-                    None,
-                );
+                self.hub.send(list, &hello(&self.settings), None);
                 self.hub.send(list, &Message::Follow {}, None);
             }
         }
         if self.pool_look <= now {
             let idle = self.settings.shell.worker_idle;
-            self.pool.close_idle(&mut self.hub, idle);
+            self.carriers.close_idle(&mut self.hub, idle);
             self.pool_look = now + idle.max(1_000) / 4;
         }
     }
 }
 
+fn hello(settings: &GatewaySettings) -> Message {
+    let (name, zone) = (settings.name.clone(), settings.engine.module.zone.clone());
+    Message::Hello { role: Role::Gateway, name, zone }
+}
+
 /// Listens. Holders of a gateway that was killed a moment ago may still have the port.
 fn bind(at: SocketAddr) -> io::Result<socket2::Socket> {
     let began = std::time::Instant::now();
--- /dev/null
+++ b/crates/platform-wire/src/held.rs
@@ -0,0 +1,38 @@
+//! Bytes that came and are not used yet.
+
+#[derive(Debug, Default)]
+pub struct Held {
+    buffer: Vec<u8>,
+    used: usize,
+}
+
+impl Held {
+    /// Appends bytes. What was used up to then is given back.
+    pub fn push(&mut self, bytes: &[u8]) {
+        if self.used == self.buffer.len() {
+            self.buffer.clear();
+            self.used = 0;
+        } else if self.used > 16 << 10 {
+            self.buffer.drain(..self.used);
+            self.used = 0;
+        }
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    pub fn rest(&self) -> &[u8] {
+        &self.buffer[self.used..]
+    }
+
+    /// The first bytes are done with. An empty buffer that was large once is not kept.
+    pub fn take(&mut self, count: usize) {
+        self.used += count.min(self.rest().len());
+        if self.used == self.buffer.len() {
+            self.clear();
+        }
+    }
+
+    pub fn clear(&mut self) {
+        self.buffer = Vec::new();
+        self.used = 0;
+    }
+}
--- /dev/null
+++ b/crates/platform/src/directory.rs
@@ -0,0 +1,114 @@
+//! The directory, asked again and again.
+//!
+//! An event counts as told when an answer that holds it is sent, and 1.5 s after it happened at the latest, whether
+//! the answer comes here or not. The shortest drain grace is a second, so an answer that got lost must be made up
+//! for well within one.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use cresswheel::Micros;
+use cresswheel_platform_wire::directory::{self, Listing};
+use cresswheel_transport::Hub;
+
+/// Between two questions: four of five may be lost within a second, and five small answers a second cost nothing.
+const PERIOD: Micros = 200_000;
+/// Questions whose answers are still good.
+const RECENT: usize = 8;
+
+/// Asks the directory, and keeps what is newer.
+pub struct Directory {
+    socket: Option<usize>,
+    address: SocketAddr,
+    next: Micros,
+    id: u16,
+    recent: VecDeque<u16>,
+    serial: u64,
+    /// When a good answer came last.
+    heard: Micros,
+    silent: bool,
+}
+
+impl Directory {
+    /// A directory whose events up to `serial` are known.
+    pub fn new(now: Micros, address: SocketAddr, serial: u64, seed: u64) -> Self {
+        let (id, recent) = (seed as u16, VecDeque::new());
+        Self { socket: None, address, next: now, id, recent, serial, heard: now, silent: false }
+    }
+
+    /// It is at another address from now on; its events are numbered on.
+    pub fn move_to(&mut self, hub: &mut Hub, address: SocketAddr) {
+        if address != self.address {
+            tracing::info!(%address, "another directory");
+            self.address = address;
+            self.socket.take().into_iter().for_each(|socket| hub.close_datagrams(socket));
+            self.recent.clear();
+            self.next = 0;
+        }
+    }
+
+    /// Whose socket it is.
+    pub fn is_ours(&self, socket: usize) -> bool {
+        self.socket == Some(socket)
+    }
+
+    /// When it is to be asked next.
+    pub fn next_due(&self) -> Micros {
+        self.next
+    }
+
+    /// The last event known.
+    pub fn serial(&self) -> u64 {
+        self.serial
+    }
+
+    /// Asks, when it is time to.
+    pub fn tick(&mut self, hub: &mut Hub, now: Micros) {
+        if now < self.next {
+            return;
+        }
+        self.next = now + PERIOD;
+        if !self.silent && now.saturating_sub(self.heard) > 10 * PERIOD {
+            self.silent = true;
+            tracing::warn!(serial = self.serial, "the directory is silent");
+        }
+        if self.socket.is_none() {
+            match hub.datagrams(self.address) {
+                Ok(socket) => self.socket = Some(socket),
+                Err(error) => return tracing::warn!(%error, "no socket for the directory"),
+            }
+        }
+        self.id = self.id.wrapping_add(1);
+        if let (Some(socket), Ok(query)) = (self.socket, directory::query(self.id)) {
+            hub.send_datagram(socket, &query);
+            self.recent.push_back(self.id);
+            if self.recent.len() > RECENT {
+                self.recent.pop_front();
+            }
+        }
+    }
+
+    /// An answer came: the list, if it is newer than what is known.
+    pub fn answered(&mut self, now: Micros, bytes: &[u8]) -> Option<Listing> {
+        let asked = directory::answer_id(bytes).is_some_and(|id| self.recent.contains(&id));
+        if !asked {
+            tracing::debug!("an answer to no question");
+            return None;
+        }
+        match directory::answer(bytes) {
+            Err(error) => {
+                tracing::debug!(%error, "the directory's answer tells nothing");
+                None
+            }
+            Ok(listing) => {
+                if std::mem::replace(&mut self.silent, false) {
+                    tracing::info!("the directory answers again");
+                }
+                self.heard = now;
+                let newer = listing.serial > self.serial;
+                self.serial = self.serial.max(listing.serial);
+                newer.then_some(listing)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/front.rs
@@ -0,0 +1,298 @@
+//! Clients' connections: what is asked on each, which streams are owed an answer.
+
+use std::collections::VecDeque;
+
+use cresswheel::Micros;
+use cresswheel_admission::{Act, Arrival, Door, DoorCounts, DoorLimits, Sign};
+use cresswheel_platform_wire::client::{self, ClientDecoder, Code, FromClient, Request};
+use cresswheel_transport::{Connection, Hub, Notice, slot};
+use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
+
+use crate::settings::PER_CONNECTION;
+
+/// Bytes waiting for a client from which on no more is read from it.
+const BACKLOG: usize = 64 << 10;
+/// A connection that sent so many requests that can't be used is closed.
+const UNUSABLE: u32 = 8;
+
+/// What clients ask.
+#[derive(Debug)]
+pub enum Ask {
+    /// A request, on a connection and stream, and the earliest time at which it can have come.
+    Request(Connection, u32, Micros, Request),
+    /// Nobody waits for this stream any more.
+    TakenBack(Connection, u32),
+    /// The client is gone.
+    Left(Connection),
+}
+
+struct Guest {
+    decoder: ClientDecoder,
+    /// Streams that are owed an answer, and the ids asked for on them.
+    streams: HashMap<u32, String>,
+    unusable: u32,
+    /// What it sent was no frame, or the like: it is told, hears what it is owed, and is closed.
+    ending: bool,
+}
+
+/// All clients.
+pub struct Front {
+    door: Door,
+    places: usize,
+    guests: HashMap<Connection, Guest>,
+    by_slot: HashMap<usize, Connection>,
+    /// Ids of open requests.
+    ids: HashSet<String>,
+    asks: VecDeque<Ask>,
+    leaving: bool,
+    listening: bool,
+    /// Requests turned away here, by reason.
+    pub turned_away: HashMap<&'static str, u64>,
+}
+
+impl Front {
+    pub fn new(now: Micros, limits: DoorLimits) -> Self {
+        Self {
+            door: Door::new(now, limits),
+            places: limits.connections,
+            guests: HashMap::new(),
+            by_slot: HashMap::new(),
+            ids: HashSet::new(),
+            asks: VecDeque::new(),
+            leaving: false,
+            listening: true,
+            turned_away: HashMap::new(),
+        }
+    }
+
+    pub fn take_ask(&mut self) -> Option<Ask> {
+        self.asks.pop_front()
+    }
+
+    pub fn counts(&self) -> DoorCounts {
+        self.door.counts()
+    }
+
+    /// Whether answers still wait to be written.
+    pub fn owes(&self, hub: &Hub) -> bool {
+        self.guests.keys().any(|connection| hub.backlog(*connection) > 0)
+    }
+
+    /// Tells all clients to send nothing new here. What comes all the same is taken as before.
+    pub fn leave(&mut self, hub: &mut Hub) {
+        self.leaving = true;
+        for connection in self.guests.keys().copied() {
+            hub.write(connection, None, client::leaving);
+        }
+    }
+
+    /// Takes no more connections.
+    pub fn shut(&mut self, hub: &mut Hub) {
+        hub.stop_listening();
+        self.leave(hub);
+    }
+
+    /// A notice of a guest's connection; others are given back.
+    pub fn notice(&mut self, hub: &mut Hub, is_ready: bool, notice: Notice) -> Option<Notice> {
+        let now = hub.clock().now();
+        match notice {
+            Notice::Opened(connection, _) => self.opened(hub, connection),
+            Notice::Bytes(connection, bytes) if self.guests.contains_key(&connection) => {
+                self.bytes(hub, is_ready, connection, &bytes);
+            }
+            Notice::Flushed(connection) if self.guests.contains_key(&connection) => {
+                self.door.sign(now, slot(connection), Sign::Reads);
+                let ending = self.guests.get(&connection).is_some_and(|guest| guest.ending);
+                if !ending {
+                    hub.pause(connection, false);
+                }
+            }
+            Notice::Closed { connection, guest: true, .. } => {
+                // One that was turned away at the door is closed as well, and was never here.
+                if let Some(guest) = self.guests.remove(&connection) {
+                    self.door.left(slot(connection));
+                    self.by_slot.remove(&slot(connection));
+                    guest.streams.values().for_each(|id| _ = self.ids.remove(id));
+                    self.asks.push_back(Ask::Left(connection));
+                }
+            }
+            other => return Some(other),
+        }
+        None
+    }
+
+    fn opened(&mut self, hub: &mut Hub, connection: Connection) {
+        // It is gone already; what it asked, if anything, comes before its end.
+        let Some(address) = hub.peer(connection) else { return hub.close(connection, "gone at the door") };
+        match self.door.arrives(hub.clock().now(), slot(connection), address.ip(), false) {
+            Arrival::Welcome => {}
+            Arrival::Instead(other) => {
+                self.by_slot.get(&other).into_iter().for_each(|other| hub.close(*other, "room-needed"));
+            }
+            Arrival::Away(why) => {
+                tracing::debug!(%address, why, "turned away");
+                return hub.close(connection, why);
+            }
+        }
+        let decoder = ClientDecoder::default();
+        let guest = Guest { decoder, streams: HashMap::new(), unusable: 0, ending: false };
+        self.guests.insert(connection, guest);
+        self.by_slot.insert(slot(connection), connection);
+        if self.leaving {
+            hub.write(connection, None, client::leaving);
+        }
+    }
+
+    fn bytes(&mut self, hub: &mut Hub, is_ready: bool, connection: Connection, bytes: &[u8]) {
+        let (now, came) = (hub.clock().now(), hub.came());
+        let Some(guest) = self.guests.get_mut(&connection) else { return };
+        guest.decoder.push(bytes);
+        loop {
+            let Some(guest) = self.guests.get_mut(&connection).filter(|guest| !guest.ending) else { return };
+            match guest.decoder.decode() {
+                Ok(None) => {
+                    let held = guest.decoder.midway();
+                    return self.door.sign(now, slot(connection), Sign::Heard(held));
+                }
+                Ok(Some(frame)) => {
+                    self.door.whole(now, slot(connection));
+                    self.frame(hub, is_ready, connection, came, frame);
+                }
+                Err(error) => return self.end(hub, connection, &error.to_string()),
+            }
+        }
+    }
+
+    fn frame(
+        &mut self,
+        hub: &mut Hub,
+        is_ready: bool,
+        connection: Connection,
+        came: Micros,
+        frame: FromClient,
+    ) {
+        let Some(guest) = self.guests.get_mut(&connection) else { return };
+        match frame {
+            FromClient::Ready(stream) => {
+                hub.write(connection, None, |out| client::ready(out, stream, is_ready));
+                self.door.asks(hub.clock().now(), slot(connection), "");
+                self.door.answered(hub.clock().now(), slot(connection));
+            }
+            FromClient::TakenBack(stream) => {
+                if guest.streams.contains_key(&stream) {
+                    self.settle(hub, connection, stream);
+                    self.asks.push_back(Ask::TakenBack(connection, stream));
+                }
+            }
+            FromClient::Request(stream, _) if guest.streams.contains_key(&stream) => {
+                self.end(hub, connection, "a stream with two requests");
+            }
+            FromClient::Request(stream, Err(why)) => {
+                tracing::debug!(connection, stream, %why, "unusable");
+                guest.unusable += 1;
+                let often = guest.unusable >= UNUSABLE;
+                self.turn_away(hub, connection, stream, "unusable");
+                if often {
+                    self.end(hub, connection, "requests that can't be used");
+                }
+            }
+            FromClient::Request(stream, Ok(request)) => {
+                let why = if guest.streams.len() >= PER_CONNECTION {
+                    Some("connection-full")
+                } else if self.ids.contains(&request.id) {
+                    Some("id-in-use")
+                } else {
+                    None
+                };
+                if let Some(why) = why {
+                    return self.turn_away(hub, connection, stream, why);
+                }
+                guest.streams.insert(stream, request.id.clone());
+                self.ids.insert(request.id.clone());
+                self.door.asks(hub.clock().now(), slot(connection), "");
+                self.asks.push_back(Ask::Request(connection, stream, came, request));
+            }
+        }
+    }
+
+    /// A request that was never taken: nothing ran.
+    fn turn_away(&mut self, hub: &mut Hub, connection: Connection, stream: u32, why: &'static str) {
+        *self.turned_away.entry(why).or_insert(0) += 1;
+        hub.write(connection, None, |out| client::answer(out, stream, Code::Refused, None, &[]));
+        self.watch_backlog(hub, connection);
+    }
+
+    /// Tells the client what was wrong. What it is owed it still gets; nothing more is read.
+    fn end(&mut self, hub: &mut Hub, connection: Connection, why: &str) {
+        tracing::debug!(connection, why, "a client's connection ends");
+        hub.write(connection, None, |out| client::answer(out, 0, Code::Failed, None, why.as_bytes()));
+        let Some(guest) = self.guests.get_mut(&connection) else { return };
+        guest.ending = true;
+        match guest.streams.is_empty() {
+            true => hub.finish(connection),
+            false => hub.pause(connection, true),
+        }
+    }
+
+    /// A stream is owed nothing any more.
+    fn settle(&mut self, hub: &mut Hub, connection: Connection, stream: u32) -> bool {
+        let Some(guest) = self.guests.get_mut(&connection) else { return false };
+        let Some(id) = guest.streams.remove(&stream) else { return false };
+        self.ids.remove(&id);
+        self.door.answered(hub.clock().now(), slot(connection));
+        true
+    }
+
+    /// The one final answer of a request.
+    pub fn answer(
+        &mut self,
+        hub: &mut Hub,
+        connection: Connection,
+        stream: u32,
+        code: Code,
+        after: Option<u64>,
+        body: &[u8],
+    ) {
+        if !self.settle(hub, connection, stream) {
+            return;
+        }
+        hub.write(connection, None, |out| client::answer(out, stream, code, after, body));
+        let done = self.guests.get(&connection).is_some_and(|guest| guest.ending && guest.streams.is_empty());
+        if done {
+            hub.finish(connection);
+        }
+        self.watch_backlog(hub, connection);
+    }
+
+    fn watch_backlog(&mut self, hub: &mut Hub, connection: Connection) {
+        if hub.backlog(connection) > BACKLOG {
+            hub.pause(connection, true);
+            self.door.sign(hub.clock().now(), slot(connection), Sign::Stalled);
+        }
+    }
+
+    /// Does what is due at the door, and opens or closes it.
+    pub fn tick(&mut self, hub: &mut Hub) {
+        let now = hub.clock().now();
+        while let Some(act) = self.door.act(now) {
+            if let Act::Close(slot, why) = act
+                && let Some(connection) = self.by_slot.get(&slot)
+            {
+                tracing::debug!(connection, why, "closed");
+                hub.close(*connection, why);
+            }
+        }
+        let room = self.door.may_accept(now).is_ok();
+        if room {
+            hub.accept_at_once(self.places.saturating_sub(self.door.here()));
+        }
+        if std::mem::replace(&mut self.listening, room) != room {
+            hub.pause_listening(!room);
+        }
+    }
+
+    /// When [`Front::tick`] is wanted next, at the latest.
+    pub fn next_due(&self, now: Micros) -> Option<Micros> {
+        self.door.next_due(now).into_iter().chain(self.door.may_accept(now).err()).min()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/settings.rs
@@ -0,0 +1,136 @@
+//! From the platform's configuration to what the rooms below are told. No figure here decides about a call; they
+//! share out descriptors, memory and time.
+
+use std::net::SocketAddr;
+
+use cresswheel::{Micros, PairError};
+use cresswheel_admission::DoorLimits;
+use cresswheel_carriers::CarrierLimits;
+use cresswheel_engine::{AdmissionLimits, EngineSettings, ResultLimits};
+use cresswheel_platform_wire::config::{Config, ConfigError};
+use cresswheel_transport::{HubLimits, Wire};
+
+const S: Micros = 1_000_000;
+const MS: Micros = 1_000;
+
+/// Open requests of one connection; the protocol's figure.
+pub const PER_CONNECTION: usize = 32;
+/// Descriptors of the program itself: loop, listener, directory, logs, and one to refuse with.
+const OWN: usize = 24;
+/// Hosts that descriptors are set aside for at least; a list may name more later.
+const HOSTS_EXPECTED: usize = 16;
+/// An open request takes about so many bytes at most, its body and its answer included.
+const REQUEST_BYTES: usize = 48 << 10;
+
+/// What a gateway on the platform is told.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// Its name, for logs.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where the directory is asked.
+    pub directory: SocketAddr,
+    /// Makes its random numbers.
+    pub seed: u64,
+    /// The engine and the decision module.
+    pub engine: EngineSettings,
+    /// Clients' connections.
+    pub door: DoorLimits,
+    /// Connections to hosts.
+    pub carriers: CarrierLimits,
+    /// Connections to all hosts together.
+    pub host_connections: usize,
+    /// A connection to a host on which nothing is out is closed after this, before the host does it.
+    pub host_idle: Micros,
+    /// Sockets.
+    pub hub: HubLimits,
+    /// After TERM, requests are taken for this long.
+    pub take_for: Micros,
+    /// After TERM, what is open then is answered at the latest.
+    pub stop_within: Micros,
+}
+
+impl PlatformSettings {
+    /// Reads them out of a configuration.
+    pub fn of(config: &Config) -> Result<Self, ConfigError> {
+        let pairs = config.pairs();
+        let module = config.module()?;
+        if module.classes.is_empty() {
+            return Err(PairError::Absent("profiles".into()).into());
+        }
+        let give_up = module.classes.iter().map(|class| class.give_up).max().unwrap_or(S);
+        let memory = (config.limits.memory_mb as usize) << 20;
+        let (clients, host_connections) = share(config.limits.sockets);
+        let open_calls = pairs.or("limits.max_open", 20_000)?.min(memory / 4 / REQUEST_BYTES).max(64);
+        let idle_close: Micros = pairs.or("limits.idle_close", 15 * S)?;
+        let answer_margin = (2 * module.tick).max(10 * MS);
+        let connect_timeout = module.connect_timeout;
+        Ok(Self {
+            name: config.name.clone(),
+            listen: config.listen,
+            directory: config.names,
+            seed: config.seed(),
+            engine: EngineSettings {
+                module,
+                admission: AdmissionLimits {
+                    open_calls,
+                    open_bytes: memory / 4,
+                    per_connection: PER_CONNECTION,
+                    functions: 100_000,
+                },
+                results: ResultLimits { keep: 0, bytes: 0 },
+                answer_margin,
+                most_time: give_up.saturating_mul(10),
+                deferred_time: give_up,
+            },
+            door: DoorLimits {
+                connections: clients,
+                accepts_per_s: 2_000,
+                evict_after: 200 * MS,
+                unasked: 3 * S / 2,
+                idle: 30 * S,
+                half: 2 * S,
+                half_bytes: memory / 8,
+                stall: 2 * S,
+                pings_per_s: 0,
+                ..DoorLimits::default()
+            },
+            carriers: CarrierLimits {
+                wire: Wire::Raw,
+                connections: (host_connections / HOSTS_EXPECTED).clamp(1, 16),
+                streams: pairs.or("limits.max_streams", 100)?,
+                spread: 1,
+                connect_timeout,
+            },
+            host_connections,
+            host_idle: idle_close * 4 / 5,
+            hub: HubLimits { out: 1 << 20, accepted: usize::MAX, ..HubLimits::default() },
+            take_for: 750 * MS,
+            stop_within: give_up.min(3 * S) + 300 * MS,
+        })
+    }
+}
+
+/// Descriptors of clients and of hosts. Usual clients hold a third of all at most; more places keep theirs free when
+/// others come by the hundred.
+fn share(descriptors: usize) -> (usize, usize) {
+    let free = descriptors.saturating_sub(OWN);
+    let clients = free / 2;
+    (clients.max(1), (free - clients).max(1))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn descriptors_are_shared_out_and_never_more_than_there_are() {
+        for limit in [0, 30, 256, 1_024, 4_096] {
+            let (clients, hosts) = share(limit);
+            assert!(clients + hosts + OWN <= limit.max(OWN + 2));
+        }
+        let (clients, hosts) = share(256);
+        assert!(clients >= 256 / 3 && hosts / HOSTS_EXPECTED >= 7);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/shell.rs
@@ -0,0 +1,340 @@
+//! The loop of a gateway on the platform.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::Context;
+use calloop::signals::Signal;
+use cresswheel::Micros;
+use cresswheel_engine::{Answer, Call, Client, Engine, Input, Output};
+use cresswheel_platform_wire::client::{Code, Request};
+use cresswheel_platform_wire::config::Config;
+use cresswheel_protocol::{Listed, Standing, Status};
+use cresswheel_transport::{Connection, Hub, Notice, Wire, listener};
+
+use crate::PlatformSettings;
+use crate::directory::Directory;
+use crate::front::{Ask, Front};
+use crate::hosts::Hosts;
+
+/// Reads the configuration again, for HUP.
+pub type Reload = Box<dyn FnMut() -> Result<Config, String>>;
+
+/// How long a port that is in use is waited for at the start: a gateway that was killed a moment ago had it.
+const BIND_WITHIN: Duration = Duration::from_secs(2);
+const BIND_AGAIN: Duration = Duration::from_millis(20);
+/// How often idle connections to hosts are looked for.
+const LOOK: Micros = 500_000;
+/// How often a line of counts is logged.
+const TELL: Micros = 10_000_000;
+/// After the last answer, how long it may take to leave.
+const LEAVE_WITHIN: Micros = 250_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Life {
+    Running,
+    /// TERM came then. Requests are still taken for a while.
+    Leaving(Micros),
+    /// Nothing is taken any more, and what is open is answered; TERM came then.
+    Stopping(Micros),
+    /// All is answered; what waits to be written may leave until then.
+    Flushing(Micros),
+}
+
+/// A gateway process on the platform.
+pub struct Platform {
+    settings: PlatformSettings,
+    reload: Reload,
+    hub: Hub,
+    engine: Engine,
+    front: Front,
+    hosts: Hosts,
+    directory: Directory,
+    address: SocketAddr,
+    look: Micros,
+    tell: Micros,
+    inputs: VecDeque<Input>,
+    outputs: Vec<Output>,
+    life: Life,
+}
+
+impl Platform {
+    /// Takes the signals, listens, and learns the list that the configuration holds.
+    pub fn start(config: &Config, reload: Reload) -> anyhow::Result<Self> {
+        let settings = PlatformSettings::of(config)?;
+        let mut hub = Hub::new(settings.hub).context("event loop")?;
+        // Before anybody can know of this process: a signal without its handler would end it.
+        hub.signals(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).context("signals")?;
+        let now = hub.clock().now();
+        let engine = Engine::new(settings.engine.clone(), settings.seed ^ now)?;
+        let mut gateway = Self {
+            front: Front::new(now, settings.door),
+            hosts: Hosts::new(settings.carriers, settings.host_connections),
+            directory: Directory::new(now, settings.directory, config.known.pos, settings.seed),
+            address: settings.listen,
+            look: now + LOOK,
+            tell: now + TELL,
+            inputs: VecDeque::new(),
+            outputs: Vec::new(),
+            life: Life::Running,
+            reload,
+            hub,
+            engine,
+            settings,
+        };
+        for event in &config.known.entries {
+            let hosts: Vec<Listed> = event.hosts.members.iter().map(|member| member.listed()).collect();
+            gateway.take_list(event.hosts.complete, hosts);
+        }
+        let socket = bind(gateway.settings.listen)?;
+        gateway.address = socket.local_addr()?.as_socket().context("listen")?;
+        gateway.hub.adopt_listener(socket.into(), Wire::Raw)?;
+        Ok(gateway)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Runs until a signal ends it, all requests answered.
+    pub fn run(&mut self) -> io::Result<()> {
+        loop {
+            let now = self.hub.clock().now();
+            if self.live(now) {
+                return Ok(());
+            }
+            self.directory.tick(&mut self.hub, now);
+            self.hub.wait(Some(self.next_due(now)))?;
+            while let Some(notice) = self.hub.take_notice() {
+                self.notice(notice);
+            }
+            let now = self.hub.clock().now();
+            if self.engine.wake_at().is_some_and(|at| at <= now) {
+                self.give(Input::Wake);
+            }
+            self.front.tick(&mut self.hub);
+            if self.look <= now {
+                self.look = now + LOOK;
+                self.hosts.close_idle(&mut self.hub, self.settings.host_idle);
+            }
+            if self.tell <= now {
+                self.tell = now + TELL;
+                self.tell_counts();
+            }
+        }
+    }
+
+    /// What the way to the end asks for now; true: it is reached.
+    fn live(&mut self, now: Micros) -> bool {
+        match self.life {
+            Life::Leaving(since) if since + self.settings.take_for <= now => {
+                self.front.shut(&mut self.hub);
+                self.give(Input::Drain);
+                self.life = Life::Stopping(since);
+            }
+            Life::Stopping(since)
+                if self.engine.open_calls() == 0 || since + self.settings.stop_within <= now =>
+            {
+                self.give(Input::Stop);
+                self.life = Life::Flushing(now + LEAVE_WITHIN);
+            }
+            Life::Flushing(until) if until <= now || !self.front.owes(&self.hub) => {
+                self.tell_counts();
+                tracing::info!("stopped");
+                return true;
+            }
+            _ => {}
+        }
+        false
+    }
+
+    fn next_due(&self, now: Micros) -> Micros {
+        let life = match self.life {
+            Life::Running => None,
+            Life::Leaving(since) => Some(since + self.settings.take_for),
+            Life::Stopping(since) => Some(since + self.settings.stop_within),
+            Life::Flushing(until) => Some(until.min(now + 1_000)),
+        };
+        let dues = [life, self.engine.wake_at(), self.front.next_due(now), Some(self.directory.next_due())];
+        dues.into_iter().flatten().chain([self.look, self.tell]).min().unwrap_or(self.look)
+    }
+
+    /// A request could be served.
+    fn is_ready(&self) -> bool {
+        self.life == Life::Running && self.engine.workers().any(|worker| worker.standing == Standing::In)
+    }
+
+    fn notice(&mut self, notice: Notice) {
+        let is_ready = self.is_ready();
+        let Some(notice) = self.front.notice(&mut self.hub, is_ready, notice) else {
+            while let Some(ask) = self.front.take_ask() {
+                self.asked(ask);
+            }
+            return;
+        };
+        match notice {
+            Notice::Connected(connection) => self.hosts.stands(&self.hub, connection),
+            Notice::Bytes(connection, bytes) if self.hosts.is_ours(connection) => {
+                let ended = self.hosts.bytes(&mut self.hub, connection, &bytes);
+                ended.into_iter().for_each(|input| self.give(input));
+            }
+            Notice::Closed { connection, guest: false, never_stood, unsent, why } => {
+                let ended = self.hosts.closed(connection, never_stood, &unsent);
+                if !ended.is_empty() {
+                    tracing::info!(%why, never_stood, ended = ended.len(), "a host's connection ended");
+                }
+                ended.into_iter().for_each(|input| self.give(input));
+            }
+            Notice::Datagram(socket, bytes) if self.directory.is_ours(socket) => {
+                if let Some(listing) = self.directory.answered(self.hub.clock().now(), &bytes) {
+                    self.take_list(true, listing.hosts);
+                }
+            }
+            Notice::Signal(Signal::SIGHUP) => self.read_again(),
+            Notice::Signal(signal) if self.life == Life::Running => {
+                tracing::info!(?signal, open = self.engine.open_calls(), "stopping");
+                self.front.leave(&mut self.hub);
+                self.life = Life::Leaving(self.hub.clock().now());
+            }
+            _ => {}
+        }
+    }
+
+    /// Only the directory's address may change; with a fault in the file all stays as it was.
+    fn read_again(&mut self) {
+        match (self.reload)() {
+            Ok(config) => self.directory.move_to(&mut self.hub, config.names),
+            Err(error) => tracing::error!(%error, "the configuration stays as it was"),
+        }
+    }
+
+    fn asked(&mut self, ask: Ask) {
+        match ask {
+            Ask::Request(connection, stream, came, request) => {
+                self.request(connection, stream, came, request);
+            }
+            Ask::TakenBack(connection, stream) => {
+                self.give(Input::Cancel(Client { connection, number: u64::from(stream) }));
+            }
+            Ask::Left(connection) => self.give(Input::Left(connection)),
+        }
+    }
+
+    /// A request's time runs since it came.
+    fn request(&mut self, connection: Connection, stream: u32, came: Micros, request: Request) {
+        let waited = self.hub.clock().now().saturating_sub(came);
+        let call = Call {
+            deferred: false,
+            function: request.function,
+            class: request.class,
+            tenant: String::new(),
+            key: String::new(),
+            trace: request.id,
+            time_left: (request.wait_ms * 1_000).saturating_sub(waited).max(1),
+            shape: request.shape,
+            body: request.body,
+            account: None,
+            route: None,
+        };
+        self.give(Input::Call(Client { connection, number: u64::from(stream) }, call));
+    }
+
+    fn take_list(&mut self, whole: bool, hosts: Vec<Listed>) {
+        tracing::info!(serial = self.directory.serial(), hosts = hosts.len(), whole, "list");
+        let ended = self.hosts.take_list(&mut self.hub, whole, &hosts);
+        self.give(Input::List { whole, workers: hosts });
+        ended.into_iter().for_each(|input| self.give(input));
+    }
+
+    /// Gives the engine an input, carries out what it answers, and so on until nothing is left.
+    fn give(&mut self, input: Input) {
+        self.inputs.push_back(input);
+        while let Some(input) = self.inputs.pop_front() {
+            let mut outputs = std::mem::take(&mut self.outputs);
+            self.engine.handle(self.hub.clock().now(), input, &mut outputs);
+            for output in outputs.drain(..) {
+                self.carry_out(output);
+            }
+            self.outputs = outputs;
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Answer(client, answer) => self.answer(client, &answer),
+            Output::Run(attempt) => {
+                tracing::debug!(id = %attempt.call.trace, host = %attempt.worker, before = attempt.before, "run");
+                self.inputs.extend(self.hosts.run(&mut self.hub, &attempt));
+            }
+            Output::Withdraw(_, attempt) => {
+                if self.hosts.withdraw(&mut self.hub, attempt) {
+                    let end = cresswheel_engine::AttemptEnd::NotWritten;
+                    self.inputs.push_back(Input::AttemptEnded(attempt, end, Vec::new(), None));
+                }
+            }
+            Output::Overdue(_, attempt) | Output::CancelRun(_, attempt) => {
+                self.hosts.give_up(&mut self.hub, attempt);
+            }
+            Output::Hold { worker, order, function, count, .. } => {
+                tracing::debug!(%worker, %function, count, "hold");
+                self.inputs.extend(self.hosts.hold(&mut self.hub, &worker, order, &function, count));
+            }
+            Output::Drop(worker, function) => self.hosts.unload(&mut self.hub, &worker, &function),
+            Output::Probe(worker) => self.hosts.probe(&mut self.hub, &worker),
+            Output::Log(text) => tracing::info!("{text}"),
+            // The front sees to streams that are used twice; the directory is followed from the start; versions and
+            // deferred calls have no place in this protocol.
+            Output::Close(..) | Output::Follow | Output::Accepted(..) => {}
+            Output::Over { .. } | Output::Ran(..) | Output::Loaded(..) => {}
+        }
+    }
+
+    fn answer(&mut self, client: Client, answer: &Answer) {
+        let (code, body) = match answer.status {
+            Status::Served => (Code::Served, &*answer.body),
+            Status::Refused => (Code::Refused, &[][..]),
+            _ => (Code::Failed, &[][..]),
+        };
+        let after = (code == Code::Refused && answer.retry_after > 0).then_some(answer.retry_after / 1_000);
+        let (connection, stream) = (client.connection, client.number as u32);
+        tracing::debug!(connection, stream, status = %answer.status, reason = answer.reason, "answer");
+        self.front.answer(&mut self.hub, connection, stream, code, after, body);
+    }
+
+    fn tell_counts(&self) {
+        let (door, hosts, counters) = (self.front.counts(), self.hosts.counts, self.engine.counters());
+        let turned_away: Vec<_> = self.front.turned_away.iter().collect();
+        tracing::info!(
+            clients = door.connections,
+            arrived = door.arrived,
+            closed = ?door.closed,
+            host_connections = self.hosts.connections(),
+            spoilt = hosts.spoilt,
+            unasked = hosts.unasked,
+            open = self.engine.open_calls(),
+            out = self.engine.open_attempts(),
+            taken = ?counters.taken,
+            attempts = ?counters.attempts,
+            answers = ?counters.answers,
+            orders = counters.orders,
+            turned_away = ?(turned_away, &counters.turned_away),
+            serial = self.directory.serial(),
+            "counts"
+        );
+    }
+}
+
+fn bind(at: SocketAddr) -> anyhow::Result<socket2::Socket> {
+    let began = std::time::Instant::now();
+    loop {
+        match listener(at) {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && began.elapsed() < BIND_WITHIN => {
+                std::thread::sleep(BIND_AGAIN);
+            }
+            other => return other.with_context(|| format!("listen on {at}")),
+        }
+    }
+}
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::time::Duration;
 
@@ -98,6 +98,8 @@
         /// Why, in words.
         why: String,
     },
+    /// A datagram came to this socket ([`Hub::datagrams`]).
+    Datagram(usize, Vec<u8>),
     /// A signal came.
     Signal(Signal),
 }
@@ -195,6 +197,8 @@
 
 /// Bytes read from one connection before the next has its turn.
 const READ_AT_ONCE: usize = 64 << 10;
+/// Datagrams read before others have their turn.
+const DATAGRAMS_AT_ONCE: usize = 16;
 /// Connections accepted before others have their turn.
 const ACCEPT_AT_ONCE: usize = 64;
 /// How long a connection that is done with waits for the other side to close.
@@ -220,6 +224,7 @@
     serial: u32,
     accepted: usize,
     listeners: Vec<Listener>,
+    datagrams: Slab<UdpSocket>,
     /// Sockets that came to a listener, and those listeners.
     guests: Watch,
     guests_source: RegistrationToken,
@@ -272,6 +277,7 @@
             serial: 0,
             accepted: 0,
             listeners: Vec::new(),
+            datagrams: Slab::new(),
             guests,
             guests_source,
             own,
@@ -337,6 +343,45 @@
         Ok(number as u32)
     }
 
+    /// A socket for datagrams to and from one address; gives the number that its notices carry.
+    pub fn datagrams(&mut self, peer: SocketAddr) -> io::Result<usize> {
+        let any: SocketAddr = if peer.is_ipv4() { ([0; 4], 0).into() } else { ([0; 16], 0).into() };
+        let socket = UdpSocket::bind(any)?;
+        socket.set_nonblocking(true)?;
+        socket.connect(peer)?;
+        let entry = self.datagrams.vacant_entry();
+        let number = entry.key();
+        self.own.add_datagrams(&socket, number)?;
+        entry.insert(socket);
+        Ok(number)
+    }
+
+    /// Sends a datagram. It may be lost on its way, so an error is no more than that.
+    pub fn send_datagram(&mut self, number: usize, bytes: &[u8]) {
+        if let Some(Err(error)) = self.datagrams.get(number).map(|socket| socket.send(bytes)) {
+            tracing::debug!(%error, "a datagram did not leave");
+        }
+    }
+
+    /// Gives up a socket for datagrams.
+    pub fn close_datagrams(&mut self, number: usize) {
+        if let Some(socket) = self.datagrams.try_remove(number) {
+            self.own.remove(&socket);
+        }
+    }
+
+    fn read_datagrams(&mut self, number: usize) {
+        for _ in 0..DATAGRAMS_AT_ONCE {
+            let Some(socket) = self.datagrams.get(number) else { return };
+            match socket.recv(&mut self.scratch) {
+                Ok(count) => self.tell(Notice::Datagram(number, self.scratch[..count].to_vec())),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // Nobody listened to what was sent: no more than a loss.
+                Err(error) => tracing::debug!(%error, "no datagram"),
+            }
+        }
+    }
+
     /// From now on [`Notice::Half`] tells of messages that are not whole.
     pub fn tell_halves(&mut self) {
         self.halves = true;
@@ -566,7 +611,8 @@
         self.write(id, None, |buffer| buffer.extend_from_slice(bytes))
     }
 
-    fn write(&mut self, id: Connection, mark: Option<u64>, write: impl FnOnce(&mut Vec<u8>)) -> bool {
+    /// Sends what `write` appends, as one frame; with a mark it can be told later whether it left.
+    pub fn write(&mut self, id: Connection, mark: Option<u64>, write: impl FnOnce(&mut Vec<u8>)) -> bool {
         let limits = self.limits;
         let Some(conn) = self.get(id).filter(|c| !c.close_when_flushed) else { return false };
         let out = &mut conn.work(&limits).out;
@@ -693,6 +739,7 @@
                 self.listeners.get_mut(number).into_iter().for_each(|listener| listener.ready = true);
                 return;
             }
+            Seen::Datagrams(number) => return self.read_datagrams(number),
         };
         let Some(conn) = self.get(id) else { return };
         if !conn.interest.0 && broken && !conn.connecting {
--- a/crates/transport/src/watch.rs
+++ b/crates/transport/src/watch.rs
@@ -16,8 +16,9 @@
 const AT_ONCE: usize = 256;
 /// How long the machine may take to wake this process once a socket is ready, as far as the loop can tell.
 pub const WAKING: Micros = 1_000;
-/// Keys from here on are listeners.
+/// Keys with this bit are listeners, those with the next one sockets for datagrams.
 const LISTENERS: u64 = 1 << 63;
+const DATAGRAMS: u64 = 1 << 62;
 
 /// What a socket is ready for.
 #[derive(Clone, Copy, Debug)]
@@ -30,6 +31,7 @@
 pub enum Seen {
     Connection(u64, Ready),
     Listener(usize),
+    Datagrams(usize),
 }
 
 pub struct Watch {
@@ -76,6 +78,11 @@
         Ok(epoll::add(&self.epoll, socket, data, EventFlags::IN | EventFlags::EXCLUSIVE)?)
     }
 
+    pub fn add_datagrams(&self, socket: impl AsFd, number: usize) -> io::Result<()> {
+        let data = EventData::new_u64(DATAGRAMS | number as u64);
+        Ok(epoll::add(&self.epoll, socket, data, EventFlags::IN)?)
+    }
+
     /// What is ready, without waiting, and the earliest time at which it can have become so.
     pub fn look(&mut self, now: Micros, seen: &mut Vec<(Micros, Seen)>) -> io::Result<usize> {
         let zero = rustix::event::Timespec { tv_sec: 0, tv_nsec: 0 };
@@ -93,9 +100,10 @@
                 writable: flags.contains(EventFlags::OUT) || broken,
                 broken,
             };
-            let what = match id & LISTENERS {
+            let what = match id & (LISTENERS | DATAGRAMS) {
                 0 => Seen::Connection(id, ready),
-                _ => Seen::Listener((id & !LISTENERS) as usize),
+                LISTENERS => Seen::Listener((id & !LISTENERS) as usize),
+                _ => Seen::Datagrams((id & !DATAGRAMS) as usize),
             };
             seen.push((self.drained, what));
         }
--- a/src/bin/cresswheel-simhost/wire.rs
+++ b/src/bin/cresswheel-simhost/wire.rs
@@ -5,14 +5,13 @@
 use std::str::FromStr;
 
 use cresswheel::{
-    Action, Class, ColdStart, Effect, Event, Group, ListNews, OrderRation, Outcome, Request, Settings,
-    Tenant, WhenAbsent, WorkerEntry, WorkerState,
+    Action, Event, ListNews, Outcome, PairError, Pairs, Request, Settings, WorkerEntry, WorkerState,
 };
 
 /// One line: its name, and its fields in any order.
 pub struct Line<'a> {
     pub name: &'a str,
-    fields: BTreeMap<&'a str, &'a str>,
+    fields: Pairs<'a>,
 }
 
 impl<'a> Line<'a> {
@@ -22,33 +21,32 @@
         Self { name, fields: parts.filter_map(|part| part.split_once('=')).collect() }
     }
 
-    pub fn get(&self, field: &str) -> Option<&'a str> {
-        self.fields.get(field).copied()
+    fn named<T>(&self, result: Result<T, PairError>) -> Result<T, String> {
+        result.map_err(|error| format!("{}: {error}", self.name))
     }
 
-    fn text(&self, field: &str) -> Result<&'a str, String> {
-        self.get(field).ok_or_else(|| format!("{}: no {field}", self.name))
+    pub fn get(&self, field: &str) -> Option<&str> {
+        self.fields.get(field)
+    }
+
+    fn text(&self, field: &str) -> Result<&str, String> {
+        self.named(self.fields.text(field))
     }
 
     pub fn number(&self, field: &str) -> Result<u64, String> {
-        self.optional(field)?.ok_or_else(|| format!("{}: no {field}", self.name))
+        self.named(self.fields.number(field))
     }
 
     fn optional<T: FromStr>(&self, field: &str) -> Result<Option<T>, String> {
-        let bad = |text| format!("{}: bad {field}: {text}", self.name);
-        self.get(field).map(|text| text.parse().map_err(|_| bad(text))).transpose()
+        self.named(self.fields.optional(field))
     }
 
     fn or<T: FromStr>(&self, field: &str, absent: T) -> Result<T, String> {
-        Ok(self.optional(field)?.unwrap_or(absent))
+        self.named(self.fields.or(field, absent))
     }
 
     fn flag(&self, field: &str) -> bool {
-        matches!(self.get(field), Some("1" | "true"))
-    }
-
-    fn list(&self, field: &str) -> Vec<&'a str> {
-        self.get(field).unwrap_or("").split(',').filter(|item| !item.is_empty()).collect()
+        self.fields.flag(field)
     }
 }
 
@@ -67,77 +65,7 @@
 }
 
 pub fn settings(line: &Line) -> Result<Settings, String> {
-    let absent = Settings::default();
-    let mut classes = Vec::new();
-    for at in 0..line.or("profiles.count", 0)? {
-        let key = |name: &str| format!("profiles.{at}.{name}");
-        let group = match line.get(&key("key_scope")) {
-            Some("zone") => Group::Zone,
-            Some("cell") => Group::Cell,
-            _ => Group::All,
-        };
-        classes.push(Class {
-            name: line.text(&key("name"))?.into(),
-            aim: line.number(&key("aim"))?,
-            give_up: line.number(&key("give_up"))?,
-            effect: match line.text(&key("semantics"))? {
-                "idempotent" => Effect::Safe,
-                "deduplicated" => Effect::Keyed { group, memory: line.or(&key("memory_span"), 0)? },
-                _ => Effect::Unsafe,
-            },
-            streamed: line.flag(&key("streamed")),
-            worth: line.or(&key("value"), 1.0)?,
-            late_worth: line.or(&key("late_value"), 0.0)?,
-        });
-    }
-    let mut tenants = Vec::new();
-    for at in 0..line.or("customers.count", 0)? {
-        tenants.push(Tenant {
-            name: line.text(&format!("customers.{at}.name"))?.into(),
-            quota_per_s: line.or(&format!("customers.{at}.quota_per_s"), f64::INFINITY)?,
-        });
-    }
-    let window = line.or("specifics.load_span", 0)?;
-    let ration = OrderRation {
-        window,
-        free: line.or("specifics.loads_anyway", 0.0)?,
-        per_request: line.or("specifics.loads_per_request", 0.0)?,
-    };
-    let memory = line.list("specifics.kind_memory_mb").into_iter().map(|text| text.parse().unwrap_or(0.0));
-    Ok(Settings {
-        gateways: line.or("balancers", absent.gateways)?,
-        zone: line.get("zone").unwrap_or("").into(),
-        tick: line.or("tick", absent.tick)?,
-        classes,
-        tenants,
-        over_quota_worth: line.or("over_share_worth", absent.over_quota_worth)?,
-        must_follow: line.get("discovery") == Some("subscribe"),
-        ask_within: line.or("rules.ask_within", absent.ask_within)?,
-        keep_alive: line.or("specifics.keep_alive", absent.keep_alive)?,
-        when_absent: match line.get("specifics.when_absent") {
-            Some("miss") => WhenAbsent::Miss,
-            _ => WhenAbsent::Load,
-        },
-        may_order: line.flag("specifics.may_load"),
-        tells_crowd: line.flag("specifics.counts_alike"),
-        ration: (window > 0).then_some(ration),
-        order_timeout: line.or("specifics.load_wait", absent.order_timeout)?,
-        may_cancel: line.flag("limits.cancel"),
-        may_probe: line.flag("limits.probes"),
-        may_duplicate: line.flag("limits.may_duplicate"),
-        max_attempts: line.or("limits.max_attempts", absent.max_attempts)?,
-        retry_after: line.flag("limits.retry_after"),
-        max_retry_after: line.or("limits.max_retry_after", absent.max_retry_after)?,
-        connect_timeout: line.or("limits.connect_timeout", absent.connect_timeout)?,
-        drain_grace: line.or("rules.drain_grace", absent.drain_grace)?,
-        cold: ColdStart {
-            from: line.or("rules.cold_from", absent.cold.from)?,
-            warm_up: line.or("rules.warm_up", absent.cold.warm_up)?,
-            multiple: line.or("rules.tip_multiple", absent.cold.multiple)?,
-            window: line.or("rules.fall", absent.cold.window)?,
-        },
-        kind_memory_mb: line.list("kinds").into_iter().map(String::from).zip(memory).collect(),
-    })
+    line.named(line.fields.settings())
 }
 
 pub fn entry(line: &Line) -> Result<WorkerEntry, String> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,8 +48,10 @@
 struct Readme;
 
 mod interface;
+mod pairs;
 mod rules;
 mod state;
 
 pub use interface::*;
+pub use pairs::{PairError, Pairs};
 pub use rules::Dispatcher;
--- /dev/null
+++ b/src/pairs.rs
@@ -0,0 +1,148 @@
+//! Settings as pairs of a path and a text, such as `limits.max_attempts=5`: the form in which the bench and the
+//! operators' platform give them. Keys that nobody asks for are passed over.
+
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+use crate::interface::*;
+
+/// Paths and their texts, in any order.
+#[derive(Clone, Debug, Default)]
+pub struct Pairs<'a>(BTreeMap<Cow<'a, str>, Cow<'a, str>>);
+
+/// A pair that is missing or whose text can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PairError {
+    /// It is not there.
+    #[error("no {0}")]
+    Absent(String),
+    /// Its text means nothing.
+    #[error("bad {path}: {text}")]
+    Bad {
+        /// Its path.
+        path: String,
+        /// Its text.
+        text: String,
+    },
+}
+
+impl<'a, K: Into<Cow<'a, str>>, V: Into<Cow<'a, str>>> FromIterator<(K, V)> for Pairs<'a> {
+    fn from_iter<I: IntoIterator<Item = (K, V)>>(pairs: I) -> Self {
+        Self(pairs.into_iter().map(|(path, text)| (path.into(), text.into())).collect())
+    }
+}
+
+impl Pairs<'_> {
+    /// The text under a path.
+    pub fn get(&self, path: &str) -> Option<&str> {
+        self.0.get(path).map(|text| &**text)
+    }
+
+    /// The text under a path that must be there.
+    pub fn text(&self, path: &str) -> Result<&str, PairError> {
+        self.get(path).ok_or_else(|| PairError::Absent(path.into()))
+    }
+
+    /// A number that must be there.
+    pub fn number(&self, path: &str) -> Result<u64, PairError> {
+        self.optional(path)?.ok_or_else(|| PairError::Absent(path.into()))
+    }
+
+    /// A value, if it is there.
+    pub fn optional<T: FromStr>(&self, path: &str) -> Result<Option<T>, PairError> {
+        let bad = |text: &str| PairError::Bad { path: path.into(), text: text.into() };
+        self.get(path).map(|text| text.parse().map_err(|_| bad(text))).transpose()
+    }
+
+    /// A value, or another where it is absent.
+    pub fn or<T: FromStr>(&self, path: &str, absent: T) -> Result<T, PairError> {
+        Ok(self.optional(path)?.unwrap_or(absent))
+    }
+
+    /// Whether a flag is set.
+    pub fn flag(&self, path: &str) -> bool {
+        matches!(self.get(path), Some("1" | "true"))
+    }
+
+    /// Texts set apart by commas.
+    pub fn list(&self, path: &str) -> Vec<&str> {
+        self.get(path).unwrap_or("").split(',').filter(|item| !item.is_empty()).collect()
+    }
+
+    /// The module's settings among them.
+    pub fn settings(&self) -> Result<Settings, PairError> {
+        let absent = Settings::default();
+        let mut classes = Vec::new();
+        for at in 0..self.or("profiles.count", 0)? {
+            let key = |name: &str| format!("profiles.{at}.{name}");
+            let group = match self.get(&key("key_scope")) {
+                Some("zone") => Group::Zone,
+                Some("cell") => Group::Cell,
+                _ => Group::All,
+            };
+            classes.push(Class {
+                name: self.text(&key("name"))?.into(),
+                aim: self.number(&key("aim"))?,
+                give_up: self.number(&key("give_up"))?,
+                effect: match self.text(&key("semantics"))? {
+                    "idempotent" => Effect::Safe,
+                    "deduplicated" => Effect::Keyed { group, memory: self.or(&key("memory_span"), 0)? },
+                    _ => Effect::Unsafe,
+                },
+                streamed: self.flag(&key("streamed")),
+                worth: self.or(&key("value"), 1.0)?,
+                late_worth: self.or(&key("late_value"), 0.0)?,
+            });
+        }
+        let mut tenants = Vec::new();
+        for at in 0..self.or("customers.count", 0)? {
+            tenants.push(Tenant {
+                name: self.text(&format!("customers.{at}.name"))?.into(),
+                quota_per_s: self.or(&format!("customers.{at}.quota_per_s"), f64::INFINITY)?,
+            });
+        }
+        let window = self.or("specifics.load_span", 0)?;
+        let ration = OrderRation {
+            window,
+            free: self.or("specifics.loads_anyway", 0.0)?,
+            per_request: self.or("specifics.loads_per_request", 0.0)?,
+        };
+        let memory = self.list("specifics.kind_memory_mb").into_iter();
+        let memory = memory.map(|text| text.parse().unwrap_or(0.0));
+        Ok(Settings {
+            gateways: self.or("balancers", absent.gateways)?,
+            zone: self.get("zone").unwrap_or("").into(),
+            tick: self.or("tick", absent.tick)?,
+            classes,
+            tenants,
+            over_quota_worth: self.or("over_share_worth", absent.over_quota_worth)?,
+            must_follow: self.get("discovery") == Some("subscribe"),
+            ask_within: self.or("rules.ask_within", absent.ask_within)?,
+            keep_alive: self.or("specifics.keep_alive", absent.keep_alive)?,
+            when_absent: match self.get("specifics.when_absent") {
+                Some("miss") => WhenAbsent::Miss,
+                _ => WhenAbsent::Load,
+            },
+            may_order: self.flag("specifics.may_load"),
+            tells_crowd: self.flag("specifics.counts_alike"),
+            ration: (window > 0).then_some(ration),
+            order_timeout: self.or("specifics.load_wait", absent.order_timeout)?,
+            may_cancel: self.flag("limits.cancel"),
+            may_probe: self.flag("limits.probes"),
+            may_duplicate: self.flag("limits.may_duplicate"),
+            max_attempts: self.or("limits.max_attempts", absent.max_attempts)?,
+            retry_after: self.flag("limits.retry_after"),
+            max_retry_after: self.or("limits.max_retry_after", absent.max_retry_after)?,
+            connect_timeout: self.or("limits.connect_timeout", absent.connect_timeout)?,
+            drain_grace: self.or("rules.drain_grace", absent.drain_grace)?,
+            cold: ColdStart {
+                from: self.or("rules.cold_from", absent.cold.from)?,
+                warm_up: self.or("rules.warm_up", absent.cold.warm_up)?,
+                multiple: self.or("rules.tip_multiple", absent.cold.multiple)?,
+                window: self.or("rules.fall", absent.cold.window)?,
+            },
+            kind_memory_mb: self.list("kinds").into_iter().map(String::from).zip(memory).collect(),
+        })
+    }
+}
