Withdrawn attempts and unknown functions' errors are not booked on hosts; the door lets go

Checked: attempts by end in the gateways' debug logs. 1,606 attempts ended 'not-written' in 10 s: clients that took hundreds back. The engine called that ConnectFailed, and the module booked it on the host; 686 of 699 errors were of functions that no host ever answered (clients with made-up ids), each booked on up to five hosts. So most hosts looked bad and the health sense gave way (QUORUM). 10,870 load orders of one gateway went to one host within 3 s: its 'error' comes at once and the next order followed. The door let nobody in while its newest guest was younger than evict_after. Ruled out: unreadable answers of ours (0), descriptors (261 of 384), CPU (0.2 of a core). Change: AttemptEnd::TakenBack is 'moot' (engine/ending.rs); the module books no error of a function never answered, gives it two attempts, waits two aims after a failed order, goes elsewhere after a refused connection; Door::longest_idle looks past guests that are too young, and a connection never answered has a time of its own.

--- a/crates/admission/src/door.rs
+++ b/crates/admission/src/door.rs
@@ -23,7 +23,8 @@
     pub accepts_per_s: u64,
     /// When all places are taken, a connection that has been idle for so long gives way to a new one.
     pub evict_after: Micros,
-    /// A connection that has asked for nothing yet is closed after this; 0: as an idle one. It gives way first.
+    /// A connection to which nothing was answered yet, and which waits for nothing, is closed after this; 0: as an
+    /// idle one. It gives way first.
     pub unasked: Micros,
     /// Idle connections are closed after this: those of HTTP, and of the main protocol if there are no pings.
     pub idle: Micros,
@@ -128,7 +129,7 @@
 const ASKED: usize = 3;
 const HALF: usize = 4;
 const STALLED: usize = 5;
-/// It has asked for nothing yet.
+/// Nothing was answered to it yet.
 const NEW: usize = 6;
 const QUEUES: usize = 7;
 
@@ -205,7 +206,7 @@
     http: bool,
     stalled: bool,
     asked: bool,
-    /// It has asked for nothing yet.
+    /// Nothing was answered to it yet.
     new: bool,
 }
 
@@ -354,7 +355,7 @@
         }
         // Whoever holds far more than a share makes room for others at once; who comes is not known yet.
         if full && self.greedy(1).is_none() {
-            return match self.longest_idle() {
+            return match self.longest_idle(now) {
                 Some((_, since)) if since + self.limits.evict_after <= now => self.pace(now),
                 Some((_, since)) => Err(since + self.limits.evict_after),
                 None => Err(now + LOOK_AGAIN),
@@ -370,10 +371,12 @@
         }
     }
 
-    /// The connection that has been silent for the longest time, without an open call; one that never asked first.
-    fn longest_idle(&self) -> Option<(usize, Micros)> {
-        if let Some((slot, _)) = self.spans.first(NEW) {
-            return Some((slot, self.spans.since(slot)?));
+    /// The connection that has been silent for the longest time, without an open call; one that was never answered first.
+    fn longest_idle(&self, now: Micros) -> Option<(usize, Micros)> {
+        let first = self.spans.first(NEW).map(|(slot, _)| slot);
+        let new = first.and_then(|slot| Some((slot, self.spans.since(slot)?)));
+        if let Some(new) = new.filter(|(_, since)| since + self.limits.evict_after <= now) {
+            return Some(new);
         }
         // Those pinged were silent for `ping_after` before.
         let earlier = |queue, before: Micros| {
@@ -382,7 +385,7 @@
         };
         let pinged = earlier(PINGED, self.limits.ping_after);
         let firsts = [pinged, earlier(FRAMED, 0), earlier(HTTP, 0), earlier(ASKED, 0)];
-        firsts.into_iter().flatten().min_by_key(|(_, since)| *since)
+        firsts.into_iter().flatten().chain(new).min_by_key(|(_, since)| *since)
     }
 
     /// A connection came.
@@ -430,7 +433,7 @@
         if let Some(slot) = self.greedy(0) {
             return Ok(Some(slot));
         }
-        match self.longest_idle() {
+        match self.longest_idle(now) {
             Some((slot, since)) if since + self.limits.evict_after <= now => Ok(Some(slot)),
             _ => Err("full"),
         }
@@ -509,7 +512,6 @@
     pub fn asks(&mut self, now: Micros, slot: usize, tenant: &str) {
         let Some(guest) = self.guest(slot) else { return };
         guest.open += 1;
-        guest.new = false;
         let before = guest.tenant;
         let same = before != NO_TENANT && self.tenants.counts[before as usize].0.as_deref() == Some(tenant);
         if !tenant.is_empty() && !same {
@@ -524,8 +526,14 @@
         self.rest(now, slot);
     }
 
-    /// It was answered, or no longer waits.
+    /// It was answered.
     pub fn answered(&mut self, now: Micros, slot: usize) {
+        self.guest(slot).into_iter().for_each(|guest| guest.new = false);
+        self.called_off(now, slot);
+    }
+
+    /// It no longer waits for an answer.
+    pub fn called_off(&mut self, now: Micros, slot: usize) {
         let Some(guest) = self.guest(slot) else { return };
         guest.open = guest.open.saturating_sub(1);
         if guest.open == 0 {
@@ -573,7 +581,7 @@
             (ASKED, "asked-to-leave"),
             (HALF, "half-sent"),
             (STALLED, "does-not-read"),
-            (NEW, "never-asked"),
+            (NEW, "never-answered"),
         ];
         for (queue, why) in endings {
             if let Some((slot, _)) = self.spans.first(queue).filter(|(_, due)| *due <= now) {
--- a/crates/carriers/src/lib.rs
+++ b/crates/carriers/src/lib.rs
@@ -71,10 +71,9 @@
         hub: &mut Hub,
         limits: &CarrierLimits,
         (worker, address): (&WorkerId, SocketAddr),
-        cargo: Cargo,
+        (cargo, frame): (Cargo, impl FnOnce(&mut Vec<u8>)),
         usable: impl Fn(Connection) -> bool,
         begin: impl FnOnce(&mut Vec<u8>),
-        frame: impl FnOnce(&mut Vec<u8>),
     ) -> Option<Connection> {
         let now = hub.clock().now();
         if !self.by_worker.contains_key(worker) {
@@ -161,7 +160,7 @@
         }
         ended.retain(|(Cargo::Attempt(number) | Cargo::Order(number))| self.withdraw(hub, *number));
         let told = |cargo| match cargo {
-            Cargo::Attempt(number) => never_left(number, false),
+            Cargo::Attempt(number) => Input::AttemptEnded(number, AttemptEnd::TakenBack, Vec::new(), None),
             Cargo::Order(number) => Input::OrderEnded(number, OrderEnd::NotConnected, 0),
         };
         ended.into_iter().map(told).collect()
--- a/crates/engine/src/ending.rs
+++ b/crates/engine/src/ending.rs
@@ -8,8 +8,10 @@
 pub enum AttemptEnd {
     /// No connection to the worker was to be had in time.
     NotConnected,
-    /// There was one, but it broke, or the attempt was taken back, before a byte of it was handed to the kernel.
+    /// There was one, but it broke before a byte of the attempt was handed to the kernel.
     NotWritten,
+    /// It was taken back, for a reason that is not the worker's, before a byte of it was handed to the kernel.
+    TakenBack,
     /// The connection broke after the first byte was handed over.
     Broken,
     /// The worker answered; calls of the same function that it held when this one came.
@@ -33,7 +35,8 @@
     pub fn outcome(self) -> Outcome {
         match self {
             Self::NotConnected | Self::NotWritten => Outcome::ConnectFailed,
-            Self::NotSent => Outcome::Moot,
+            // Not the worker's failure: its connection may be as good as any.
+            Self::TakenBack | Self::NotSent => Outcome::Moot,
             Self::Answered(Ending::Full, _) => Outcome::Full,
             Self::Answered(Ending::Miss | Ending::LoadFailed, _) => Outcome::Miss,
             Self::Answered(Ending::Ok, _) => Outcome::Ok,
@@ -49,6 +52,7 @@
         match self {
             Self::NotConnected => "not-connected",
             Self::NotWritten => "not-written",
+            Self::TakenBack => "taken-back",
             Self::Broken => "broken",
             Self::Answered(ending, _) => ending.word(),
             Self::Wrong(_) => "wrong-version",
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -640,7 +640,7 @@
             Output::Run(attempt) => self.run_attempt(attempt),
             Output::Withdraw(_, attempt) | Output::Overdue(_, attempt) => {
                 if self.carriers.withdraw(&mut self.hub, attempt) {
-                    let end = AttemptEnd::NotWritten;
+                    let end = AttemptEnd::TakenBack;
                     self.inputs.push_back(Input::AttemptEnded(attempt, end, Vec::new(), None));
                 }
             }
@@ -723,7 +723,7 @@
         let (begin, frame) =
             (|out: &mut Vec<u8>| encode(&hello, out), |out: &mut Vec<u8>| encode(message, out));
         let to = (worker, address);
-        self.carriers.give(&mut self.hub, &limits, to, cargo, |_| true, begin, frame).is_some()
+        self.carriers.give(&mut self.hub, &limits, to, (cargo, frame), |_| true, begin).is_some()
     }
 
     /// Tells the engine which functions are to be kept loaded, when it is time to.
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -1,6 +1,7 @@
 //! Clients' connections: what is asked on each, which streams are owed an answer.
 
 use std::collections::VecDeque;
+use std::net::Ipv4Addr;
 
 use cresswheel::Micros;
 use cresswheel_admission::{Act, Arrival, Door, DoorCounts, DoorLimits, Sign};
@@ -123,14 +124,18 @@
 
     fn opened(&mut self, hub: &mut Hub, connection: Connection) {
         // It is gone already; what it asked, if anything, comes before its end.
-        let Some(address) = hub.peer(connection) else { return hub.close(connection, "gone at the door") };
-        match self.door.arrives(hub.clock().now(), slot(connection), address.ip(), false) {
+        if hub.peer(connection).is_none() {
+            return hub.close(connection, "gone at the door");
+        }
+        // All clients come through the platform's front layer: their addresses tell nothing of who they are.
+        let address = Ipv4Addr::UNSPECIFIED.into();
+        match self.door.arrives(hub.clock().now(), slot(connection), address, false) {
             Arrival::Welcome => {}
             Arrival::Instead(other) => {
                 self.by_slot.get(&other).into_iter().for_each(|other| hub.close(*other, "room-needed"));
             }
             Arrival::Away(why) => {
-                tracing::debug!(%address, why, "turned away");
+                tracing::debug!(why, "turned away");
                 return hub.close(connection, why);
             }
         }
@@ -179,8 +184,9 @@
                 self.door.answered(hub.clock().now(), slot(connection));
             }
             FromClient::TakenBack(stream) => {
-                if guest.streams.contains_key(&stream) {
-                    self.settle(hub, connection, stream);
+                if let Some(id) = guest.streams.remove(&stream) {
+                    self.ids.remove(&id);
+                    self.door.called_off(hub.clock().now(), slot(connection));
                     self.asks.push_back(Ask::TakenBack(connection, stream));
                 }
             }
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -147,7 +147,7 @@
         let lines = &self.lines;
         let usable = |connection| lines.get(&connection).is_none_or(|line| !line.names.contains_key(id));
         let to = (worker, place.address);
-        let connection = self.carriers.give(hub, &limits, to, cargo, usable, |_| {}, frame)?;
+        let connection = self.carriers.give(hub, &limits, to, (cargo, frame), usable, |_| {})?;
         let now = hub.clock().now();
         let new = || Line { decoder: HostDecoder::default(), names: HashMap::new(), opened: now, heard: now };
         self.lines.entry(connection).or_insert_with(new).names.insert(id.to_owned(), name);
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -8,7 +8,7 @@
 use anyhow::Context;
 use calloop::signals::Signal;
 use cresswheel::Micros;
-use cresswheel_engine::{Answer, Call, Client, Engine, Input, Output};
+use cresswheel_engine::{Answer, AttemptEnd, Call, Client, Engine, Input, Output};
 use cresswheel_platform_wire::client::{Code, Request};
 use cresswheel_platform_wire::config::Config;
 use cresswheel_protocol::{Listed, Standing, Status};
@@ -253,6 +253,11 @@
     fn give(&mut self, input: Input) {
         self.inputs.push_back(input);
         while let Some(input) = self.inputs.pop_front() {
+            match &input {
+                Input::AttemptEnded(attempt, end, ..) => tracing::debug!(attempt, ?end, "ended"),
+                Input::OrderEnded(order, end, standing) => tracing::debug!(order, ?end, standing, "held"),
+                _ => {}
+            }
             let mut outputs = std::mem::take(&mut self.outputs);
             self.engine.handle(self.hub.clock().now(), input, &mut outputs);
             for output in outputs.drain(..) {
@@ -266,12 +271,22 @@
         match output {
             Output::Answer(client, answer) => self.answer(client, &answer),
             Output::Run(attempt) => {
-                tracing::debug!(id = %attempt.call.trace, host = %attempt.worker, before = attempt.before, "run");
+                let call = &attempt.call;
+                tracing::debug!(
+                    id = %call.trace,
+                    host = %attempt.worker,
+                    function = %call.function,
+                    class = %call.class,
+                    attempt = attempt.number,
+                    before = attempt.before,
+                    timeout = attempt.timeout,
+                    "run"
+                );
                 self.inputs.extend(self.hosts.run(&mut self.hub, &attempt));
             }
             Output::Withdraw(_, attempt) => {
                 if self.hosts.withdraw(&mut self.hub, attempt) {
-                    let end = cresswheel_engine::AttemptEnd::NotWritten;
+                    let end = AttemptEnd::TakenBack;
                     self.inputs.push_back(Input::AttemptEnded(attempt, end, Vec::new(), None));
                 }
             }
@@ -279,7 +294,7 @@
                 self.hosts.give_up(&mut self.hub, attempt);
             }
             Output::Hold { worker, order, function, count, .. } => {
-                tracing::debug!(%worker, %function, count, "hold");
+                tracing::debug!(%worker, %function, order, count, "hold");
                 self.inputs.extend(self.hosts.hold(&mut self.hub, &worker, order, &function, count));
             }
             Output::Drop(worker, function) => self.hosts.unload(&mut self.hub, &worker, &function),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -638,8 +638,9 @@
         let Some(entry) = self.ledger.get_mut(id) else { return };
         let Some(attempt) = entry.attempts.get_mut(number).filter(|a| a.fate == Fate::Out) else { return };
         attempt.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        // An error sends the next attempt elsewhere, a load that takes long or a 'miss' need not.
-        attempt.avoid = outcome == Outcome::Error || (attempt.warm && outcome != Outcome::Miss);
+        // An error or a refused connection sends the next attempt elsewhere, a load that takes long or a 'miss' need not.
+        let failed = matches!(outcome, Outcome::Error | Outcome::ConnectFailed);
+        attempt.avoid = failed || (attempt.warm && outcome != Outcome::Miss);
         let sent = attempt.clone();
         let (f, class, w) = (entry.function, entry.request.class, sent.worker);
         let took = elapsed as f64;
@@ -649,7 +650,10 @@
             blend(crowd, (f64::from(held) * sent.homes).max(1e-9), 2.0 * BLEND);
         }
         let slow = took > self.run_time(f, class) + self.load_time(&self.functions[f]) / 2.0;
-        let place = self.functions[f].places.entry(w).or_default();
+        let function = &mut self.functions[f];
+        function.served |= outcome == Outcome::Ok;
+        let served = function.served;
+        let place = function.places.entry(w).or_default();
         place.flying = place.flying.saturating_sub(1);
         match outcome {
             Outcome::Ok => {
@@ -671,7 +675,8 @@
                     class_run.into_iter().for_each(|mean| blend(mean, took, BLEND));
                 }
             }
-            Outcome::Error if !load_failed => self.blame(w, class, sent.sent, 1.0),
+            // A function that no worker has answered yet may be no function at all.
+            Outcome::Error if !load_failed && served => self.blame(w, class, sent.sent, 1.0),
             Outcome::Timeout if took >= sent.expected => {
                 if sent.warm && !sent.known {
                     // Peers keep an instance there, so it was a queue, and would have taken longer still.
@@ -706,7 +711,8 @@
             return self.close(id);
         }
         let costs = sent.fate == Fate::MayHaveRun;
-        if costs && self.retries < 1.0 {
+        let doubtful = outcome == Outcome::Error && !served && number > 0;
+        if costs && (self.retries < 1.0 || doubtful) {
             return self.answer(id);
         }
         self.retries -= f64::from(u8::from(costs));
@@ -864,6 +870,8 @@
             Outcome::Full => {
                 (place.seen, place.no_room) = (None, self.now + self.aim * 2);
             }
+            // A load that fails at once would be ordered again and again, as often as the answer comes.
+            Outcome::Error => place.no_room = self.now + self.aim * 2,
             Outcome::ConnectFailed => {
                 self.forget(w);
                 self.blame(w, orders, since, SUSPECT);
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,6 +19,8 @@
     pub load: f64,
     pub run: f64,
     pub last_call: Micros,
+    /// A worker has answered a call of it.
+    pub served: bool,
     /// Requests of all gateways at work at once, as answers tell; 0 until they do.
     pub crowd: f64,
     /// How often peers' calls alone kept an instance, as own calls found it.
