Orders cut off by a host that ends its connection in good order are not its failure

Checked: aborts and unloads before the close (none in most cases), silence on the connection (none, or 3 s), a request under way (never). The host ends a connection in good order after an answer, or after 3 s, whatever orders wait on it; PROTOCOL says that an order stands then. Change: such an order ends 'cut-off' (engine/ending.rs, platform/hosts.rs), the module's Cancelled: nothing is booked, the next need orders again through the gate. A close that took requests too, a reset, or a refused connection counts as before.

--- a/crates/engine/src/ending.rs
+++ b/crates/engine/src/ending.rs
@@ -70,6 +70,8 @@
     NotConnected,
     /// The connection broke.
     Broken,
+    /// The worker ended the connection in good order before it answered: the order stands, its answer is lost.
+    CutOff,
     /// The worker answered.
     Answered(Ending),
     /// Nothing was heard in time.
@@ -82,6 +84,8 @@
         match self {
             Self::NotConnected => Outcome::ConnectFailed,
             Self::Broken => Outcome::Reset,
+            // Not the worker's failure: it did as it may with a connection that carries no request.
+            Self::CutOff => Outcome::Cancelled,
             Self::Silent => Outcome::Timeout,
             Self::Answered(Ending::Ok) => Outcome::Ok,
             Self::Answered(Ending::Full | Ending::Miss) => Outcome::Full,
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -10,7 +10,7 @@
 use cresswheel_engine::{Attempt, AttemptEnd, Input, OrderEnd};
 use cresswheel_platform_wire::host::{self, HostAnswer, HostDecoder, Word};
 use cresswheel_protocol::{Ending, Listed, Standing};
-use cresswheel_transport::{Connection, Hub};
+use cresswheel_transport::{Connection, ENDED, Hub};
 use foldhash::{HashMap, HashMapExt};
 
 /// What an id or tag on a connection stands for.
@@ -221,6 +221,7 @@
             return;
         }
         let Some((connection, id)) = self.out.remove(&attempt) else { return };
+        tracing::debug!(connection, id, "abort");
         self.carriers.call_off(hub, attempt, |out| host::abort(out, &id));
         let Some(line) = self.lines.get_mut(&connection) else { return };
         let before = line.names.insert(id, Name::GivenUp);
@@ -236,6 +237,10 @@
         self.lines.get_mut(&connection).into_iter().for_each(|line| line.heard = now);
     }
 
+    pub fn host(&self, connection: Connection) -> Option<WorkerId> {
+        self.carriers.worker(connection)
+    }
+
     pub fn is_ours(&self, connection: Connection) -> bool {
         self.carriers.is_ours(connection)
     }
@@ -285,12 +290,23 @@
         hub.close(connection, "a spoilt answer");
     }
 
-    pub fn closed(&mut self, connection: Connection, never_stood: bool, unsent: &[u64]) -> Vec<Input> {
+    /// A connection is gone. Hosts end one in good order when no request is open on it; they don't count orders,
+    /// which stand all the same.
+    pub fn closed(
+        &mut self,
+        connection: Connection,
+        never_stood: bool,
+        unsent: &[u64],
+        why: &str,
+    ) -> Vec<Input> {
         self.lines.remove(&connection);
-        let ended = self.carriers.closed(connection, never_stood, unsent);
-        for input in &ended {
-            if let Input::AttemptEnded(number, ..) = input {
-                self.out.remove(number);
+        let mut ended = self.carriers.closed(connection, never_stood, unsent);
+        let in_order = why == ENDED && !ended.iter().any(|input| matches!(input, Input::AttemptEnded(..)));
+        for input in &mut ended {
+            match input {
+                Input::AttemptEnded(number, ..) => _ = self.out.remove(number),
+                Input::OrderEnded(_, end @ OrderEnd::Broken, _) if in_order => *end = OrderEnd::CutOff,
+                _ => {}
             }
         }
         ended
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -64,6 +64,14 @@
     /// Takes the signals, listens, and learns the list that the configuration holds.
     pub fn start(config: &Config, reload: Reload) -> anyhow::Result<Self> {
         let settings = PlatformSettings::of(config)?;
+        tracing::info!(
+            name = settings.name,
+            clients = settings.door.connections,
+            carriers = ?settings.carriers,
+            host_idle = settings.host_idle,
+            open_calls = settings.engine.admission.open_calls,
+            "starts"
+        );
         let mut hub = Hub::new(settings.hub).context("event loop")?;
         // Before anybody can know of this process: a signal without its handler would end it.
         hub.signals(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).context("signals")?;
@@ -182,9 +190,11 @@
                 ended.into_iter().for_each(|input| self.give(input));
             }
             Notice::Closed { connection, guest: false, never_stood, unsent, why } => {
-                let ended = self.hosts.closed(connection, never_stood, &unsent);
+                let host = self.hosts.host(connection);
+                let ended = self.hosts.closed(connection, never_stood, &unsent, &why);
                 if !ended.is_empty() {
-                    tracing::info!(%why, never_stood, ended = ended.len(), "a host's connection ended");
+                    let host = host.map(tracing::field::display);
+                    tracing::info!(host, connection, %why, never_stood, ended = ended.len(), "a host's connection ended");
                 }
                 ended.into_iter().for_each(|input| self.give(input));
             }
@@ -297,7 +307,10 @@
                 tracing::debug!(%worker, %function, order, count, "hold");
                 self.inputs.extend(self.hosts.hold(&mut self.hub, &worker, order, &function, count));
             }
-            Output::Drop(worker, function) => self.hosts.unload(&mut self.hub, &worker, &function),
+            Output::Drop(worker, function) => {
+                tracing::debug!(%worker, %function, "unload");
+                self.hosts.unload(&mut self.hub, &worker, &function);
+            }
             Output::Probe(worker) => self.hosts.probe(&mut self.hub, &worker),
             Output::Log(text) => tracing::info!("{text}"),
             // The front sees to streams that are used twice; the directory is followed from the start; versions and
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -204,6 +204,8 @@
 /// How long a connection that is done with waits for the other side to close.
 const LINGER: Micros = 500_000;
 const FINISHED: &str = "finished";
+/// Why a connection closed that the other side ended in good order.
+pub const ENDED: &str = "closed by the other side";
 /// How long accepting pauses when descriptors ran out.
 const ACCEPT_PAUSE: Micros = 50_000;
 /// However busy the sockets are, signals are looked for that often.
@@ -905,7 +907,7 @@
         if conn.reads() {
             match (&conn.socket).read(&mut scratch) {
                 Ok(0) if conn.lingering => over = Some(FINISHED.to_owned()),
-                Ok(0) => over = Some("closed by the other side".to_owned()),
+                Ok(0) => over = Some(ENDED.to_owned()),
                 Ok(_) if conn.lingering => {}
                 Ok(count) => {
                     came = true;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -18,4 +18,4 @@
 mod watch;
 
 pub use clock::Clock;
-pub use hub::{Connection, Hub, HubLimits, Notice, Wire, listener, slot};
+pub use hub::{Connection, ENDED, Hub, HubLimits, Notice, Wire, listener, slot};
