Load orders share the connection that carries most requests; refused orders wait

At fault: Carriers::give counted orders as load, so requests kept away from a connection that held one; Dispatcher::held gave the next order at once after a refused connection. Change: orders don't count for spreading and go to the oldest connection; a cut connection tells nothing of its host while another stands; no order for two aims after a refused one.

--- a/crates/carriers/src/lib.rs
+++ b/crates/carriers/src/lib.rs
@@ -48,7 +48,7 @@
     pub connections: usize,
     /// Attempts and orders that one connection carries at once.
     pub streams: usize,
-    /// Another connection is opened, while there is room for one, when each carries so many.
+    /// Another connection is opened, while there is room for one, when each carries so many attempts.
     pub spread: usize,
     /// A connection must stand after this.
     pub connect_timeout: Micros,
@@ -80,11 +80,18 @@
             self.by_worker.insert(worker.clone(), Vec::new());
         }
         let here = self.by_worker.get_mut(worker)?;
-        let load = |c: Connection| self.carriers[&c].load();
-        let all = here.iter().copied().filter(|c| !self.carriers[c].leaving && usable(*c));
-        let least = all.min_by_key(|c| load(*c)).filter(|c| load(*c) < limits.streams);
+        let free = |c: &Connection| !self.carriers[c].leaving && self.carriers[c].load() < limits.streams;
+        let mut all = here.iter().copied().filter(|c| free(c) && usable(*c));
+        // Orders are in nobody's way while they wait. They go where most attempts go, to the connection that stands
+        // longest: a worker may end one on which no attempt has been for a while, whatever orders wait there.
+        let attempts = |c: Connection| self.carriers[&c].attempts.len();
+        let least = match cargo {
+            Cargo::Attempt(_) => all.min_by_key(|c| attempts(*c)),
+            Cargo::Order(_) => all.next(),
+        };
         let room = here.len() < limits.connections;
-        let connection = match least.filter(|c| !room || load(*c) < limits.spread) {
+        let shared = !room || matches!(cargo, Cargo::Order(_));
+        let connection = match least.filter(|c| shared || attempts(*c) < limits.spread) {
             Some(connection) => connection,
             None if !room => return None,
             None => {
@@ -181,6 +188,13 @@
         self.carriers.get(&connection).map(|carrier| carrier.worker.clone())
     }
 
+    /// Whether another connection to the same worker stands.
+    pub fn has_sibling(&self, connection: Connection) -> bool {
+        let worker = self.carriers.get(&connection).map(|carrier| &carrier.worker);
+        let here = worker.and_then(|worker| self.by_worker.get(worker));
+        here.into_iter().flatten().any(|c| *c != connection && self.carriers[c].stands)
+    }
+
     /// Whether it is a connection to a worker.
     pub fn is_ours(&self, connection: Connection) -> bool {
         self.carriers.contains_key(&connection)
--- a/crates/engine/src/ending.rs
+++ b/crates/engine/src/ending.rs
@@ -70,7 +70,8 @@
     NotConnected,
     /// The connection broke.
     Broken,
-    /// The worker ended the connection in good order before it answered: the order stands, its answer is lost.
+    /// The connection ended before the worker answered, which tells nothing of the worker: the order stands, its
+    /// answer is lost.
     CutOff,
     /// The worker answered.
     Answered(Ending),
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -291,7 +291,7 @@
     }
 
     /// A connection is gone. Hosts end one in good order when no request is open on it; they don't count orders,
-    /// which stand all the same.
+    /// which stand all the same. Nor does a single connection's end tell of its host while another stands.
     pub fn closed(
         &mut self,
         connection: Connection,
@@ -300,8 +300,10 @@
         why: &str,
     ) -> Vec<Input> {
         self.lines.remove(&connection);
+        let sibling = self.carriers.has_sibling(connection);
         let mut ended = self.carriers.closed(connection, never_stood, unsent);
-        let in_order = why == ENDED && !ended.iter().any(|input| matches!(input, Input::AttemptEnded(..)));
+        let in_order =
+            sibling || why == ENDED && !ended.iter().any(|input| matches!(input, Input::AttemptEnded(..)));
         for input in &mut ended {
             match input {
                 Input::AttemptEnded(number, ..) => _ = self.out.remove(number),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -870,10 +870,11 @@
             Outcome::Full => {
                 (place.seen, place.no_room) = (None, self.now + self.aim * 2);
             }
-            // A load that fails at once would be ordered again and again, as often as the answer comes.
+            // What fails at once would be ordered again and again, as often as the answer comes.
             Outcome::Error => place.no_room = self.now + self.aim * 2,
             Outcome::ConnectFailed => {
                 self.forget(w);
+                self.functions[f].places.entry(w).or_default().no_room = self.now + self.aim * 2;
                 self.blame(w, orders, since, SUSPECT);
             }
             Outcome::Reset | Outcome::Timeout => self.blame(w, orders, since, 1.0),
