No pre-load to a host that turned an order away within two aims

Change: order_gate gives no pre-load to a worker that turned an order away within two aims, unless it renews an instance seen there.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -818,6 +818,10 @@
         if !self.settings.may_order || worker.entry.state != WorkerState::In {
             return false;
         }
+        // Where needed loads find no room, a load for later takes the place of one for now; renewals take none.
+        if !needed && self.now < worker.full_until && !self.known_warm(f, w) {
+            return false;
+        }
         let place = self.functions[f].places.entry(w).or_default();
         if place.ordered.is_some() {
             return true;
@@ -869,6 +873,7 @@
             }
             Outcome::Full => {
                 (place.seen, place.no_room) = (None, self.now + self.aim * 2);
+                self.workers[w].full_until = place.no_room;
             }
             // What fails at once would be ordered again and again, as often as the answer comes.
             Outcome::Error => place.no_room = self.now + self.aim * 2,
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,8 @@
     /// By class.
     pub health: Vec<Health>,
     pub last_ok: Micros,
+    /// It turned an order away: until then it is given no pre-load.
+    pub full_until: Micros,
     /// Work that it may still be sent while cold, as of when.
     pub cold_credit: f64,
     pub cold_since: Micros,
