--- a/crates/admission/tests/door.rs
+++ b/crates/admission/tests/door.rs
@@ -353,3 +353,38 @@
         }
     }
 }
+
+#[test]
+fn a_connection_that_was_never_answered_has_a_time_of_its_own_and_gives_way_first() {
+    let mut door = Door::new(0, DoorLimits { unasked: S, idle: 30 * S, pings_per_s: 0, ..limits() });
+    for slot in 0..3 {
+        door.arrives(0, slot, from(1), false);
+    }
+    door.asks(0, 0, "");
+    door.answered(0, 0);
+    // It took back what it asked: nothing was answered to it.
+    door.asks(0, 1, "");
+    door.called_off(0, 1);
+    let due = S + 2 * STEP;
+    let closed = [Act::Close(1, "never-answered"), Act::Close(2, "never-answered")];
+    let mut acts = acts(&mut door, due);
+    acts.sort_by_key(|act| if let Act::Close(slot, _) = act { *slot } else { usize::MAX });
+    assert_eq!(acts, closed);
+}
+
+#[test]
+fn a_full_door_whose_newest_are_too_young_lets_the_longest_idle_go() {
+    let limits = DoorLimits { unasked: 100 * S, evict_after: S, pings_per_s: 0, ..limits() };
+    let mut door = Door::new(0, limits);
+    for slot in 0..7 {
+        door.arrives(0, slot, from(slot as u8), false);
+        door.asks(0, slot, "");
+        door.answered(0, slot);
+    }
+    door.arrives(2 * S, 7, from(7), false);
+    assert!(door.may_accept(2 * S).is_ok(), "others have been idle for long enough");
+    assert_eq!(door.arrives(2 * S, 8, from(8), false), Arrival::Instead(0));
+    door.left(0);
+    // Now the one that was never answered has waited for long enough, and goes before those that were.
+    assert_eq!(door.arrives(4 * S, 0, from(9), false), Arrival::Instead(7));
+}
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -61,7 +61,11 @@
 
 impl Bed {
     fn new(workers: usize) -> Self {
-        let mut bed = Self { engine: Engine::new(settings(), 7).unwrap(), now: 1_700_000_000 * S, next: 0 };
+        Self::of(settings(), workers)
+    }
+
+    fn of(settings: EngineSettings, workers: usize) -> Self {
+        let mut bed = Self { engine: Engine::new(settings, 7).unwrap(), now: 1_700_000_000 * S, next: 0 };
         let workers = (0..workers).map(|n| Listed {
             id: format!("w{n}"),
             address: format!("127.0.0.1:{}", 9000 + n),
@@ -322,3 +326,55 @@
     assert_eq!(answers(&lone.give(Input::Stop)), [(unsent.number, Status::Refused, "stopping")]);
     assert_eq!(answers(&bed.ask(call("check")).1)[0].2, "stopping");
 }
+
+#[test]
+fn an_attempt_that_was_taken_back_is_not_booked_on_its_worker() {
+    let mut bed = Bed::new(5);
+    let mut workers = Vec::new();
+    for _ in 0..4 {
+        let (_, out) = bed.ask(call("check"));
+        let attempt = runs(&out)[0].clone();
+        workers.push(attempt.worker.clone());
+        bed.give(Input::Left(1));
+        bed.give(Input::AttemptEnded(attempt.number, AttemptEnd::TakenBack, Vec::new(), None));
+    }
+    assert!(workers.iter().all(|worker| *worker == workers[0]), "{workers:?}");
+}
+
+#[test]
+fn an_attempt_that_nothing_was_heard_of_is_overdue_and_says_how_long_it_may_take() {
+    let mut bed = Bed::new(2);
+    let (_, out) = bed.ask(Call { time_left: 700 * MS, ..call("post") });
+    let attempt = runs(&out)[0].clone();
+    assert_eq!(attempt.timeout, 690 * MS, "the rest of its time, short of the margin");
+    let out = bed.pass(700 * MS - 1);
+    assert!(out.iter().any(|o| matches!(o, Output::Overdue(_, number) if *number == attempt.number)));
+    assert_eq!(answers(&out).len(), 1);
+}
+
+#[test]
+fn an_order_that_was_cut_off_is_given_again_to_the_same_worker() {
+    for (end, same) in [(OrderEnd::CutOff, true), (OrderEnd::NotConnected, false)] {
+        let mut settings = settings();
+        settings.module.when_absent = WhenAbsent::Miss;
+        let mut bed = Bed::of(settings, 5);
+        let holds = |out: &[Output]| -> Vec<(u64, String)> {
+            let hold = |o: &Output| match o {
+                Output::Hold { order, worker, .. } => Some((*order, worker.to_string())),
+                _ => None,
+            };
+            out.iter().filter_map(hold).collect()
+        };
+        let (_, out) = bed.ask(call("check"));
+        let first = holds(&out)[0].clone();
+        let (mut next, mut to) = (first.0, Vec::new());
+        for _ in 0..4 {
+            let out = bed.give(Input::OrderEnded(next, end, 0));
+            let Some(hold) = holds(&out).first().cloned() else { break };
+            next = hold.0;
+            to.push(hold.1);
+        }
+        assert!(!to.is_empty());
+        assert_eq!(to.iter().all(|worker| *worker == first.1), same, "{end:?}: {} then {to:?}", first.1);
+    }
+}
--- a/crates/engine/tests/sequences.rs
+++ b/crates/engine/tests/sequences.rs
@@ -55,6 +55,7 @@
         7 => AttemptEnd::Answered(Ending::Miss, 0),
         8 => AttemptEnd::Answered(Ending::LoadFailed, 0),
         9 => AttemptEnd::Answered(Ending::Cancelled, 0),
+        10 => AttemptEnd::TakenBack,
         _ => AttemptEnd::Silent,
     }
 }
--- /dev/null
+++ b/crates/platform-wire/tests/wire.rs
@@ -0,0 +1,297 @@
+//! The platform's bytes: whole, cut, spoilt, huge.
+
+use cresswheel_platform_wire::client::{
+    ClientDecoder, Code, FromClient, FromGateway, Unusable, answer, encode_bare, encode_request, leaving,
+    ready, take_from_gateway,
+};
+use cresswheel_platform_wire::config::Config;
+use cresswheel_platform_wire::directory::{self, DirectoryError};
+use cresswheel_platform_wire::host::{self, HostDecoder, Spoilt, Word};
+use cresswheel_protocol::Standing;
+use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
+use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
+use hickory_proto::rr::{Name, RData, Record, RecordType};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const FIELDS: [(&str, &str); 5] = [
+    ("class", "call"),
+    ("id", "9b1f03aa5c7e2d41"),
+    ("wait", "1500"),
+    ("key", "7f3a9c21e0b4d655"),
+    ("spec", "memory_mb:512.5;lanes:2;load_ms:640"),
+];
+
+fn frame(stream: u32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut out = Vec::new();
+    encode_request(&mut out, stream, fields, body);
+    out
+}
+
+fn one(bytes: &[u8]) -> FromClient {
+    let mut decoder = ClientDecoder::default();
+    decoder.push(bytes);
+    decoder.decode().unwrap().expect("a frame")
+}
+
+fn with(name: &'static str, value: &'static str) -> Vec<(&'static str, &'static str)> {
+    FIELDS.iter().map(|(n, v)| if *n == name { (name, value) } else { (*n, *v) }).collect()
+}
+
+#[test]
+fn a_request_in_pieces_of_any_size_is_the_same_request() {
+    let mut bytes = frame(7, &FIELDS, &[0, 255, 13, 10]);
+    encode_bare(&mut bytes, false, 7);
+    encode_bare(&mut bytes, true, 9);
+    for size in 1..=bytes.len() {
+        let mut decoder = ClientDecoder::default();
+        let mut frames = Vec::new();
+        for piece in bytes.chunks(size) {
+            decoder.push(piece);
+            frames.extend(std::iter::from_fn(|| decoder.decode().unwrap()));
+        }
+        let [FromClient::Request(7, Ok(request)), FromClient::TakenBack(7), FromClient::Ready(9)] =
+            &frames[..]
+        else {
+            panic!("{frames:?}")
+        };
+        assert_eq!((request.wait_ms, request.shape.lanes, request.shape.load_time), (1500, 2, 640_000));
+        assert_eq!((request.body.as_slice(), request.retry), ([0, 255, 13, 10].as_slice(), false));
+        assert_eq!(decoder.midway(), 0);
+    }
+}
+
+#[test]
+fn what_cant_be_used_costs_its_own_request_alone() {
+    let cases = [
+        (with("id", "9b1f"), Unusable::Field("id")),
+        (with("id", "9b1f03aa5c7e2d4g"), Unusable::Field("id")),
+        (with("key", ""), Unusable::Field("key")),
+        (with("wait", "-5"), Unusable::Field("wait")),
+        (with("wait", "soon"), Unusable::Field("wait")),
+        (with("wait", "99999999999999999999999"), Unusable::Field("wait")),
+        (with("wait", "0"), Unusable::Field("wait")),
+        (with("class", "a,sort=b"), Unusable::Field("class")),
+        (with("spec", "lanes:many"), Unusable::Field("spec")),
+        (with("spec", "lanes:-1"), Unusable::Field("spec")),
+        (with("spec", "memory_mb:NaN"), Unusable::Field("spec")),
+        (with("spec", "lanes:1;lanes:2"), Unusable::Field("spec")),
+        (FIELDS[1..].to_vec(), Unusable::Field("class")),
+        ([FIELDS.as_slice(), &[("id", "00000000000000aa")]].concat(), Unusable::Twice),
+    ];
+    for (fields, why) in cases {
+        let mut decoder = ClientDecoder::default();
+        decoder.push(&frame(1, &fields, b""));
+        decoder.push(&frame(2, &FIELDS, b""));
+        assert_eq!(decoder.decode(), Ok(Some(FromClient::Request(1, Err(why)))), "{fields:?}");
+        assert!(matches!(decoder.decode(), Ok(Some(FromClient::Request(2, Ok(_))))));
+    }
+    assert!(matches!(one(&frame(1, &FIELDS, &[7; 16 << 10])), FromClient::Request(1, Ok(_))));
+    let long = one(&frame(1, &FIELDS, &vec![7; (16 << 10) + 1]));
+    assert_eq!(long, FromClient::Request(1, Err(Unusable::Long)));
+}
+
+#[test]
+fn a_frame_that_is_too_long_is_refused_at_its_head_and_passed_over() {
+    let bytes = frame(3, &FIELDS, &vec![7; 200_000]);
+    let mut decoder = ClientDecoder::default();
+    decoder.push(&bytes[..9]);
+    assert_eq!(decoder.decode(), Ok(Some(FromClient::Request(3, Err(Unusable::Long)))));
+    bytes[9..].chunks(1000).for_each(|piece| decoder.push(piece));
+    decoder.push(&frame(4, &FIELDS, b""));
+    assert!(matches!(decoder.decode(), Ok(Some(FromClient::Request(4, Ok(_))))));
+    for length in [0u32, 4, 262_145, 60_000_000, u32::MAX] {
+        let mut decoder = ClientDecoder::default();
+        decoder.push(&length.to_le_bytes());
+        assert!(decoder.decode().is_err(), "{length}");
+        decoder.push(&bytes);
+        assert!(decoder.decode().is_err(), "an error is for ever");
+    }
+    for (kind, stream) in [(101, 1), (0, 1), (255, 1), (100, 0)] {
+        let mut bytes = frame(stream, &FIELDS, b"");
+        bytes[4] = kind;
+        let mut decoder = ClientDecoder::default();
+        decoder.push(&bytes);
+        assert!(decoder.decode().is_err(), "type {kind}, stream {stream}");
+    }
+}
+
+#[test]
+fn what_the_gateway_writes_is_what_a_client_reads() {
+    let mut out = Vec::new();
+    answer(&mut out, 5, Code::Served, None, b"body");
+    answer(&mut out, 6, Code::Refused, Some(250), b"");
+    answer(&mut out, 0, Code::Failed, None, b"why");
+    ready(&mut out, 7, true);
+    leaving(&mut out);
+    let read: Vec<_> = std::iter::from_fn(|| take_from_gateway(&mut out).unwrap()).collect();
+    let want = [
+        FromGateway::Answer(5, 0, None, b"body".to_vec()),
+        FromGateway::Answer(6, 8, Some(250), Vec::new()),
+        FromGateway::Answer(0, 13, None, b"why".to_vec()),
+        FromGateway::Ready(7, 0),
+        FromGateway::Leaving,
+    ];
+    assert_eq!(read, want);
+}
+
+#[test]
+fn commands_are_arrays_of_bulk_strings() {
+    let mut out = Vec::new();
+    host::invoke(&mut out, "00000000000000aa", "call", "00000000000000ff", 700, b"\r\n");
+    let text = "*4\r\n$6\r\ninvoke\r\n$16\r\n00000000000000aa\r\n$45\r\nsort=call,asset=00000000000000ff,patience=700\r\n\
+                $2\r\n\r\n\r\n";
+    assert_eq!(String::from_utf8(out.clone()).unwrap(), text);
+    host::prewarm(&mut out, "o1", "00000000000000ff", 2);
+    host::abort(&mut out, "00000000000000aa");
+    host::evict(&mut out, "00000000000000ff");
+    host::alive(&mut out, "p1");
+    let commands: Vec<_> = std::iter::from_fn(|| host::take_command(&mut out).unwrap()).collect();
+    let words: Vec<_> = commands.iter().map(|c| String::from_utf8_lossy(&c[0]).into_owned()).collect();
+    assert_eq!(words, ["invoke", "prewarm", "abort", "evict", "alive"]);
+    assert_eq!(commands[1][2], b"asset=00000000000000ff,instances=2");
+}
+
+#[test]
+fn a_hosts_answers_in_pieces_and_their_fields() {
+    let mut bytes = Vec::new();
+    host::encode_answer(&mut bytes, "00000000000000aa", "OK", "rivals=3,l=inflight:7;util:0.61", b"\0out");
+    host::encode_answer(&mut bytes, "o5", "BUSY", "instances=1", b"");
+    host::encode_answer(&mut bytes, "00000000000000ab", "MISS", "-", b"");
+    for size in 1..=bytes.len() {
+        let mut decoder = HostDecoder::default();
+        let mut answers = Vec::new();
+        for piece in bytes.chunks(size) {
+            decoder.push(piece);
+            answers.extend(std::iter::from_fn(|| decoder.decode().unwrap()));
+        }
+        let told: Vec<_> = answers.iter().map(|a| (a.word, a.rivals, a.instances, a.body.len())).collect();
+        assert_eq!(told, [(Word::Ok, 3, 0, 4), (Word::Busy, 0, 1, 0), (Word::Miss, 0, 0, 0)]);
+        assert!(!decoder.midway());
+    }
+}
+
+#[test]
+fn a_spoilt_answer_is_given_up_at_the_first_byte_that_shows_it() {
+    let cases: [(&[u8], Spoilt); 11] = [
+        (b"+OK", Spoilt::Form),
+        (b"*4x", Spoilt::Form),
+        (b"*3\r\n", Spoilt::Form),
+        (b"*-1\r\n", Spoilt::Form),
+        (b"*4\r\n$3000000000\r\n", Spoilt::Form),
+        (b"*4\r\n$99999999999999999999", Spoilt::Form),
+        (b"*4\r\n$2\r\nabXY", Spoilt::Form),
+        (b"*4\r\n$2\r\na!\r\n$2\r\nOK\r\n$1\r\n-\r\n$0\r\n\r\n", Spoilt::Id),
+        (b"*4\r\n$2\r\naa\r\n$2\r\nNO\r\n$1\r\n-\r\n$0\r\n\r\n", Spoilt::Word),
+        (b"*4\r\n$2\r\naa\r\n$2\r\nOK\r\n$3\r\nxyz\r\n$0\r\n\r\n", Spoilt::Fields),
+        (b"*4\r\n$2\r\naa\r\n$2\r\nOK\r\n$1\r\n-\r\n$300000\r\n", Spoilt::Form),
+    ];
+    for (bytes, why) in cases {
+        let mut decoder = HostDecoder::default();
+        decoder.push(bytes);
+        assert_eq!(decoder.decode(), Err(why), "{}", String::from_utf8_lossy(bytes));
+        decoder.push(b"*4\r\n$2\r\naa\r\n$2\r\nOK\r\n$1\r\n-\r\n$0\r\n\r\n");
+        assert_eq!(decoder.decode(), Err(why), "an error is for ever");
+    }
+    // A line without an end is not collected.
+    let mut decoder = HostDecoder::default();
+    decoder.push(&[b'*'; 1]);
+    decoder.push(&[b'1'; 20]);
+    assert_eq!(decoder.decode(), Err(Spoilt::Form));
+}
+
+fn listing(serial: u32) -> Message {
+    let name = |text: &str| Name::from_ascii(text).unwrap();
+    let service = name("_data._tcp.farm.lan.");
+    let mut message = Message::new(9, MessageType::Response, OpCode::Query);
+    message.add_query(Query::query(service.clone(), RecordType::SRV));
+    for (n, priority) in [(1u8, 0), (2, 1)] {
+        let target = name(&format!("s-{n}.east.hosts."));
+        let record = |name: &Name, data| Record::from_rdata(name.clone(), 1, data);
+        message.add_answer(record(&service, RData::SRV(SRV::new(priority, 40, 5050, target.clone()))));
+        message.add_additional(record(&target, RData::A(A::new(127, 0, 9, n))));
+        let text = vec!["kind=std".into(), format!("cell={n}"), format!("started={}", u64::from(n) * 7)];
+        message.add_additional(record(&target, RData::TXT(TXT::new(text))));
+    }
+    let other = Record::from_rdata(name("x.other."), 1, RData::A(A::new(1, 2, 3, 4)));
+    message.add_additional(other);
+    let soa = SOA::new(name("ns.farm.lan."), name("op.farm.lan."), serial, 1, 1, 1, 1);
+    message.add_authority(Record::from_rdata(name("farm.lan."), 1, RData::SOA(soa)));
+    message
+}
+
+#[test]
+fn the_directorys_answer_is_read_whole_or_not_at_all() {
+    let bytes = listing(41).to_vec().unwrap();
+    assert_eq!(directory::answer_id(&bytes), Some(9));
+    let listing_read = directory::answer(&bytes).unwrap();
+    assert_eq!(listing_read.serial, 41);
+    let [one, two] = &listing_read.hosts[..] else { panic!("{listing_read:?}") };
+    assert_eq!((one.id.as_str(), one.zone.as_str(), one.address.as_str()), ("s-1", "east", "127.0.9.1:5050"));
+    assert_eq!((one.standing, one.started, one.cell, one.kind.as_str()), (Standing::In, 7_000, 1, "std"));
+    assert_eq!(two.standing, Standing::Draining);
+    for end in 0..bytes.len() {
+        assert!(directory::answer(&bytes[..end]).is_err(), "cut at {end}");
+    }
+    let mut cut = listing(41);
+    cut.metadata.truncation = true;
+    let short = DirectoryError::Short("the answer says so");
+    assert_eq!(directory::answer(&cut.to_vec().unwrap()), Err(short));
+    let mut failed = listing(41);
+    failed.metadata.response_code = ResponseCode::ServFail;
+    assert!(matches!(directory::answer(&failed.to_vec().unwrap()), Err(DirectoryError::Failed(_))));
+    let mut bare = listing(41);
+    bare.additionals.truncate(1);
+    assert!(matches!(directory::answer(&bare.to_vec().unwrap()), Err(DirectoryError::Short(_))));
+    let query = directory::query(77).unwrap();
+    assert_eq!(directory::answer(&query), Err(DirectoryError::Other), "a question is no answer");
+}
+
+#[test]
+fn a_configuration_gives_the_modules_settings() {
+    let text = r#"{"name":"n3","listen":"127.0.0.1:5050","seed":"8c1f30d27a5be964","names":"127.0.0.1:53",
+        "limits":{"cores":1.0,"memory_mb":192,"sockets":256},"peers":["127.0.0.1:7946"],
+        "known":{"pos":3,"entries":[{"pos":3,"hosts":{"revision":7,"complete":true,"members":[{"id":"s-1",
+        "host_port":"127.0.0.2:5050","locality":"east","flavor":"std","cell":2,"phase":"Ready","size":4,
+        "up_since_ms":5}]}}]},
+        "settings":{"balancers":3,"tick":2000,"zone":"east","kinds":["std","big"],"customers":[],
+        "limits":{"max_attempts":5,"retry_after":true},"specifics":{"kind_memory_mb":[100.5,200],"may_load":true,
+        "when_absent":"miss"},"profiles":[{"name":"call","aim":600000,"give_up":5000000,
+        "semantics":"at_most_once","value":3.0}]}}"#;
+    let config = Config::read(text).unwrap();
+    let module = config.module().unwrap();
+    assert_eq!((module.gateways, module.max_attempts, module.retry_after), (3, 5, true));
+    assert_eq!(module.classes[0].effect, cresswheel::Effect::Unsafe);
+    assert_eq!(module.kind_memory_mb["std"], 100.5);
+    assert_eq!(config.seed(), 0x8c1f_30d2_7a5b_e964);
+    let host = config.known.entries[0].hosts.members[0].listed();
+    assert_eq!((host.started, host.standing), (5_000, Standing::In));
+    assert!(Config::read("{}").is_err());
+    assert!(Config::read(&text.replace("\"name\":\"call\",", "")).unwrap().module().is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(7), ..ProptestConfig::with_cases(300) })]
+
+    /// Whatever comes, in whatever pieces: no panic, and nothing held beyond the bounds.
+    #[test]
+    fn any_bytes_are_a_frame_an_answer_or_an_error(
+        bytes in prop::collection::vec(any::<u8>(), 0..400), at in 0usize..200, size in 1usize..50,
+    ) {
+        let mut noisy = frame(1, &FIELDS, b"body");
+        let start = at.min(noisy.len());
+        noisy.splice(start..start, bytes.iter().copied());
+        let (mut client, mut hosts) = (ClientDecoder::default(), HostDecoder::default());
+        for piece in noisy.chunks(size) {
+            client.push(piece);
+            while let Ok(Some(_)) = client.decode() {}
+            hosts.push(piece);
+            while let Ok(Some(_)) = hosts.decode() {}
+        }
+        let mut message = listing(3).to_vec().unwrap();
+        let start = at.min(message.len());
+        let end = (start + bytes.len()).min(message.len());
+        message[start..end].copy_from_slice(&bytes[..end - start]);
+        let _ = directory::answer(&message);
+    }
+}
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -18,6 +18,7 @@
 use crate::directory::Directory;
 use crate::front::{Ask, Front};
 use crate::hosts::Hosts;
+use crate::lateness::Lateness;
 
 /// Reads the configuration again, for HUP.
 pub type Reload = Box<dyn FnMut() -> Result<Config, String>>;
@@ -55,6 +56,7 @@
     address: SocketAddr,
     look: Micros,
     tell: Micros,
+    lateness: Lateness,
     inputs: VecDeque<Input>,
     outputs: Vec<Output>,
     life: Life,
@@ -84,6 +86,7 @@
             address: settings.listen,
             look: now + LOOK,
             tell: now + TELL,
+            lateness: Lateness::default(),
             inputs: VecDeque::new(),
             outputs: Vec::new(),
             life: Life::Running,
@@ -120,13 +123,17 @@
                 self.notice(notice);
             }
             let now = self.hub.clock().now();
-            if self.engine.wake_at().is_some_and(|at| at <= now) {
+            if let Some(due) = self.engine.wake_at().filter(|at| *at <= now) {
+                self.lateness.saw(now, due);
                 self.give(Input::Wake);
             }
             self.front.tick(&mut self.hub);
             if self.look <= now {
                 self.look = now + LOOK;
                 self.hosts.close_idle(&mut self.hub, self.settings.host_idle);
+                let mut bounds = self.settings.engine.clone();
+                bounds.answer_margin = self.lateness.margin(self.settings.engine.answer_margin);
+                self.engine.change_bounds(&bounds);
             }
             if self.tell <= now {
                 self.tell = now + TELL;
@@ -350,6 +357,7 @@
             orders = counters.orders,
             turned_away = ?(turned_away, &counters.turned_away),
             serial = self.directory.serial(),
+            margin = self.lateness.margin(self.settings.engine.answer_margin),
             "counts"
         );
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -422,3 +422,107 @@
     assert!(after.iter().any(dropped), "nobody called it");
     assert!(of_new(&after).len() <= 1, "no renewal after it is over");
 }
+
+#[test]
+fn errors_of_a_function_that_no_worker_ever_answered_are_not_booked() {
+    let mut bench = Bench::new(settings());
+    bench.give(workers(5));
+    let bad = home_of(&mut bench, "made-up");
+    let again = sends(&bench.give(ended("probe-made-up", 0, &bad, Outcome::Error)));
+    assert_ne!(again[0].1, bad, "one more try, elsewhere");
+    let last = bench.give(ended("probe-made-up", 1, &again[0].1, Outcome::Error));
+    assert!(last.iter().any(|a| matches!(a, Action::Refuse { .. })), "and no third: {last:?}");
+    for n in 0..6 {
+        let id = format!("m{n}");
+        let to = sends(&arrive(&mut bench, &id, 0, "made-up"))[0].1.clone();
+        bench.give(ended(&id, 0, &to, Outcome::Error));
+        bench.give(Event::Gone(id.as_str().into()));
+    }
+    let same = (0..200).map(|n| format!("f{n}")).find(|name| home_of(&mut bench, name) == bad);
+    assert!(same.is_some(), "the worker is still in service");
+}
+
+#[test]
+fn a_load_order_that_fails_at_once_is_not_given_again_at_once() {
+    for outcome in [Outcome::Error, Outcome::ConnectFailed] {
+        let mut bench = Bench::new(Settings { when_absent: WhenAbsent::Miss, ..settings() });
+        bench.give(workers(1));
+        let first = holds(&arrive(&mut bench, "r", 0, "f"));
+        assert_eq!(first.len(), 1);
+        let began = bench.now;
+        let mut orders = 0;
+        let mut actions = bench.give(held(&first[0].0, "f", outcome, MS));
+        while bench.now < began + 1_100 * MS {
+            for (worker, function) in holds(&std::mem::take(&mut actions)) {
+                orders += 1;
+                actions.extend(bench.give(held(&worker, &function.0, outcome, MS)));
+            }
+            let next = bench.now + 10 * MS;
+            actions.extend(bench.run_to(next));
+        }
+        assert_eq!(orders, 0, "{outcome:?}: within two aims");
+    }
+}
+
+#[test]
+fn a_worker_without_room_for_loads_gets_no_preload_for_two_aims() {
+    for (outcome, both) in [(Outcome::Ok, true), (Outcome::Full, false)] {
+        let mut bench = Bench::new(settings());
+        bench.give(workers(5));
+        let home = home_of(&mut bench, "f");
+        let other = (0..200).map(|n| format!("g{n}")).find(|name| home_of(&mut bench, name) == home).unwrap();
+        for name in ["f", &other] {
+            bench.give(ended(&format!("probe-{name}"), 0, &home, Outcome::Full));
+            bench.give(Event::Gone(format!("probe-{name}").as_str().into()));
+        }
+        let mut given: Vec<(Micros, FunctionId)> = Vec::new();
+        bench.now = 4 * S;
+        while given.first().is_none_or(|(first, _)| bench.now < first + 1_150 * MS) && bench.now < 10 * S {
+            let again = [(4_000 * MS, "f"), (4_300 * MS, other.as_str())];
+            let now = bench.now;
+            for (_, name) in again.into_iter().filter(|(at, _)| *at == now) {
+                let to = sends(&arrive(&mut bench, name, 0, name))[0].1.clone();
+                bench.give(ended(name, 0, &to, Outcome::Miss));
+                bench.give(Event::Gone(name.into()));
+            }
+            let next = bench.now + 10 * MS;
+            let mut actions = bench.run_to(next);
+            while let Some((worker, function)) = holds(&actions).into_iter().next() {
+                if worker == home && given.iter().all(|(_, f)| *f != function) {
+                    given.push((bench.now, function.clone()));
+                }
+                let rest = actions.iter().position(|a| matches!(a, Action::Hold { .. })).unwrap();
+                actions.drain(..=rest);
+                actions.extend(bench.give(held(&worker, &function.0, outcome, MS)));
+            }
+        }
+        assert_eq!(given.len(), if both { 2 } else { 1 }, "{outcome:?}: {given:?}");
+    }
+}
+
+#[test]
+fn a_refused_client_is_told_when_to_come_back_and_those_refused_together_not_the_same() {
+    for allowed in [true, false] {
+        let mut bench = Bench::new(Settings {
+            retry_after: allowed,
+            max_retry_after: 2 * S,
+            max_attempts: 1,
+            ..settings()
+        });
+        bench.give(workers(5));
+        let mut times = Vec::new();
+        for n in 0..20 {
+            let id = format!("r{n}");
+            let to = sends(&arrive(&mut bench, &id, 0, &id))[0].1.clone();
+            for action in bench.give(ended(&id, 0, &to, Outcome::Full)) {
+                if let Action::Refuse { retry_after, .. } = action {
+                    times.push(retry_after);
+                }
+            }
+        }
+        assert_eq!(times.len(), 20);
+        assert!(times.iter().all(|time| time.is_some() == allowed));
+        let distinct: std::collections::BTreeSet<_> = times.iter().flatten().collect();
+        assert!(!allowed || (distinct.len() > 10 && distinct.iter().all(|time| (1..=2 * S).contains(*time))));
+    }
+}
