--- a/src/rules.rs
+++ b/src/rules.rs
@@ -738,8 +738,8 @@
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             _ => entry.never_ran(),
         };
-        // By then a load may be done; those refused together don't come back together.
-        let wait = self.load_time(&self.functions[entry.function]) * (0.5 + entry.lot);
+        // Soon, as a later try is worth little; those refused together don't come back together.
+        let wait = self.aim as f64 / 4.0 * (0.5 + entry.lot);
         let wait = (wait as Micros).clamp(1, self.settings.max_retry_after.max(1));
         let request = id.clone();
         let retry_after = self.settings.retry_after.then_some(wait);
