--- a/src/rules.rs
+++ b/src/rules.rs
@@ -638,7 +638,7 @@
         let Some(entry) = self.ledger.get_mut(id) else { return };
         let Some(attempt) = entry.attempts.get_mut(number).filter(|a| a.fate == Fate::Out) else { return };
         attempt.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        // An error or a refused connection sends the next attempt elsewhere, a long load or a 'miss' need not.
+        // An error or a refused connection sends the next attempt elsewhere, a load or a 'miss' need not.
         let failed = matches!(outcome, Outcome::Error | Outcome::ConnectFailed);
         attempt.avoid = failed || (attempt.warm && outcome != Outcome::Miss);
         let sent = attempt.clone();
@@ -822,7 +822,7 @@
         if !self.settings.may_order || worker.entry.state != WorkerState::In {
             return false;
         }
-        // Where needed loads find no room, a load for later takes the place of one for now; renewals take none.
+        // Where needed loads find no room, one for later takes the place of one for now; renewals take none.
         if !needed && self.now < worker.full_until && !self.known_warm(f, w) {
             return false;
         }
