--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -11,7 +11,7 @@
     pub open_bytes: usize,
     /// Calls and awaits of one connection without their answer.
     pub per_connection: usize,
-    /// Different function names seen since the start: the module remembers each.
+    /// Different function names that the module remembers.
     pub functions: usize,
 }
 
@@ -56,6 +56,11 @@
         Ok(())
     }
 
+    /// The module remembers this function no more.
+    pub fn forget(&mut self, function: &str) {
+        self.functions.remove(function);
+    }
+
     pub fn release(&mut self, bytes: usize) {
         debug_assert!(self.calls > 0 && self.bytes >= bytes, "released more than was taken");
         self.calls -= 1;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -655,6 +655,10 @@
                 out.push(Output::Hold { worker, order: self.next, function, count, shape });
             }
             Action::Drop { worker, function } => out.push(Output::Drop(worker, function)),
+            Action::Forget(function) => {
+                self.shapes.remove(&function);
+                self.admission.forget(&function.0);
+            }
             Action::Probe { worker } => out.push(Output::Probe(worker)),
             Action::Follow => out.push(Output::Follow),
             Action::WakeAfter(span) => {
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -378,3 +378,20 @@
         assert_eq!(to.iter().all(|worker| *worker == first.1), same, "{end:?}: {} then {to:?}", first.1);
     }
 }
+
+#[test]
+fn names_without_end_are_taken_as_long_as_old_ones_are_forgotten() {
+    let mut bed = Bed::new(3);
+    let limit = settings().admission.functions;
+    for n in 0..5 * limit {
+        let (client, out) = bed.ask(Call { function: format!("made-up-{n}"), ..call("check") });
+        assert!(answers(&out).is_empty(), "{n}: {out:?}");
+        let mut out = out;
+        while let Some(attempt) = runs(&out).first().map(|attempt| attempt.number) {
+            let end = AttemptEnd::Answered(Ending::Error, 0);
+            out = bed.give(Input::AttemptEnded(attempt, end, Vec::new(), None));
+        }
+        assert_eq!(answers(&out), [(client.number, Status::Refused, "error")]);
+        bed.pass(200 * MS);
+    }
+}
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -22,6 +22,9 @@
 /// An open request takes about so many bytes at most, its body and its answer included.
 const REQUEST_BYTES: usize = 48 << 10;
 
+/// What the module and the engine keep of a function, about.
+const FUNCTION_BYTES: usize = 2 << 10;
+
 /// What a gateway on the platform is told.
 #[derive(Clone, Debug)]
 pub struct PlatformSettings {
@@ -77,7 +80,7 @@
                     open_calls,
                     open_bytes: memory / 4,
                     per_connection: PER_CONNECTION,
-                    functions: 100_000,
+                    functions: (memory / 8 / FUNCTION_BYTES).max(1_000),
                 },
                 results: ResultLimits { keep: 0, bytes: 0 },
                 answer_margin,
--- a/src/bin/cresswheel-simhost/wire.rs
+++ b/src/bin/cresswheel-simhost/wire.rs
@@ -173,6 +173,8 @@
         }
         Action::Drop { worker, function } => writeln!(reply, "EVICT i={i} host={worker} callee={function}"),
         Action::Probe { worker } => writeln!(reply, "CHECK i={i} host={worker}"),
+        // The bench keeps nothing by functions.
+        Action::Forget(_) => Ok(()),
         Action::Follow => writeln!(reply, "KEEP_INFORMED i={i} want=1"),
         Action::WakeAfter(span) => writeln!(reply, "REMIND i={i} from_now={span} tag=wake"),
         Action::Log(text) => writeln!(reply, "PRINT i={i} what={text}"),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -443,6 +443,8 @@
         /// The function.
         function: FunctionId,
     },
+    /// Nothing is kept of this function any more; a call of it would be the first.
+    Forget(FunctionId),
     /// Probe a worker.
     Probe {
         /// The worker.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -60,6 +60,9 @@
 const RETRY_SHARE: f64 = 0.2;
 /// Retries that may be saved up.
 const RETRY_SAVED: f64 = 8.0;
+/// Keep-alives after which a function not called, or a worker gone and silent, is forgotten: its forecast and
+/// its instances are long gone by then. A function that no worker answered is forgotten after one.
+const FORGET: u64 = 16;
 /// Sweeps within the shortest aim: pre-loads, waiting requests and silent workers are looked at that often.
 const SWEEPS: u64 = 16;
 
@@ -184,8 +187,10 @@
     aim: Micros,
     function_ids: BTreeMap<FunctionId, F>,
     functions: Vec<Function>,
+    free_functions: Vec<F>,
     worker_ids: BTreeMap<WorkerId, W>,
     workers: Vec<Worker>,
+    free_workers: Vec<W>,
     ring: Ring,
     holds: Holds,
     ledger: BTreeMap<RequestId, Entry>,
@@ -211,8 +216,10 @@
             aim,
             function_ids: BTreeMap::new(),
             functions: Vec::new(),
+            free_functions: Vec::new(),
             worker_ids: BTreeMap::new(),
             workers: Vec::new(),
+            free_workers: Vec::new(),
             ring: Ring::default(),
             holds: Holds::default(),
             ledger: BTreeMap::new(),
@@ -297,8 +304,11 @@
             ListNews::Changes(entries) => entries,
         };
         for entry in entries {
-            let w = *self.worker_ids.entry(entry.id.clone()).or_insert(self.workers.len());
-            if w == self.workers.len() {
+            let free = self.free_workers.last().copied().unwrap_or(self.workers.len());
+            let w = *self.worker_ids.entry(entry.id.clone()).or_insert(free);
+            if self.free_workers.last() == Some(&w) {
+                self.free_workers.pop();
+            } else if w == self.workers.len() {
                 self.workers.push(Worker::default());
             }
             if self.workers[w].entry.started != entry.started || self.workers[w].health.is_empty() {
@@ -370,14 +380,59 @@
     }
 
     fn function(&mut self, name: &FunctionId) -> F {
-        let f = *self.function_ids.entry(name.clone()).or_insert(self.functions.len());
+        if let Some(f) = self.function_ids.get(name) {
+            return *f;
+        }
+        let f = self.free_functions.pop().unwrap_or(self.functions.len());
         if f == self.functions.len() {
-            let (name, kept) = (name.clone(), self.means.kept);
-            self.functions.push(Function { name, kept, ..Function::default() });
+            self.functions.push(Function::default());
         }
+        self.function_ids.insert(name.clone(), f);
+        let (name, kept) = (name.clone(), self.means.kept);
+        self.functions[f] = Function { name, kept, ..Function::default() };
         f
     }
 
+    /// Gives back the places of functions and workers that nothing refers to any more: names may come without end.
+    fn forget_the_gone(&mut self) {
+        let (mut functions, mut workers) = (BTreeSet::new(), BTreeSet::new());
+        for entry in self.ledger.values() {
+            functions.insert(entry.function);
+            workers.extend(entry.attempts.iter().map(|a| a.worker));
+        }
+        functions.extend(self.waiting.iter().chain(self.holds.wanted.iter().map(|(f, _)| f)));
+        let old =
+            |since: Micros, spans: u64| self.now.saturating_sub(since) > spans * self.settings.keep_alive;
+        let is_over = |function: &Function| {
+            let last = function.last_call.max(function.forecast.told);
+            let ordered = function.places.values().any(|p| p.ordered.is_some());
+            old(last, if function.served { FORGET } else { 1 }) && !function.timer && !ordered
+        };
+        let over = |f: &F| !functions.contains(f) && is_over(&self.functions[*f]);
+        for f in self.function_ids.values().copied().filter(over).collect::<Vec<_>>() {
+            let name = std::mem::take(&mut self.functions[f]).name;
+            self.function_ids.remove(&name);
+            self.free_functions.push(f);
+            self.actions.push(Action::Forget(name));
+        }
+        let gone = |w: &W| {
+            let worker = &self.workers[*w];
+            worker.entry.state == WorkerState::Out && old(worker.last_ok, FORGET) && !workers.contains(w)
+        };
+        let ordered =
+            |w: &W| self.functions.iter().any(|f| f.places.get(w).is_some_and(|p| p.ordered.is_some()));
+        let over = |w: &W| gone(w) && !ordered(w) && self.holds.wanted.iter().all(|(_, wanted)| wanted != w);
+        for w in self.worker_ids.values().copied().filter(over).collect::<Vec<_>>() {
+            let id = std::mem::take(&mut self.workers[w]).entry.id;
+            self.worker_ids.remove(&id);
+            self.free_workers.push(w);
+            for function in &mut self.functions {
+                function.places.remove(&w);
+                function.loaded_by_us = function.loaded_by_us.filter(|(at, _)| *at != w);
+            }
+        }
+    }
+
     /// Pre-loads a function as its forecast would, on the word that the calls of another are to come to it.
     fn expected(&mut self, name: FunctionId, like: &FunctionId, within: Micros) {
         let f = self.function(&name);
@@ -901,6 +956,7 @@
             let sample = std::mem::take(&mut self.means.served) / span / self.fleet.warm.max(1.0);
             let weight = span / (self.settings.cold.warm_up as f64 + span);
             self.means.worker_rate += (sample - self.means.worker_rate) * weight;
+            self.forget_the_gone();
             self.count();
         }
         self.pump();
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,7 +5,7 @@
 
 use crate::interface::*;
 
-/// Positions of workers and functions in the module's tables: small, and never given anew.
+/// Positions of workers and functions in the module's tables: small, and given anew only once nothing refers to them.
 pub type W = usize;
 pub type F = usize;
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -526,3 +526,38 @@
         assert!(!allowed || (distinct.len() > 10 && distinct.iter().all(|time| (1..=2 * S).contains(*time))));
     }
 }
+
+#[test]
+fn functions_and_workers_that_are_gone_leave_nothing_behind() {
+    let mut bench = Bench::new(Settings { gateways: 3, ..settings() });
+    bench.give(workers(3));
+    let (mut known, mut most) = (std::collections::BTreeSet::new(), 0);
+    for n in 0..3_000 {
+        // Every second a worker goes for good and another comes, and ten functions are called that never come again.
+        if n % 10 == 0 {
+            let fleet = (n / 10..n / 10 + 3).map(worker).collect();
+            bench.give(Event::List(ListNews::Whole(fleet)));
+        }
+        let (id, function) = (format!("r{n}"), format!("f{n}"));
+        known.insert(function.clone());
+        let mut actions = arrive(&mut bench, &id, 0, &function);
+        let outcome = if n % 2 == 0 { Outcome::Ok } else { Outcome::Error };
+        for attempt in 0.. {
+            let Some((_, to)) = sends(&actions).into_iter().nth(attempt) else { break };
+            actions.extend(bench.give(ended(&id, attempt, &to, outcome)));
+        }
+        bench.give(Event::Gone(id.as_str().into()));
+        let next = bench.now + 100 * MS;
+        actions.extend(bench.run_to(next));
+        for action in actions {
+            if let Action::Forget(function) = action {
+                assert!(known.remove(&*function.0), "{function} was known");
+            }
+        }
+        most = most.max(known.len());
+    }
+    // Those that were served are kept for 16 keep-alives of 10 s, the others for one: 800 and 50, and what is open.
+    assert!(most < 1_000, "{most}");
+    assert!(bench.checker.broken.is_empty(), "{:?}", bench.checker.broken);
+    assert!(format!("{:?}", bench.dispatcher).len() < 3_000_000, "its tables as text");
+}
