--- a/src/rules.rs
+++ b/src/rules.rs
@@ -393,7 +393,7 @@
         f
     }
 
-    /// Gives back the places of functions and workers that nothing refers to any more: names may come without end.
+    /// Gives back the places of functions and workers that nothing refers to: names may come without end.
     fn forget_the_gone(&mut self) {
         let (mut functions, mut workers) = (BTreeSet::new(), BTreeSet::new());
         for entry in self.ledger.values() {
