--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -267,8 +268,13 @@
     }
 
     fn ask_as(&mut self, stream: u32, id: &str, class: &str, wait: &str) {
-        let fields =
-            [("class", class), ("id", id), ("wait", wait), ("key", F), ("spec", "memory_mb:512;lanes:4")];
+        let fields = [
+            ("class", class),
+            ("id", id),
+            ("wait", wait),
+            ("key", F),
+            ("spec", "memory_mb:512;lanes:4;load_ms:1"),
+        ];
         let mut out = Vec::new();
         encode_request(&mut out, stream, &fields, b"in");
         self.socket.write_all(&out).unwrap();
@@ -485,3 +491,53 @@
         assert_eq!(client.answer(), (stream, 0));
     }
 }
+
+#[test]
+fn a_request_that_a_host_never_answers_is_given_up_there_and_sent_elsewhere() {
+    let silent_once = Arc::new(AtomicBool::new(true));
+    let hosts: Vec<Host> = (0..2)
+        .map(|_| {
+            let silent = silent_once.clone();
+            host(move |word, before| match word {
+                "invoke" if silent.swap(false, Ordering::SeqCst) => Do::Nothing,
+                _ => good(word, before),
+            })
+        })
+        .collect();
+    let node = Node::new(&[("s-1", &hosts[0]), ("s-2", &hosts[1])], &Directory::new(1), "load");
+    let mut client = node.client();
+    client.ask_as(1, "00000000000000aa", "check", "5000");
+    assert_eq!(client.answer(), (1, 0), "{}", std::fs::read_to_string(node.log()).unwrap());
+    let mut seen: Vec<Vec<String>> = hosts.iter().map(|host| host.seen.lock().unwrap().clone()).collect();
+    seen.iter_mut().for_each(|lines| lines.retain(|line| line.ends_with("00000000000000aa")));
+    seen.sort_by_key(Vec::len);
+    let line = |word: &str| format!("{word} 00000000000000aa");
+    assert_eq!(seen, [vec![line("invoke")], vec![line("invoke"), line("abort")]]);
+}
+
+#[test]
+fn a_crowd_of_silent_and_of_deaf_clients_hurts_nobody_else() {
+    let script = |word: &str, before: usize| match word {
+        "invoke" if before < 2 => {
+            std::thread::sleep(Duration::from_millis(1_500));
+            good(word, before)
+        }
+        _ => good(word, before),
+    };
+    let (one, names) = (host(script), Directory::new(1));
+    let node = Node::new(&[("s-1", &one)], &names, "load");
+    let mut open = node.client();
+    open.ask("post", "4000", 1);
+    node.logged("run id=");
+    // 256 descriptors leave 116 places for clients; three times as many come, some send without reading.
+    let crowd: Vec<TcpStream> = (0..350).map(|_| TcpStream::connect(node.at).unwrap()).collect();
+    let mut ready = Vec::new();
+    (1..200).for_each(|stream| encode_bare(&mut ready, true, stream));
+    for mut deaf in crowd.iter().take(30) {
+        let _ = deaf.write_all(&ready);
+    }
+    let mut late = node.client();
+    late.ask("post", "4000", 2);
+    assert_eq!(late.answer(), (1, 0), "a new client finds a place");
+    assert_eq!(open.answer(), (1, 0), "an open request keeps its connection");
+}
--- a/crates/platform-wire/src/client.rs
+++ b/crates/platform-wire/src/client.rs
@@ -5,7 +5,7 @@
 
 use cresswheel_protocol::Shape;
 
-use crate::held::Held;
+use crate::held::{Held, UntilError};
 
 /// Bytes that a frame announces at most, its type and stream included.
 pub const MOST_LENGTH: usize = 262_144;
@@ -108,76 +108,64 @@
 /// Bytes in, frames out. After an error it gives that error for ever.
 #[derive(Debug, Default)]
 pub struct ClientDecoder {
-    held: Held,
+    bytes: UntilError<FrameError>,
     /// Bytes still to come of a frame that was refused for its length; they are not kept.
     skip: usize,
-    failed: Option<FrameError>,
 }
 
 impl ClientDecoder {
     /// Takes bytes as they came.
-    pub fn push(&mut self, mut bytes: &[u8]) {
-        if self.failed.is_some() {
-            return;
-        }
+    pub fn push(&mut self, bytes: &[u8]) {
         let skipped = self.skip.min(bytes.len());
         self.skip -= skipped;
-        bytes = &bytes[skipped..];
-        if !bytes.is_empty() {
-            self.held.push(bytes);
+        if skipped < bytes.len() {
+            self.bytes.push(&bytes[skipped..]);
         }
     }
 
     /// Bytes held or still to be passed over of a frame that is not whole.
     pub fn midway(&self) -> usize {
-        self.held.rest().len() + self.skip
+        self.bytes.held.rest().len() + self.skip
     }
 
     /// The next frame; `None`: more bytes are needed.
     pub fn decode(&mut self) -> Result<Option<FromClient>, FrameError> {
-        if let Some(error) = self.failed {
-            return Err(error);
-        }
-        let result = self.read();
-        if let Err(error) = result {
-            self.failed = Some(error);
-            self.held.clear();
-        }
-        result
+        let skip = &mut self.skip;
+        self.bytes.decode(|held| read(held, skip))
     }
+}
 
-    fn read(&mut self) -> Result<Option<FromClient>, FrameError> {
-        let rest = self.held.rest();
-        let Some((length, after)) = rest.split_first_chunk::<4>() else { return Ok(None) };
-        let length = u32::from_le_bytes(*length);
-        let whole = length as usize;
-        if !(COUNTED..=MOST_LENGTH).contains(&whole) {
-            return Err(FrameError::Length(length));
-        }
-        let Some((kind, after)) = after.split_first() else { return Ok(None) };
-        if !matches!(*kind, kind::REQUEST | kind::TAKEN_BACK | kind::READY) {
-            return Err(FrameError::Type(*kind));
-        }
-        let Some((stream, payload)) = after.split_first_chunk::<4>() else { return Ok(None) };
-        let (kind, stream) = (*kind, u32::from_le_bytes(*stream));
-        if kind == kind::REQUEST && stream == 0 {
-            return Err(FrameError::Stream);
-        }
-        let size = whole - COUNTED;
-        if size > MOST_BODY + MOST_FIELDS {
-            self.skip = (size + HEADER).saturating_sub(rest.len());
-            self.held.take(size + HEADER);
-            return Ok(Some(FromClient::Request(stream, Err(Unusable::Long))));
-        }
-        let Some(payload) = payload.get(..size) else { return Ok(None) };
-        let frame = match kind {
-            kind::REQUEST => FromClient::Request(stream, request(payload)),
-            kind::TAKEN_BACK => FromClient::TakenBack(stream),
-            _ => FromClient::Ready(stream),
-        };
-        self.held.take(size + HEADER);
-        Ok(Some(frame))
+fn read(held: &mut Held, skip: &mut usize) -> Result<Option<FromClient>, FrameError> {
+    let rest = held.rest();
+    let Some((length, after)) = rest.split_first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_le_bytes(*length);
+    let whole = length as usize;
+    if !(COUNTED..=MOST_LENGTH).contains(&whole) {
+        return Err(FrameError::Length(length));
+    }
+    let Some((kind, after)) = after.split_first() else { return Ok(None) };
+    if !matches!(*kind, kind::REQUEST | kind::TAKEN_BACK | kind::READY) {
+        return Err(FrameError::Type(*kind));
     }
+    let Some((stream, payload)) = after.split_first_chunk::<4>() else { return Ok(None) };
+    let (kind, stream) = (*kind, u32::from_le_bytes(*stream));
+    if kind == kind::REQUEST && stream == 0 {
+        return Err(FrameError::Stream);
+    }
+    let size = whole - COUNTED;
+    if size > MOST_BODY + MOST_FIELDS {
+        *skip = (size + HEADER).saturating_sub(rest.len());
+        held.take(size + HEADER);
+        return Ok(Some(FromClient::Request(stream, Err(Unusable::Long))));
+    }
+    let Some(payload) = payload.get(..size) else { return Ok(None) };
+    let frame = match kind {
+        kind::REQUEST => FromClient::Request(stream, request(payload)),
+        kind::TAKEN_BACK => FromClient::TakenBack(stream),
+        _ => FromClient::Ready(stream),
+    };
+    held.take(size + HEADER);
+    Ok(Some(frame))
 }
 
 /// `count:1`, then for each `size:1 name size:2 value`, then the body.
--- a/crates/platform-wire/src/held.rs
+++ b/crates/platform-wire/src/held.rs
@@ -1,4 +1,4 @@
-//! Bytes that came and are not used yet.
+//! Bytes that came and are not used yet, and the error after which no more are taken.
 
 #[derive(Debug, Default)]
 pub struct Held {
@@ -36,3 +36,37 @@
         self.used = 0;
     }
 }
+
+/// Held bytes up to an error, which is then for ever.
+#[derive(Debug)]
+pub struct UntilError<E> {
+    pub held: Held,
+    failed: Option<E>,
+}
+
+impl<E> Default for UntilError<E> {
+    fn default() -> Self {
+        Self { held: Held::default(), failed: None }
+    }
+}
+
+impl<E: Copy> UntilError<E> {
+    pub fn push(&mut self, bytes: &[u8]) {
+        if self.failed.is_none() {
+            self.held.push(bytes);
+        }
+    }
+
+    /// What `read` makes of the bytes, unless there was an error before.
+    pub fn decode<T>(&mut self, read: impl FnOnce(&mut Held) -> Result<T, E>) -> Result<T, E> {
+        if let Some(error) = self.failed {
+            return Err(error);
+        }
+        let result = read(&mut self.held);
+        if let Err(error) = &result {
+            self.failed = Some(*error);
+            self.held.clear();
+        }
+        result
+    }
+}
--- a/crates/platform-wire/src/host.rs
+++ b/crates/platform-wire/src/host.rs
@@ -6,7 +6,7 @@
 
 use std::io::Write;
 
-use crate::held::Held;
+use crate::held::{Held, UntilError};
 
 /// The longest body of an answer: one that fits a client's frame beside its head.
 const MOST_BODY: usize = crate::client::MOST_LENGTH - 64;
@@ -128,52 +128,41 @@
 /// Bytes in, answers out. After an error it gives that error for ever.
 #[derive(Debug, Default)]
 pub struct HostDecoder {
-    held: Held,
-    failed: Option<Spoilt>,
+    bytes: UntilError<Spoilt>,
 }
 
 impl HostDecoder {
     /// Takes bytes as they came.
     pub fn push(&mut self, bytes: &[u8]) {
-        if self.failed.is_none() {
-            self.held.push(bytes);
-        }
+        self.bytes.push(bytes);
     }
 
     /// Whether an answer is half there.
     pub fn midway(&self) -> bool {
-        !self.held.rest().is_empty()
+        !self.bytes.held.rest().is_empty()
     }
 
     /// The next whole answer; `None`: more bytes are needed.
     pub fn decode(&mut self) -> Result<Option<HostAnswer>, Spoilt> {
-        if let Some(error) = self.failed {
-            return Err(error);
-        }
-        let result = self.read();
-        if let Err(error) = result {
-            self.failed = Some(error);
-            self.held.clear();
-        }
-        result
+        self.bytes.decode(read)
     }
+}
 
-    fn read(&mut self) -> Result<Option<HostAnswer>, Spoilt> {
-        let bytes = self.held.rest();
-        let mut at = 0;
-        match number(bytes, &mut at, b'*', 4)? {
-            None => return Ok(None),
-            Some(4) => {}
-            Some(_) => return Err(Spoilt::Form),
-        }
-        let Some(id) = bulk(bytes, &mut at, MOST_NAME)? else { return Ok(None) };
-        let Some(word) = bulk(bytes, &mut at, MOST_NAME)? else { return Ok(None) };
-        let Some(fields) = bulk(bytes, &mut at, MOST_FIELDS)? else { return Ok(None) };
-        let Some(body) = bulk(bytes, &mut at, MOST_BODY)? else { return Ok(None) };
-        let answer = answer(id, word, fields, body)?;
-        self.held.take(at);
-        Ok(Some(answer))
+fn read(held: &mut Held) -> Result<Option<HostAnswer>, Spoilt> {
+    let bytes = held.rest();
+    let mut at = 0;
+    match number(bytes, &mut at, b'*', 4)? {
+        None => return Ok(None),
+        Some(4) => {}
+        Some(_) => return Err(Spoilt::Form),
     }
+    let Some(id) = bulk(bytes, &mut at, MOST_NAME)? else { return Ok(None) };
+    let Some(word) = bulk(bytes, &mut at, MOST_NAME)? else { return Ok(None) };
+    let Some(fields) = bulk(bytes, &mut at, MOST_FIELDS)? else { return Ok(None) };
+    let Some(body) = bulk(bytes, &mut at, MOST_BODY)? else { return Ok(None) };
+    let answer = answer(id, word, fields, body)?;
+    held.take(at);
+    Ok(Some(answer))
 }
 
 /// A line of a mark and a number; `None`: it is not whole.
