--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -2,6 +2,7 @@
 
 use cresswheel_protocol::*;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn shape() -> impl Strategy<Value = Shape> {
     any::<(u32, u32, u64, u64)>().prop_map(|(memory_mb, lanes, load_time, work)| Shape {
@@ -94,7 +95,9 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None, rng_seed: RngSeed::Fixed(12), ..ProptestConfig::with_cases(256)
+    })]
 
     #[test]
     fn what_is_written_is_read(messages in prop::collection::vec(message(), 1..5), cut in 1usize..70) {
--- a/crates/protocol/tests/http.rs
+++ b/crates/protocol/tests/http.rs
@@ -2,6 +2,7 @@
 
 use cresswheel_protocol::http::*;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn steps(bytes: &[u8], cut: usize) -> (Vec<Step>, Option<HttpError>) {
     let mut decoder = Decoder::new(Limits { head: 300, headers: 8, body: 100 });
@@ -94,7 +95,9 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None, rng_seed: RngSeed::Fixed(12), ..ProptestConfig::with_cases(256)
+    })]
     #[test]
     fn any_bytes_are_read_alike_in_any_pieces(bytes in "(POST / HTTP/1.1\r\nHost: x\r\n)?(Transfer-Encoding: chunked\r\n)?[a-fA-F0-9:\r\n ]{0,60}", cut in 1usize..20) {
         let whole = steps(bytes.as_bytes(), bytes.len().max(1));
