A connection reset when new stood: its host is there and stays in service

Checked: 51 connections of the three gateways closed with 'reset' and never_stood, all else that never stood was refused within a second of the one crash. Linux says ECONNREFUSED where nothing listens; ECONNRESET on a connection that we still wait for means that it stood. Ruled out: connections that we had no place for (none), connect time-outs (none). At fault: Hub::write_out told such a connection as one that never stood, and AttemptEnd::outcome made a refusal of it as of one that broke before a byte had left. The module took the host out of service for half a keep-alive and forgot all that stood there. Change: the hub tells it as one that stood; an attempt of which no byte left, or for which we have no place, is Moot, and goes elsewhere.

--- a/crates/engine/src/ending.rs
+++ b/crates/engine/src/ending.rs
@@ -8,7 +8,7 @@
 pub enum AttemptEnd {
     /// No connection to the worker was to be had in time.
     NotConnected,
-    /// There was one, but it broke before a byte of the attempt was handed to the kernel.
+    /// There was one, but it broke before a byte of the attempt was handed to the kernel: the worker is there.
     NotWritten,
     /// It was taken back, for a reason that is not the worker's, before a byte of it was handed to the kernel.
     TakenBack,
@@ -34,9 +34,9 @@
     /// start. 'cancelled' is none: the worker may have begun before it was told.
     pub fn outcome(self) -> Outcome {
         match self {
-            Self::NotConnected | Self::NotWritten => Outcome::ConnectFailed,
-            // Not the worker's failure: its connection may be as good as any.
-            Self::TakenBack | Self::NotSent => Outcome::Moot,
+            Self::NotConnected => Outcome::ConnectFailed,
+            // Says nothing against the worker: its next connection may be as good as any.
+            Self::NotWritten | Self::TakenBack | Self::NotSent => Outcome::Moot,
             Self::Answered(Ending::Full, _) => Outcome::Full,
             Self::Answered(Ending::Miss | Ending::LoadFailed, _) => Outcome::Miss,
             Self::Answered(Ending::Ok, _) => Outcome::Ok,
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -202,6 +202,20 @@
     }
 }
 
+#[test]
+fn connections_that_stood_and_broke_before_a_byte_left_are_not_held_against_the_worker() {
+    for (end, stays) in [(AttemptEnd::NotWritten, true), (AttemptEnd::NotConnected, false)] {
+        let mut bed = Bed::new(3);
+        let (_, out) = bed.ask(call("check"));
+        let first = runs(&out)[0].clone();
+        let out = bed.give(Input::AttemptEnded(first.number, end, Vec::new(), None));
+        bed.give(Input::AttemptEnded(runs(&out)[0].number, OK, Vec::new(), None));
+        let others = (0..12).map(|n| Call { function: format!("f{n}"), ..call("check") });
+        let homes: Vec<_> = others.map(|other| runs(&bed.ask(other).1)[0].worker.clone()).collect();
+        assert_eq!(homes.contains(&first.worker), stays, "{end:?}");
+    }
+}
+
 #[test]
 fn a_client_that_leaves_gets_nothing_and_its_unsent_attempt_is_taken_back() {
     let mut bed = Bed::new(2);
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -168,6 +168,10 @@
                 self.out.insert(attempt.number, (connection, call.trace.clone()));
                 None
             }
+            // A listed host, but no place for it among our own connections: that is not the host's failure.
+            None if self.places.contains_key(&attempt.worker) => {
+                Some(ended(attempt.number, AttemptEnd::TakenBack))
+            }
             None => Some(ended(attempt.number, AttemptEnd::NotConnected)),
         }
     }
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -865,7 +865,12 @@
                         continue;
                     }
                     Ok(None) => conn.writable = false,
-                    Ok(Some(error)) | Err(error) => self.close(id, &error.to_string()),
+                    Ok(Some(error)) | Err(error) => {
+                        // Refused is what a connection is that never stood; to be reset it must have stood, however
+                        // short, and the other side is there.
+                        conn.connecting = error.kind() != io::ErrorKind::ConnectionReset;
+                        self.close(id, &error.to_string());
+                    }
                 }
                 return;
             }
--- a/crates/transport/tests/hub.rs
+++ b/crates/transport/tests/hub.rs
@@ -39,6 +39,24 @@
     assert!(!hub.is_open(connection) && !hub.send(connection, &probe(4), None));
 }
 
+#[test]
+fn a_connection_that_is_reset_at_once_stood_and_gives_its_frames_back() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut hub = Hub::new(HubLimits::default()).unwrap();
+    let connection = hub.connect(listener.local_addr().unwrap(), Wire::Frames, 1_000_000);
+    hub.send(connection, &probe(1), Some(1));
+    // The hub has not looked yet: it learns of the connection and of its end at the same time.
+    let (peer, _) = listener.accept().unwrap();
+    socket2::SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(peer);
+    match next(&mut hub) {
+        Notice::Closed { connection: which, never_stood: false, unsent, .. } => {
+            assert_eq!((which, unsent), (connection, vec![1]));
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
 #[test]
 fn frames_that_left_are_not_given_back() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -693,8 +693,8 @@
         let Some(entry) = self.ledger.get_mut(id) else { return };
         let Some(attempt) = entry.attempts.get_mut(number).filter(|a| a.fate == Fate::Out) else { return };
         attempt.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        // An error or a refused connection sends the next attempt elsewhere, a load or a 'miss' need not.
-        let failed = matches!(outcome, Outcome::Error | Outcome::ConnectFailed);
+        // What failed or never left sends the next attempt elsewhere, a load or a 'miss' need not.
+        let failed = matches!(outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::Moot);
         attempt.avoid = failed || (attempt.warm && outcome != Outcome::Miss);
         let sent = attempt.clone();
         let (f, class, w) = (entry.function, entry.request.class, sent.worker);
