A function hotter than its homes gets more instances at each

Need: one function on the README's worker with 64 cores served 39 calls a second from 8 connections and refused 92% from 64, since a home holds one instance of one lane and nothing ever asked for a second. No room for more is no word against what stands. With homes to spare nothing changes. Stand-ins take orders for 64.

--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -62,6 +62,7 @@
     let module = Settings {
         tick: MS,
         keep_alive: 10 * S,
+        most_instances: 64,
         when_absent: WhenAbsent::Miss,
         may_order: true,
         tells_crowd: true,
@@ -127,6 +128,7 @@
     to.tells_crowd = f.flag("tells_crowd", to.tells_crowd);
     to.must_follow = f.flag("must_follow", to.must_follow);
     to.ask_within = f.time("ask_within", to.ask_within);
+    to.most_instances = f.count("most_instances", to.most_instances, (1, 1_000));
     to.order_timeout = f.time("order_timeout", to.order_timeout);
     to.connect_timeout = f.time("connect_timeout", to.connect_timeout);
     to.drain_grace = f.time("drain_grace", to.drain_grace);
--- a/crates/standins/src/worker_model.rs
+++ b/crates/standins/src/worker_model.rs
@@ -117,6 +117,8 @@
     }
 }
 
+/// Most instances of a function that one order may name.
+const MOST_INSTANCES: u32 = 64;
 /// Work that a call does where nothing is told of it, in microseconds.
 const USUAL_WORK: u64 = 20_000;
 /// Time of a load where nothing is told of it, in microseconds.
@@ -267,7 +269,7 @@
         if count == 0 || standing >= count {
             return out.push(Effect::Held(order, Ending::Ok, standing));
         }
-        if self.refusing || self.fallen || count > 16 {
+        if self.refusing || self.fallen || count > MOST_INSTANCES {
             return out.push(Effect::Held(order, Ending::Full, standing));
         }
         let missing = count - (standing + function.loading).min(count);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -155,6 +155,8 @@
     pub tells_crowd: bool,
     /// The ration of hold orders, where there is one.
     pub ration: Option<OrderRation>,
+    /// Most instances that one hold order may name.
+    pub most_instances: usize,
     /// A hold order unanswered for this long is answered as timed out.
     pub order_timeout: Micros,
     /// Attempts may be cancelled.
@@ -196,6 +198,7 @@
             may_order: false,
             tells_crowd: false,
             ration: None,
+            most_instances: 16,
             order_timeout: 0,
             may_cancel: false,
             may_probe: false,
--- a/src/pairs.rs
+++ b/src/pairs.rs
@@ -127,6 +127,7 @@
             may_order: self.flag("specifics.may_load"),
             tells_crowd: self.flag("specifics.counts_alike"),
             ration: (window > 0).then_some(ration),
+            most_instances: absent.most_instances,
             order_timeout: self.or("specifics.load_wait", absent.order_timeout)?,
             may_cancel: self.flag("limits.cancel"),
             may_probe: self.flag("limits.probes"),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -332,7 +332,7 @@
 
     fn forget(&mut self, w: W) {
         for place in self.functions.iter_mut().filter_map(|f| f.places.get_mut(&w)) {
-            (place.seen, place.no_room) = (None, 0);
+            (place.seen, place.standing, place.no_room) = (None, 0, 0);
         }
     }
 
@@ -463,7 +463,10 @@
         // A worker that takes no order may still have an instance: ask it with the request itself. So is one
         // where peers may keep an instance: its 'miss' is quick, and proves that nothing ran.
         let sent = self.route(id).is_some_and(|w| {
-            let ordered = loads && self.lacks(f, w) && self.order_gate(w, f, true);
+            let ordered = loads && self.lacks(f, w) && self.order_gate(w, f, true, 1);
+            if !ordered {
+                self.grow(f, w);
+            }
             !ordered && self.send_gate(id, w)
         });
         if sent {
@@ -487,11 +490,13 @@
         let homes = homes.min(able.len());
 
         let function = &self.functions[f];
-        let (target, floor) = (self.aim as f64 * BUSY, function.lanes / f64::from(self.settings.gateways));
+        let target = self.aim as f64 * BUSY;
         let flying = |w: W| f64::from(function.places.get(&w).map_or(0, |p| p.flying));
+        let lanes = |w: W| self.lanes_at(f, w);
         let warm = |w: W| self.believed_warm(f, w);
-        let takes = |w: W| self.workers[w].takes_more(target, rank, floor, lot);
-        let has_lane = |w: W| warm(w) && takes(w) && flying(w) < function.lanes;
+        let floor = |w: W| lanes(w) / f64::from(self.settings.gateways);
+        let takes = |w: W| self.workers[w].takes_more(target, rank, floor(w), lot);
+        let has_lane = |w: W| warm(w) && takes(w) && flying(w) < lanes(w);
         // Little's law again: a worker's time to answer tells of the peers' requests in flight there.
         let peers = |w: W| self.peers() * self.workers[w].answer_time / self.means.run.max(1.0);
         let weigh = |w: W| (f64::from(self.workers[w].flying) + peers(w), w);
@@ -556,6 +561,31 @@
         (at_work / (PLAN * function.lanes.max(1.0))).min(1e4) as usize + 1
     }
 
+    /// Lanes of the instances that are known to stand there, as far as they are wanted; of one, if none is known.
+    fn lanes_at(&self, f: F, w: W) -> f64 {
+        let standing = self.functions[f].places.get(&w).map_or(0, |p| p.standing);
+        let many = standing > 1 && self.known_warm(f, w);
+        self.functions[f].lanes * if many { f64::from(standing.min(self.instances(f))) } else { 1.0 }
+    }
+
+    /// Where the planned homes are more than the workers in service, each holds its part of the instances. All
+    /// gateways name the same figure, and what stands counts whoever asked: the largest is held, not the sum.
+    fn instances(&self, f: F) -> u32 {
+        let workers = (self.fleet.serving as usize).max(1);
+        self.homes(f).div_ceil(workers).clamp(1, self.settings.most_instances.max(1)) as u32
+    }
+
+    /// Asks a home whose lanes are all taken by our requests for the instances that it lacks.
+    fn grow(&mut self, f: F, w: W) {
+        let wanted = self.instances(f);
+        let place = self.functions[f].places.get(&w);
+        let (flying, standing) = place.map_or((0, 0), |p| (p.flying, p.standing.max(1)));
+        let taken = f64::from(flying) >= self.lanes_at(f, w);
+        if wanted > standing && taken && self.now >= self.workers[w].full_until && self.known_warm(f, w) {
+            self.order_gate(w, f, true, wanted);
+        }
+    }
+
     /// Fresh evidence of our own, or none against it where peers' calls have mostly kept the function.
     fn believed_warm(&self, f: F, w: W) -> bool {
         self.known_warm(f, w)
@@ -754,7 +784,7 @@
                 place.no_room = self.now.saturating_add(sent.expected as Micros);
             }
             Outcome::Miss => {
-                (place.seen, place.missed) = (None, Some(self.now));
+                (place.seen, place.standing, place.missed) = (None, 0, Some(self.now));
             }
             _ => {}
         }
@@ -868,7 +898,7 @@
         let fresh = (self.settings.keep_alive as f64 * RENEW) as Micros;
         for (_, (f, w)) in ranked {
             let seen = self.functions[f].places.get(&w).and_then(|p| p.seen);
-            if seen.is_none_or(|at| at + fresh <= self.now) && !self.order_gate(w, f, false) {
+            if seen.is_none_or(|at| at + fresh <= self.now) && !self.order_gate(w, f, false, 1) {
                 self.holds.wanted.insert((f, w));
             }
         }
@@ -876,7 +906,7 @@
 
     /// The one way out for load orders; true when one is under way. It alone keeps: no draining or gone
     /// worker, one order a function and worker, the caps on pre-loads, the ration.
-    fn order_gate(&mut self, w: W, f: F, needed: bool) -> bool {
+    fn order_gate(&mut self, w: W, f: F, needed: bool, count: u32) -> bool {
         let worker = &self.workers[w];
         if !self.settings.may_order || worker.entry.state != WorkerState::In {
             return false;
@@ -913,7 +943,7 @@
         }
         place.ordered = Some(self.now);
         let (worker, function) = (worker.entry.id.clone(), self.functions[f].name.clone());
-        self.actions.push(Action::Hold { worker, function, count: 1 });
+        self.actions.push(Action::Hold { worker, function, count });
         true
     }
 
@@ -927,6 +957,7 @@
         match outcome {
             Outcome::Ok if standing > 0 => {
                 (place.seen, place.missed, place.no_room) = (Some(self.now), None, 0);
+                place.standing = standing;
                 self.workers[w].health.last_mut().into_iter().for_each(|health| health.ok(self.now));
                 // Longer than a round trip: it was loaded for us.
                 if took > (self.aim / SWEEPS) as f64 {
@@ -936,8 +967,12 @@
                 }
             }
             Outcome::Full => {
-                (place.seen, place.no_room) = (None, self.now + self.aim * 2);
-                self.workers[w].full_until = place.no_room;
+                self.workers[w].full_until = self.now + self.aim * 2;
+                place.standing = standing;
+                // No room for more is no word against those that stand.
+                if standing == 0 {
+                    (place.seen, place.no_room) = (None, self.workers[w].full_until);
+                }
             }
             // What fails at once would be ordered again and again, as often as the answer comes.
             Outcome::Error => place.no_room = self.now + self.aim * 2,
--- a/src/state.rs
+++ b/src/state.rs
@@ -44,6 +44,8 @@
     pub missed: Option<Micros>,
     /// Own order unanswered since.
     pub ordered: Option<Micros>,
+    /// Instances that stood there when last told.
+    pub standing: u32,
     /// No room there until then.
     pub no_room: Micros,
     /// Own requests in flight.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -667,3 +667,57 @@
     let out: usize = (0..8).map(|n| sends(&arrive(&mut bench, &format!("b{n}"), 0, "f")).len()).sum();
     assert_eq!(out, 8, "eight in flight on a worker that answers nine of ten in a sixth of the aim");
 }
+
+/// Keeps so many requests of a function in flight for a while; gives the largest count ordered at each worker.
+fn closed_loop(bench: &mut Bench, out: usize, until: Micros) -> std::collections::BTreeMap<WorkerId, u32> {
+    let (mut flying, mut counts) = (std::collections::VecDeque::new(), std::collections::BTreeMap::new());
+    let mut number = bench.now;
+    while bench.now < until {
+        let next = bench.now + 10 * MS;
+        let mut actions = bench.run_to(next);
+        for _ in flying.len()..out {
+            number += 1;
+            actions.extend(arrive(bench, &format!("c{number}"), 0, "hot"));
+        }
+        for action in std::mem::take(&mut actions) {
+            match action {
+                Action::Send { request, worker, .. } => flying.push_back((bench.now, request, worker)),
+                Action::Hold { worker, function, count } => {
+                    let most = counts.entry(worker.clone()).or_insert(0);
+                    *most = count.max(*most);
+                    let elapsed = 2 * MS;
+                    let event =
+                        Event::Held { worker, function, outcome: Outcome::Ok, elapsed, standing: count };
+                    actions.extend(bench.give(event));
+                }
+                _ => {}
+            }
+        }
+        while flying.front().is_some_and(|(sent, ..)| sent + 100 * MS <= bench.now) {
+            let (_, request, worker) = flying.pop_front().expect("one is there");
+            bench.give(ended(&request.0, 0, &worker, Outcome::Ok));
+        }
+    }
+    counts
+}
+
+#[test]
+fn a_function_hotter_than_its_homes_gets_more_instances_at_each_and_with_homes_to_spare_one() {
+    for (count, most) in [(1, 16), (1, 4), (2, 16), (40, 16)] {
+        let mut bench = Bench::new(Settings { most_instances: most, ..settings() });
+        bench.give(workers(count));
+        let counts = closed_loop(&mut bench, 20, 6 * S);
+        let largest = counts.values().max().copied().unwrap_or(0);
+        // Twenty at work on lanes of four, planned at a third: seventeen homes.
+        match (count, most) {
+            (1, 4) => assert_eq!(largest, 4, "no order names more than may be"),
+            (1, _) => assert!((5..=16).contains(&largest), "{counts:?}"),
+            (2, _) => assert!((3..=10).contains(&largest), "its part of them at each: {counts:?}"),
+            _ => assert!(largest <= 1, "homes to spare: {counts:?}"),
+        }
+        // As the forecast falls, what is renewed is one again.
+        let quiet = closed_loop(&mut bench, 1, 16 * S);
+        let later = closed_loop(&mut bench, 1, 26 * S);
+        assert!(later.values().all(|count| *count <= 1), "{quiet:?}, then {later:?}");
+    }
+}
