--- a/src/rules.rs
+++ b/src/rules.rs
@@ -561,15 +561,16 @@
         (at_work / (PLAN * function.lanes.max(1.0))).min(1e4) as usize + 1
     }
 
-    /// Lanes of the instances that are known to stand there, as far as they are wanted; of one, if none is known.
+    /// Lanes of the instances known to stand there, as far as they are wanted; of one, if none is known.
     fn lanes_at(&self, f: F, w: W) -> f64 {
         let standing = self.functions[f].places.get(&w).map_or(0, |p| p.standing);
         let many = standing > 1 && self.known_warm(f, w);
         self.functions[f].lanes * if many { f64::from(standing.min(self.instances(f))) } else { 1.0 }
     }
 
-    /// Where the planned homes are more than the workers in service, each holds its part of the instances. All
-    /// gateways name the same figure, and what stands counts whoever asked: the largest is held, not the sum.
+    /// Where the planned homes are more than the workers in service, each holds its part of the instances.
+    /// All gateways name the same figure, and what stands counts whoever asked: the largest is held, not the
+    /// sum.
     fn instances(&self, f: F) -> u32 {
         let workers = (self.fleet.serving as usize).max(1);
         self.homes(f).div_ceil(workers).clamp(1, self.settings.most_instances.max(1)) as u32
@@ -806,8 +807,8 @@
         self.dispatch(id);
     }
 
-    /// A failure counts against the worker for its class. One that says that nothing is there counts as one of two
-    /// for the other classes as well, unless the worker has answered any call since.
+    /// A failure counts against the worker for its class. One that says that nothing is there counts as one of
+    /// two for the other classes as well, unless the worker has answered any call since.
     fn blame(&mut self, w: W, class: usize, sent: Micros, score: f64) {
         let rest = (self.settings.keep_alive as f64 * REST).max(self.aim as f64);
         let worker = &mut self.workers[w];
