--- a/src/rules.rs
+++ b/src/rules.rs
@@ -807,8 +807,8 @@
         self.dispatch(id);
     }
 
-    /// A failure counts against the worker for its class. One that says that nothing is there counts as one of
-    /// two for the other classes as well, unless the worker has answered any call since.
+    /// A failure counts against the worker for its class. One that says that nothing is there counts as one
+    /// of two for the other classes as well, unless the worker has answered any call since.
     fn blame(&mut self, w: W, class: usize, sent: Micros, score: f64) {
         let rest = (self.settings.keep_alive as f64 * REST).max(self.aim as f64);
         let worker = &mut self.workers[w];
