What is taken back as a host drains or goes leaves no entry behind in Hosts

Found on a second reading: take_list and gone took attempts back past Hosts::withdraw, so Hosts::out and the connection's names kept an entry for each. One step (forget) now serves both ways. A probe's tag is entered on the connection that carries it instead of all of its host's, where the others kept it for good (the module asks for no probes today).

--- a/crates/carriers/src/lib.rs
+++ b/crates/carriers/src/lib.rs
@@ -127,12 +127,16 @@
         Some(connection)
     }
 
-    /// A frame without an answer, if a connection stands.
-    pub fn tell(&mut self, hub: &mut Hub, worker: &WorkerId, frame: impl FnOnce(&mut Vec<u8>)) {
+    /// A frame that is no attempt or order, if a connection stands; gives the one that carries it.
+    pub fn tell(
+        &mut self,
+        hub: &mut Hub,
+        worker: &WorkerId,
+        frame: impl FnOnce(&mut Vec<u8>),
+    ) -> Option<Connection> {
         let stands = |c: &&Connection| self.carriers.get(c).is_some_and(|c| c.stands && !c.leaving);
-        if let Some(connection) = self.by_worker.get(worker).and_then(|here| here.iter().find(stands)) {
-            hub.write(*connection, None, frame);
-        }
+        let connection = *self.by_worker.get(worker)?.iter().find(stands)?;
+        hub.write(connection, None, frame).then_some(connection)
     }
 
     /// Tells the worker that an attempt is called off, on the connection that carries it, which is given back.
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -102,7 +102,7 @@
             let place = Place { address, started: host.started };
             let before = self.places.insert(id.clone(), place);
             if host.standing == Standing::Draining {
-                ended.extend(self.carriers.withdraw_all(hub, &id));
+                ended.extend(self.withdraw_all(hub, &id));
             }
             if before.is_some_and(|before| before.address != address) {
                 self.carriers.all_leaving(&id);
@@ -116,7 +116,7 @@
 
     fn gone(&mut self, hub: &mut Hub, id: &WorkerId) -> Vec<Input> {
         self.places.remove(id);
-        let ended = self.carriers.withdraw_all(hub, id);
+        let ended = self.withdraw_all(hub, id);
         self.carriers.all_leaving(id);
         ended
     }
@@ -203,22 +203,39 @@
     pub fn probe(&mut self, hub: &mut Hub, worker: &WorkerId) {
         self.next_probe += 1;
         let tag = format!("p{}", self.next_probe);
-        self.carriers.tell(hub, worker, |out| host::alive(out, &tag));
-        let ours = |connection: &Connection| self.carriers.worker(*connection).as_ref() == Some(worker);
-        for (_, line) in self.lines.iter_mut().filter(|(connection, _)| ours(connection)) {
-            line.names.insert(tag.clone(), Name::Probe);
+        let told = self.carriers.tell(hub, worker, |out| host::alive(out, &tag));
+        if let Some(line) = told.and_then(|connection| self.lines.get_mut(&connection)) {
+            line.names.insert(tag, Name::Probe);
         }
     }
 
     /// Takes an attempt back if no byte of it has left; true: that was so.
     pub fn withdraw(&mut self, hub: &mut Hub, attempt: u64) -> bool {
         let taken = self.carriers.withdraw(hub, attempt);
-        if taken && let Some((connection, id)) = self.out.remove(&attempt) {
-            self.lines.get_mut(&connection).into_iter().for_each(|line| _ = line.names.remove(&id));
+        if taken {
+            self.forget(attempt);
         }
         taken
     }
 
+    /// Takes back all for a host of which no byte has left, and tells how it ended.
+    fn withdraw_all(&mut self, hub: &mut Hub, worker: &WorkerId) -> Vec<Input> {
+        let ended = self.carriers.withdraw_all(hub, worker);
+        for input in &ended {
+            if let Input::AttemptEnded(attempt, ..) = input {
+                self.forget(*attempt);
+            }
+        }
+        ended
+    }
+
+    /// No byte of this attempt left, so no answer to it can come.
+    fn forget(&mut self, attempt: u64) {
+        if let Some((connection, id)) = self.out.remove(&attempt) {
+            self.lines.get_mut(&connection).into_iter().for_each(|line| _ = line.names.remove(&id));
+        }
+    }
+
     /// Takes an attempt back, or has its host give it up.
     pub fn give_up(&mut self, hub: &mut Hub, attempt: u64) {
         if self.withdraw(hub, attempt) {
@@ -355,3 +372,66 @@
         Name::Probe | Name::GivenUp => None,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::net::TcpListener;
+    use std::sync::Arc;
+
+    use cresswheel_engine::Call;
+    use cresswheel_protocol::Shape;
+    use cresswheel_transport::{HubLimits, Wire};
+
+    use super::*;
+
+    #[test]
+    fn what_is_taken_back_as_its_host_drains_or_goes_leaves_nothing_behind() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let host = |standing| Listed {
+            id: "h".into(),
+            address: listener.local_addr().unwrap().to_string(),
+            zone: String::new(),
+            kind: String::new(),
+            cell: 0,
+            standing,
+            started: 0,
+        };
+        let call = Call {
+            deferred: false,
+            function: "7f3a9c21e0b4d655".into(),
+            class: "check".into(),
+            tenant: String::new(),
+            key: String::new(),
+            trace: "9b1f03aa5c7e2d41".into(),
+            time_left: 1_000_000,
+            shape: Shape { memory_mb: 0, lanes: 0, load_time: 0, work: 0 },
+            body: Vec::new(),
+            account: None,
+            route: None,
+        };
+        let attempt = Attempt {
+            number: 1,
+            worker: "h".into(),
+            id: "1".into(),
+            before: 0,
+            time_left: 1_000_000,
+            timeout: 1_000_000,
+            call: Arc::new(call),
+        };
+        for after in [Standing::Draining, Standing::Out] {
+            let mut hub = Hub::new(HubLimits::default()).unwrap();
+            let (wire, connect_timeout) = (Wire::Raw, 1_000_000);
+            let limits = CarrierLimits { wire, connections: 2, streams: 10, spread: 1, connect_timeout };
+            let mut hosts = Hosts::new(limits, 10);
+            hosts.take_list(&mut hub, true, &[host(Standing::In)]);
+            // The hub has not looked yet: the connection does not stand, and no byte has left.
+            assert!(hosts.run(&mut hub, &attempt).is_none());
+            let ended = hosts.take_list(&mut hub, true, &[host(after)]);
+            assert!(matches!(ended[..], [Input::AttemptEnded(1, AttemptEnd::TakenBack, ..)]), "{ended:?}");
+            assert!(
+                hosts.out.is_empty() && hosts.lines.values().all(|line| line.names.is_empty()),
+                "{after:?}"
+            );
+        }
+    }
+}
