Run times without waits for loads; more instances only where settings ask for them

At fault: Dispatcher::instances and grow, which plan by a run time that holds waits for loads and queues, so that each load makes more loads; and Dispatcher::ended, which takes the first wait of 1.5 s for the run time of a function of 100 ms. Change: where workers load on call, the first answer of an instance that own evidence showed starts the run time anew, and waits at unseen instances count no more. `fleet(most_instances)` is 1 unless stated.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -29,7 +29,7 @@
          call_class(name = \"post\", aim = ms(600), give_up = s(5), effect = \"unsafe\", worth = 3)\n\
          call_class(name = \"note\", aim = ms(600), give_up = s(5), effect = keyed(group = \"all\", \
          memory = s(5)))\n\
-         fleet(when_absent = \"load\", keep_alive = s(10), max_attempts = 4)\nlimits({limits})\n"
+         fleet(when_absent = \"load\", keep_alive = s(10), max_attempts = 4, most_instances = 64)\nlimits({limits})\n"
     );
     for (n, at) in workers.iter().enumerate() {
         script += &format!("worker(id = \"w{n}\", address = \"{at}\", zone = \"a\")\n");
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -62,7 +62,7 @@
     let module = Settings {
         tick: MS,
         keep_alive: 10 * S,
-        most_instances: 64,
+        most_instances: 1,
         when_absent: WhenAbsent::Miss,
         may_order: true,
         tells_crowd: true,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -756,7 +756,16 @@
                     // A wait for a load is many aims long, and says less of a queue than ten answers in time.
                     blend(&mut worker.answer_time, took.min(self.aim as f64), weight);
                     blend(&mut worker.crowd, sent.crowd, weight);
-                    blend(&mut self.functions[f].run, took, BLEND);
+                    // Where workers load on call, answers hold waits for loads: those count only until an
+                    // instance that we had seen has told the run time.
+                    let function = &mut self.functions[f];
+                    let loads = self.settings.when_absent == WhenAbsent::Load;
+                    if loads && sent.known && !std::mem::replace(&mut function.timed, true) {
+                        function.run = 0.0;
+                    }
+                    if sent.known || !slow || !function.timed {
+                        blend(&mut function.run, took, BLEND);
+                    }
                     blend(&mut self.means.run, took, BLEND);
                     let class_run = self.means.class_run.get_mut(class);
                     class_run.into_iter().for_each(|mean| blend(mean, took, BLEND));
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,7 +17,9 @@
     pub lanes: f64,
     pub memory: f64,
     pub load: f64,
+    /// Mean time to answer, and whether an instance that own evidence showed has told it.
     pub run: f64,
+    pub timed: bool,
     pub last_call: Micros,
     /// A worker has answered a call of it.
     pub served: bool,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -668,6 +668,38 @@
     assert_eq!(out, 8, "eight in flight on a worker that answers nine of ten in a sixth of the aim");
 }
 
+#[test]
+fn the_first_answer_of_a_seen_instance_tells_the_run_time_whatever_waits_for_loads_told_before() {
+    let mut bench = Bench::new(Settings { gateways: 4, ..settings() });
+    bench.give(workers(1));
+    let to = worker(1).id;
+    // Four that wait for the load, as peers may have kept an instance, then one on the instance now seen.
+    let patience = |actions: &[Action]| {
+        let sent = actions.iter().find_map(|a| match a {
+            Action::Send { timeout, .. } => Some(*timeout),
+            _ => None,
+        });
+        sent.expect("it is sent")
+    };
+    for n in 0..4 {
+        patience(&arrive(&mut bench, &format!("w{n}"), 0, "f"));
+    }
+    bench.run_to(2 * S);
+    for (id, elapsed) in [("w0", 2 * S), ("w1", 2 * S), ("w2", 2 * S), ("w3", 2 * S), ("r", 100 * MS)] {
+        if id == "r" {
+            assert_eq!(patience(&arrive(&mut bench, id, 0, "f")), 5 * S, "two seconds are a run time so far");
+            bench.run_to(2 * S + elapsed);
+        }
+        let mut answer = ended(id, 0, &to, Outcome::Ok);
+        if let Event::Ended { elapsed: took, .. } = &mut answer {
+            *took = elapsed;
+        }
+        bench.give(answer);
+    }
+    // Eight run times, or two aims where those are more.
+    assert_eq!(patience(&arrive(&mut bench, "after", 0, "f")), 1200 * MS);
+}
+
 /// Keeps so many requests of a function in flight for a while; gives the largest count ordered at each worker.
 fn closed_loop(bench: &mut Bench, out: usize, until: Micros) -> std::collections::BTreeMap<WorkerId, u32> {
     let (mut flying, mut counts) = (std::collections::VecDeque::new(), std::collections::BTreeMap::new());
