--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -191,18 +191,18 @@
 
 impl Node {
     fn new(hosts: &[(&str, &Host)], names: &Directory, absent: &'static str) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cresswheel"));
+        command.args(["--log", "debug", "platform"]);
+        Self::start(command, hosts, names, absent)
+    }
+
+    fn start(mut command: Command, hosts: &[(&str, &Host)], names: &Directory, absent: &'static str) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let hosts: Vec<_> = hosts.iter().map(|(id, host)| ((*id).to_owned(), host.at)).collect();
         let file = folder.path().join("config.json");
         std::fs::write(&file, config(&hosts, names.at, absent)).unwrap();
         let log = std::fs::File::create(folder.path().join("log")).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_cresswheel"))
-            .args(["--log", "debug", "platform"])
-            .env("NODE_CONFIG", &file)
-            .stdin(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .unwrap();
+        let child = command.env("NODE_CONFIG", &file).stdin(Stdio::null()).stderr(log).spawn().unwrap();
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
         let mut node = Self { child, at: nowhere, folder, hosts, absent };
         let line = node.logged("listens address=");
@@ -541,3 +541,95 @@
     assert_eq!(late.answer(), (1, 0), "a new client finds a place");
     assert_eq!(open.answer(), (1, 0), "an open request keeps its connection");
 }
+
+/// What the system tells of a running process.
+struct Seen {
+    folder: PathBuf,
+}
+
+impl Seen {
+    fn file(&self, name: &str) -> String {
+        std::fs::read_to_string(self.folder.join(name)).unwrap_or_else(|error| panic!("{name}: {error}"))
+    }
+
+    /// A figure of its status file.
+    fn status(&self, name: &str) -> u64 {
+        let status = self.file("status");
+        let line = status.lines().find(|line| line.starts_with(name)).expect(name);
+        line.split_whitespace().nth(1).and_then(|figure| figure.parse().ok()).expect(name)
+    }
+
+    /// What its descriptors are open on; one that closes meanwhile is left out.
+    fn descriptors(&self) -> Vec<String> {
+        let folder = std::fs::read_dir(self.folder.join("fd")).unwrap();
+        let open = folder.filter_map(|entry| std::fs::read_link(entry.unwrap().path()).ok());
+        open.map(|target| target.to_string_lossy().into_owned()).collect()
+    }
+
+    /// Holds the process against what the platform allows; gives the number of its sockets.
+    fn check(&self, when: &str) -> usize {
+        let exe = std::fs::read_link(self.folder.join("exe")).unwrap();
+        let same = std::fs::canonicalize(env!("CARGO_BIN_EXE_cresswheel")).unwrap();
+        assert_eq!(exe, same, "{when}: `run` ends in the program itself, not in a shell round it");
+        let children = std::fs::read_dir(self.folder.join("task"))
+            .unwrap()
+            .map(|task| std::fs::read_to_string(task.unwrap().path().join("children")).unwrap_or_default());
+        let children: String = children.collect();
+        assert_eq!(children.trim(), "", "{when}: it starts no further process");
+        assert!(
+            self.file("maps").contains("libc.so"),
+            "{when}: it is linked dynamically against the C library"
+        );
+        let ipv4: Vec<String> = ["net/tcp", "net/udp"]
+            .iter()
+            .flat_map(|table| {
+                let text = self.file(table);
+                let inodes = text.lines().skip(1).filter_map(|line| line.split_whitespace().nth(9));
+                inodes.map(|inode| format!("socket:[{inode}]")).collect::<Vec<_>>()
+            })
+            .collect();
+        let open = self.descriptors();
+        let sockets: Vec<_> = open.iter().filter(|target| target.starts_with("socket:")).collect();
+        for socket in &sockets {
+            // One that was closed or opened between the two looks is in the one and not in the other.
+            let stays = || self.descriptors().contains(*socket);
+            assert!(ipv4.contains(*socket) || !stays(), "{when}: {socket} is neither TCP nor UDP over IPv4");
+        }
+        assert!(open.len() <= 256, "{when}: {} descriptors", open.len());
+        assert!(self.status("VmHWM:") <= 64 * 1024, "{when}: {} kB", self.status("VmHWM:"));
+        sockets.len()
+    }
+}
+
+/// `run` of the deploy file, as the platform starts it, under load, HUP and TERM.
+#[test]
+fn as_deployed_it_is_one_process_within_its_limits_that_speaks_ipv4_alone() {
+    let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/balancer.toml");
+    let deploy = std::fs::read_to_string(deploy).unwrap();
+    let line = deploy.lines().find_map(|line| line.strip_prefix("run = ")).expect("run");
+    let run = line.trim_matches('"').replace("target/release/cresswheel", env!("CARGO_BIN_EXE_cresswheel"));
+    let mut shell = Command::new("/bin/sh");
+    shell.args(["-c", &run]);
+    let (one, names) = (host(good), Directory::new(1));
+    let mut node = Node::start(shell, &[("s-1", &one)], &names, "load");
+    let seen = Seen { folder: PathBuf::from(format!("/proc/{}", node.child.id())) };
+    let quiet = seen.check("at the start");
+    let mut clients: Vec<Client> = (0..40).map(|_| node.client()).collect();
+    for round in 0..20 {
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.ask("check", "3000", round << 8 | n as u64);
+        }
+        for client in &mut clients {
+            assert_eq!(client.answer().1, 0);
+        }
+    }
+    assert!(seen.check("under load") >= quiet + 40, "the look sees its sockets");
+    names.tell(5, &[("s-1", one.at, 0)]);
+    node.signal("-HUP");
+    node.logged("list serial=5");
+    seen.check("after HUP");
+    node.signal("-TERM");
+    assert_eq!(clients[0].next(), Some(FromGateway::Leaving));
+    seen.check("while it leaves");
+    assert_eq!(node.ends(), Some(0));
+}
