--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -576,6 +576,7 @@
             .map(|task| std::fs::read_to_string(task.unwrap().path().join("children")).unwrap_or_default());
         let children: String = children.collect();
         assert_eq!(children.trim(), "", "{when}: it starts no further process");
+        assert_eq!(self.status("Threads:"), 1, "{when}: one loop, no further thread");
         assert!(
             self.file("maps").contains("libc.so"),
             "{when}: it is linked dynamically against the C library"
