--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -625,7 +625,11 @@
         }
     }
     assert!(seen.check("under load") >= quiet + 40, "the look sees its sockets");
-    names.tell(5, &[("s-1", one.at, 0)]);
+    // Only the directory named after HUP tells of this list, so that it was taken shows that HUP was.
+    let later = Directory::new(1);
+    later.tell(5, &[("s-1", one.at, 0)]);
+    std::fs::write(node.folder.path().join("config.json"), config(&node.hosts, later.at, node.absent))
+        .unwrap();
     node.signal("-HUP");
     node.logged("list serial=5");
     seen.check("after HUP");
