A keyed repeat that has not left in time is taken back before workers forget

At fault is Engine::send, which gave the attempt no time to leave by.

Test: a_keyed_repeat_that_has_not_left_is_taken_back_before_the_workers_forget_the_first; without the mend no withdrawal comes. No module line changed. `Attempt::is_repeatable` tells shells whether a class may run twice.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -30,6 +30,8 @@
     attempts: Vec<u64>,
     /// All attempts so far are over and provably never ran.
     never_ran: bool,
+    /// When the first attempt was sent that is over and may have run.
+    may_have_run: Option<Micros>,
     last: Option<(AttemptEnd, Arc<[u8]>)>,
     /// What ran, or else what it was given.
     origin: Option<Arc<Origin>>,
@@ -46,6 +48,8 @@
     worker: WorkerId,
     sent: Micros,
     due: Micros,
+    /// It may leave until then.
+    leave_by: Option<Micros>,
 }
 
 struct Order {
@@ -58,6 +62,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Attempt(u64),
+    /// It may no longer leave if no byte of it has.
+    Leave(u64),
     Order(u64),
     /// A waiter whose time ends before its call's.
     Waiter(Client),
@@ -281,6 +287,7 @@
             waiters,
             attempts: Vec::new(),
             never_ran: true,
+            may_have_run: None,
             last: None,
             erred: false,
         };
@@ -447,6 +454,7 @@
             return;
         };
         self.due.remove(&(flight.due, Due::Attempt(attempt)));
+        flight.leave_by.into_iter().for_each(|at| _ = self.due.remove(&(at, Due::Leave(attempt))));
         let end = self.checked(&flight.id, end, origin.as_ref(), out);
         count(&mut self.counters.attempts, end.word());
         let outcome = end.outcome();
@@ -455,7 +463,10 @@
         let over = match self.open.get_mut(&flight.id) {
             None => true,
             Some(open) => {
-                open.never_ran &= outcome.never_ran();
+                if !outcome.never_ran() {
+                    open.never_ran = false;
+                    open.may_have_run = Some(open.may_have_run.unwrap_or(flight.sent).min(flight.sent));
+                }
                 open.erred |= outcome == cresswheel::Outcome::Error;
                 // What the wrong version answered is no answer.
                 let body = if wrong { Arc::from([]) } else { body.clone() };
@@ -595,6 +606,12 @@
                     }
                     self.attempt_ended(attempt, AttemptEnd::Silent, Arc::from([]), None, out);
                 }
+                Due::Leave(attempt) => {
+                    if let Some(flight) = self.flights.get_mut(&attempt) {
+                        flight.leave_by = None;
+                        out.push(Output::Withdraw(flight.worker.clone(), attempt));
+                    }
+                }
                 Due::Order(order) => self.order_ended(order, OrderEnd::Silent, 0, out),
                 Due::Waiter(client) => match self.forget_client(client) {
                     Some(Waiting::Result(id)) => {
@@ -713,11 +730,21 @@
             before: number as u32,
             time_left: open.deadline.saturating_sub(self.now),
             timeout,
+            is_repeatable: self.settings.module.classes[open.class].effect != Effect::Unsafe,
             call: open.call.clone(),
         };
         open.attempts.push(self.next);
         self.due.insert((due, Due::Attempt(self.next)));
-        self.flights.insert(self.next, Flight { id, number, worker, sent: self.now, due });
+        // A repeat must reach the workers while they remember the first: it may wait for a connection, but not longer.
+        let leave_by = match self.settings.module.classes[open.class].effect {
+            Effect::Keyed { memory, .. } => open.may_have_run.map(|at| {
+                at.saturating_add(memory).saturating_sub(self.settings.module.tick).max(self.now + 1)
+            }),
+            Effect::Safe | Effect::Unsafe => None,
+        };
+        leave_by.into_iter().for_each(|at| _ = self.due.insert((at, Due::Leave(self.next))));
+        let flight = Flight { id, number, worker, sent: self.now, due, leave_by };
+        self.flights.insert(self.next, flight);
         out.push(Output::Run(attempt));
     }
 }
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -153,6 +153,8 @@
     pub time_left: Micros,
     /// The attempt itself is given up after this.
     pub timeout: Micros,
+    /// Its class may be run more than once.
+    pub is_repeatable: bool,
     /// The call.
     pub call: Arc<Call>,
 }
@@ -168,7 +170,7 @@
     Close(u64, &'static str),
     /// Carry an attempt to its worker.
     Run(Attempt),
-    /// Nobody waits for this attempt any more: take it back if no byte of it has left.
+    /// Nobody waits for this attempt any more, or it may no longer begin: take it back if no byte of it has left.
     Withdraw(WorkerId, u64),
     /// Nothing was heard of this attempt in time: take it back as with `Withdraw`, or else give it up at the worker.
     Overdue(WorkerId, u64),
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -105,6 +105,25 @@
     }
 }
 
+#[test]
+fn a_keyed_repeat_that_has_not_left_is_taken_back_before_the_workers_forget_the_first() {
+    let mut bed = Bed::new(2);
+    let (_, out) = bed.ask(call("keyed"));
+    let first = runs(&out)[0].number;
+    bed.pass(100 * MS);
+    let out = bed.give(Input::AttemptEnded(first, AttemptEnd::Broken, Vec::new(), None));
+    let repeat = runs(&out)[0].number;
+    // It waits for a connection, say, up to the end of the two seconds for which workers remember the first.
+    let taken_back =
+        |out: &[Output]| out.iter().any(|o| matches!(o, Output::Withdraw(_, attempt) if *attempt == repeat));
+    assert!(!taken_back(&bed.pass(1_890 * MS)), "there is time yet");
+    assert!(taken_back(&bed.pass(10 * MS)), "it may not begin any more");
+    // Nothing of it had left, so it never ran; the window is over, and no other attempt is begun.
+    let out = bed.give(Input::AttemptEnded(repeat, AttemptEnd::TakenBack, Vec::new(), None));
+    assert!(runs(&out).is_empty() && runs(&bed.pass(5 * S)).is_empty());
+    assert_eq!(bed.engine.open_calls(), 0);
+}
+
 fn runs(out: &[Output]) -> Vec<&Attempt> {
     out.iter().filter_map(|o| if let Output::Run(attempt) = o { Some(attempt) } else { None }).collect()
 }
