--- a/crates/admission/src/door.rs
+++ b/crates/admission/src/door.rs
@@ -355,7 +355,7 @@
         }
         // Whoever holds far more than a share makes room for others at once; who comes is not known yet.
         if full && self.greedy(1).is_none() {
-            return match self.longest_idle(now) {
+            return match self.longest_idle(now, |_| true) {
                 Some((_, since)) if since + self.limits.evict_after <= now => self.pace(now),
                 Some((_, since)) => Err(since + self.limits.evict_after),
                 None => Err(now + LOOK_AGAIN),
@@ -372,15 +372,15 @@
     }
 
     /// The connection that has been silent for the longest time, without an open call; one that was never answered first.
-    fn longest_idle(&self, now: Micros) -> Option<(usize, Micros)> {
-        let first = self.spans.first(NEW).map(|(slot, _)| slot);
-        let new = first.and_then(|slot| Some((slot, self.spans.since(slot)?)));
+    fn longest_idle(&self, now: Micros, mut quiet: impl FnMut(usize) -> bool) -> Option<(usize, Micros)> {
+        let mut first = |queue| self.spans.slots(queue).take(LOOK_AT).find(|slot| quiet(*slot));
+        let new = first(NEW).and_then(|slot| Some((slot, self.spans.since(slot)?)));
         if let Some(new) = new.filter(|(_, since)| since + self.limits.evict_after <= now) {
             return Some(new);
         }
         // Those pinged were silent for `ping_after` before.
-        let earlier = |queue, before: Micros| {
-            let (slot, _) = self.spans.first(queue)?;
+        let mut earlier = |queue, before: Micros| {
+            let slot = first(queue)?;
             Some((slot, self.spans.since(slot)?.saturating_sub(before)))
         };
         let pinged = earlier(PINGED, self.limits.ping_after);
@@ -388,8 +388,16 @@
         firsts.into_iter().flatten().chain(new).min_by_key(|(_, since)| *since)
     }
 
-    /// A connection came.
-    pub fn arrives(&mut self, now: Micros, slot: usize, address: IpAddr, http: bool) -> Arrival {
+    /// A connection came. When all places are taken, only one that is `quiet` gives way: nothing came on it that was
+    /// not seen to yet.
+    pub fn arrives(
+        &mut self,
+        now: Micros,
+        slot: usize,
+        address: IpAddr,
+        http: bool,
+        quiet: impl FnMut(usize) -> bool,
+    ) -> Arrival {
         self.arrived += 1;
         self.accepts.take(now);
         if slot >= self.guests.len() {
@@ -398,7 +406,7 @@
         debug_assert!(!self.guests[slot].here, "a slot is used by one at a time");
         let full = self.here >= self.limits.connections;
         let address = self.addresses.join(&group_of(address));
-        let instead = if full { self.gives_way(now, address) } else { Ok(None) };
+        let instead = if full { self.gives_way(now, address, quiet) } else { Ok(None) };
         let instead = match instead {
             Ok(instead) => instead,
             Err(why) => {
@@ -420,20 +428,26 @@
     }
 
     /// Who gives way to a connection of that address when all places are taken.
-    fn gives_way(&self, now: Micros, newcomer: u32) -> Result<Option<usize>, &'static str> {
+    fn gives_way(
+        &self,
+        now: Micros,
+        newcomer: u32,
+        mut quiet: impl FnMut(usize) -> bool,
+    ) -> Result<Option<usize>, &'static str> {
         let greedy = self.addresses.is_greedy(newcomer, self.limits.connections, 0);
         if greedy {
             // It may only take the place of one of its own.
-            let own = self.long_idle().find(|slot| self.guests[*slot].address == newcomer);
-            return match own.filter(|slot| self.idle_for(now, *slot) >= self.limits.evict_after) {
+            let long = |slot: &usize| self.idle_for(now, *slot) >= self.limits.evict_after;
+            let mut own = self.long_idle().filter(|slot| self.guests[*slot].address == newcomer);
+            return match own.find(|slot| long(slot) && quiet(*slot)) {
                 Some(own) => Ok(Some(own)),
                 None => Err("address-share"),
             };
         }
-        if let Some(slot) = self.greedy(0) {
+        if let Some(slot) = self.greedy(0).filter(|slot| quiet(*slot)) {
             return Ok(Some(slot));
         }
-        match self.longest_idle(now) {
+        match self.longest_idle(now, quiet) {
             Some((slot, since)) if since + self.limits.evict_after <= now => Ok(Some(slot)),
             _ => Err("full"),
         }
--- a/crates/admission/tests/door.rs
+++ b/crates/admission/tests/door.rs
@@ -27,14 +27,14 @@
 fn when_all_places_are_taken_the_longest_idle_gives_way_and_an_open_call_never() {
     let mut door = Door::new(0, limits());
     for slot in 0..8 {
-        assert_eq!(door.arrives(slot as u64 * S, slot, from(slot as u8), false), Arrival::Welcome);
+        assert_eq!(door.arrives(slot as u64 * S, slot, from(slot as u8), false, |_| true), Arrival::Welcome);
     }
     door.asks(8 * S, 0, "");
     // Slot 0 has an open call; 1 is the longest idle, but not for long enough yet.
     assert!(door.may_accept(10 * S).is_err());
-    assert_eq!(door.arrives(10 * S, 8, from(8), false), Arrival::Away("full"));
+    assert_eq!(door.arrives(10 * S, 8, from(8), false, |_| true), Arrival::Away("full"));
     assert!(door.may_accept(12 * S).is_ok());
-    assert_eq!(door.arrives(12 * S, 8, from(8), false), Arrival::Instead(1));
+    assert_eq!(door.arrives(12 * S, 8, from(8), false, |_| true), Arrival::Instead(1));
     door.left(1);
     assert_eq!(door.here(), 8);
 }
@@ -42,34 +42,34 @@
 #[test]
 fn an_address_that_opens_everything_makes_room_for_others_and_gets_none_of_theirs() {
     let mut door = Door::new(0, limits());
-    (0..7).for_each(|slot| _ = door.arrives(0, slot, from(1), false));
-    assert_eq!(door.arrives(0, 7, from(2), false), Arrival::Welcome);
+    (0..7).for_each(|slot| _ = door.arrives(0, slot, from(1), false, |_| true));
+    assert_eq!(door.arrives(0, 7, from(2), false, |_| true), Arrival::Welcome);
     // A third address: the greedy one loses a connection at once, though it is not idle for long.
-    assert_eq!(door.arrives(S, 8, from(3), false), Arrival::Instead(0));
+    assert_eq!(door.arrives(S, 8, from(3), false, |_| true), Arrival::Instead(0));
     door.left(0);
     // The greedy one comes again: only one of its own could go, and none is idle for long enough.
-    assert_eq!(door.arrives(S, 0, from(1), false), Arrival::Away("address-share"));
-    assert_eq!(door.arrives(11 * S, 0, from(1), false), Arrival::Instead(1));
+    assert_eq!(door.arrives(S, 0, from(1), false, |_| true), Arrival::Away("address-share"));
+    assert_eq!(door.arrives(11 * S, 0, from(1), false, |_| true), Arrival::Instead(1));
 }
 
 #[test]
 fn a_tenant_that_holds_more_than_its_share_makes_room() {
     let mut door = Door::new(0, limits());
     for slot in 0..8 {
-        door.arrives(0, slot, from(slot as u8), false);
+        door.arrives(0, slot, from(slot as u8), false, |_| true);
         door.asks(0, slot, ["greedy", "modest", "third"][slot.saturating_sub(5)]);
     }
     for slot in [7, 6, 5, 4, 3, 2, 1, 0] {
         door.answered(S, slot);
     }
     // 7 and 6 are idle the longest, by order; but they are of modest ones.
-    assert_eq!(door.arrives(2 * S, 8, from(9), false), Arrival::Instead(5));
+    assert_eq!(door.arrives(2 * S, 8, from(9), false, |_| true), Arrival::Instead(5));
 }
 
 #[test]
 fn nobody_gives_way_while_another_door_has_places() {
     let mut door = Door::new(0, limits());
-    (0..8).for_each(|slot| _ = door.arrives(0, slot, from(slot as u8), false));
+    (0..8).for_each(|slot| _ = door.arrives(0, slot, from(slot as u8), false, |_| true));
     assert!(door.may_accept(60 * S).is_ok());
     door.room_elsewhere(true);
     assert_eq!(door.may_accept(60 * S), Err(61 * S));
@@ -81,16 +81,16 @@
 fn ipv6_clients_count_by_their_network() {
     let v6 = |last: u16| IpAddr::V6(std::net::Ipv6Addr::new(0x2001, 0xdb8, 0, 1, 0, 0, 0, last));
     let mut door = Door::new(0, limits());
-    (0..6).for_each(|slot| _ = door.arrives(0, slot, v6(slot as u16), false));
-    (6..8).for_each(|slot| _ = door.arrives(0, slot, from(slot as u8), false));
-    assert_eq!(door.arrives(S, 8, v6(99), false), Arrival::Away("address-share"));
+    (0..6).for_each(|slot| _ = door.arrives(0, slot, v6(slot as u16), false, |_| true));
+    (6..8).for_each(|slot| _ = door.arrives(0, slot, from(slot as u8), false, |_| true));
+    assert_eq!(door.arrives(S, 8, v6(99), false, |_| true), Arrival::Away("address-share"));
 }
 
 #[test]
 fn idle_connections_are_pinged_within_the_budget_and_those_that_vanished_are_closed() {
     let limits = DoorLimits { connections: 1_000, pings_per_s: 100, ..limits() };
     let mut door = Door::new(0, limits);
-    (0..1_000).for_each(|slot| _ = door.arrives(0, slot, from(1), false));
+    (0..1_000).for_each(|slot| _ = door.arrives(0, slot, from(1), false, |_| true));
     let due = door.next_due(0).unwrap();
     assert!(due >= limits.ping_after && due <= limits.ping_after + S);
     let (mut now, mut pinged, mut took) = (due, 0, 0);
@@ -131,14 +131,14 @@
 #[test]
 fn a_half_sent_message_has_one_budget_however_it_drips() {
     let mut door = Door::new(0, limits());
-    door.arrives(0, 0, from(1), true);
+    door.arrives(0, 0, from(1), true, |_| true);
     for second in 1..=9 {
         door.sign(second * S, 0, Sign::Heard(second as usize));
         assert_eq!(acts(&mut door, second * S), []);
     }
     assert_eq!(acts(&mut door, 11 * S + STEP), [Act::Close(0, "half-sent")]);
     // One that becomes whole begins anew.
-    door.arrives(0, 1, from(1), true);
+    door.arrives(0, 1, from(1), true, |_| true);
     door.sign(S, 1, Sign::Heard(5));
     door.whole(8 * S, 1);
     door.sign(9 * S, 1, Sign::Heard(5));
@@ -150,7 +150,7 @@
     let limits = DoorLimits { half_bytes: 1_000, ..limits() };
     let mut door = Door::new(0, limits);
     for slot in 0..4 {
-        door.arrives(0, slot, from(slot as u8), false);
+        door.arrives(0, slot, from(slot as u8), false, |_| true);
         door.sign(slot as u64 * S, slot, Sign::Heard(300));
     }
     assert_eq!(door.act(4 * S), Some(Act::Close(0, "half-bytes")), "the oldest goes");
@@ -161,7 +161,7 @@
 #[test]
 fn a_client_that_does_not_read_has_a_budget_too() {
     let mut door = Door::new(0, limits());
-    door.arrives(0, 0, from(1), false);
+    door.arrives(0, 0, from(1), false, |_| true);
     door.asks(S, 0, "");
     door.sign(2 * S, 0, Sign::Stalled);
     door.sign(20 * S, 0, Sign::Heard(0));
@@ -174,7 +174,7 @@
     let limits = DoorLimits { connections: 10_000, leave_over: 2 * S, ..limits() };
     let mut door = Door::new(0, limits);
     for slot in 0..4_000 {
-        door.arrives(0, slot, from((slot % 200) as u8), slot % 3 == 0);
+        door.arrives(0, slot, from((slot % 200) as u8), slot % 3 == 0, |_| true);
         if slot % 7 == 0 {
             door.asks(0, slot, "");
         }
@@ -199,7 +199,7 @@
 #[test]
 fn fewer_places_by_a_reload_ask_the_longest_idle_to_leave() {
     let mut door = Door::new(0, limits());
-    (0..8).for_each(|slot| _ = door.arrives(slot as u64 * S, slot, from(slot as u8), false));
+    (0..8).for_each(|slot| _ = door.arrives(slot as u64 * S, slot, from(slot as u8), false, |_| true));
     door.asks(9 * S, 0, "");
     door.change(9 * S, DoorLimits { connections: 5, ..limits() });
     let mut left = Vec::new();
@@ -271,7 +271,7 @@
                 Step::Pass(span) => now += span,
                 Step::Come { address, http } => {
                     let slot = (0..).find(|slot| !here.contains_key(slot)).unwrap();
-                    match door.arrives(now, slot, from(address), http) {
+                    match door.arrives(now, slot, from(address), http, |_| true) {
                         Arrival::Welcome => _ = here.insert(slot, Known::default()),
                         Arrival::Instead(other) => {
                             prop_assert!(here.len() >= limits.connections);
@@ -358,7 +358,7 @@
 fn a_connection_that_was_never_answered_has_a_time_of_its_own_and_gives_way_first() {
     let mut door = Door::new(0, DoorLimits { unasked: S, idle: 30 * S, pings_per_s: 0, ..limits() });
     for slot in 0..3 {
-        door.arrives(0, slot, from(1), false);
+        door.arrives(0, slot, from(1), false, |_| true);
     }
     door.asks(0, 0, "");
     door.answered(0, 0);
@@ -377,14 +377,14 @@
     let limits = DoorLimits { unasked: 100 * S, evict_after: S, pings_per_s: 0, ..limits() };
     let mut door = Door::new(0, limits);
     for slot in 0..7 {
-        door.arrives(0, slot, from(slot as u8), false);
+        door.arrives(0, slot, from(slot as u8), false, |_| true);
         door.asks(0, slot, "");
         door.answered(0, slot);
     }
-    door.arrives(2 * S, 7, from(7), false);
+    door.arrives(2 * S, 7, from(7), false, |_| true);
     assert!(door.may_accept(2 * S).is_ok(), "others have been idle for long enough");
-    assert_eq!(door.arrives(2 * S, 8, from(8), false), Arrival::Instead(0));
+    assert_eq!(door.arrives(2 * S, 8, from(8), false, |_| true), Arrival::Instead(0));
     door.left(0);
     // Now the one that was never answered has waited for long enough, and goes before those that were.
-    assert_eq!(door.arrives(4 * S, 0, from(9), false), Arrival::Instead(7));
+    assert_eq!(door.arrives(4 * S, 0, from(9), false, |_| true), Arrival::Instead(7));
 }
--- a/crates/carriers/src/lib.rs
+++ b/crates/carriers/src/lib.rs
@@ -19,6 +19,7 @@
     stands: bool,
     attempts: BTreeSet<u64>,
     orders: BTreeSet<u64>,
+    /// When an attempt was begun or over here last; orders and probes don't count, as workers don't count them.
     idle_since: Micros,
     /// Nothing new here: the worker said that it goes away, or the shell gave the connection up.
     leaving: bool,
@@ -28,6 +29,11 @@
     fn load(&self) -> usize {
         self.attempts.len() + self.orders.len()
     }
+
+    /// No attempt has been here for so long that the worker may be closing it: one sent now could cross that.
+    fn is_stale(&self, now: Micros, idle: Micros) -> bool {
+        self.stands && self.attempts.is_empty() && self.idle_since.saturating_add(idle) <= now
+    }
 }
 
 /// All connections to workers.
@@ -52,6 +58,8 @@
     pub spread: usize,
     /// A connection must stand after this.
     pub connect_timeout: Micros,
+    /// One on which no attempt has been for so long carries no further attempt, and is closed once nothing is out.
+    pub idle: Micros,
 }
 
 /// What is to be carried, by its number.
@@ -80,7 +88,12 @@
             self.by_worker.insert(worker.clone(), Vec::new());
         }
         let here = self.by_worker.get_mut(worker)?;
-        let free = |c: &Connection| !self.carriers[c].leaving && self.carriers[c].load() < limits.streams;
+        let stale = |c: &Connection| {
+            matches!(cargo, Cargo::Attempt(_)) && self.carriers[c].is_stale(now, limits.idle)
+        };
+        let free = |c: &Connection| {
+            !self.carriers[c].leaving && self.carriers[c].load() < limits.streams && !stale(c)
+        };
         let mut all = here.iter().copied().filter(|c| free(c) && usable(*c));
         // Orders are in nobody's way while they wait. They go where most attempts go, to the connection that stands
         // longest: a worker may end one on which no attempt has been for a while, whatever orders wait there.
@@ -89,7 +102,7 @@
             Cargo::Attempt(_) => all.min_by_key(|c| attempts(*c)),
             Cargo::Order(_) => all.next(),
         };
-        let room = here.len() < limits.connections;
+        let room = here.iter().filter(|c| !stale(c)).count() < limits.connections;
         let shared = !room || matches!(cargo, Cargo::Order(_));
         let connection = match least.filter(|c| shared || attempts(*c) < limits.spread) {
             Some(connection) => connection,
@@ -181,9 +194,10 @@
     pub fn done(&mut self, hub: &Hub, number: u64) -> Option<Connection> {
         let connection = self.places.remove(&number)?;
         let carrier = self.carriers.get_mut(&connection)?;
-        carrier.attempts.remove(&number);
+        if carrier.attempts.remove(&number) {
+            carrier.idle_since = hub.clock().now();
+        }
         carrier.orders.remove(&number);
-        carrier.idle_since = hub.clock().now();
         Some(connection)
     }
 
@@ -255,7 +269,7 @@
     /// Closes connections on which nothing has been out for a while, and those given up once nothing is.
     pub fn close_idle(&mut self, hub: &mut Hub, idle: Micros) {
         let now = hub.clock().now();
-        let over = |c: &Carrier| c.stands && c.load() == 0 && (c.leaving || c.idle_since + idle <= now);
+        let over = |c: &Carrier| c.stands && c.load() == 0 && (c.leaving || c.is_stale(now, idle));
         let closing: Vec<_> = self.carriers.iter().filter(|(_, c)| over(c)).map(|(id, _)| *id).collect();
         closing.into_iter().for_each(|connection| hub.close(connection, "idle"));
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -13,7 +13,7 @@
 
 use clap::{Parser, Subcommand};
 use cresswheel_gateway::{Gateway, HolderCommand};
-use cresswheel_platform::Platform;
+use cresswheel_platform::{Platform, PlatformSettings};
 use cresswheel_platform_wire::config::Config;
 
 /// A gateway that runs calls on workers which load functions on demand.
@@ -178,7 +178,10 @@
     let file = file.to_path_buf();
     let read = move || -> Result<Config, String> {
         let text = std::fs::read_to_string(&file).map_err(|error| format!("{}: {error}", file.display()))?;
-        Config::read(&text).map_err(|error| format!("{}: {error}", file.display()))
+        let config = Config::read(&text).map_err(|error| format!("{}: {error}", file.display()))?;
+        // What can be read may still not be used.
+        PlatformSettings::of(&config).map_err(|error| format!("{}: {error}", file.display()))?;
+        Ok(config)
     };
     let config = match read() {
         Ok(config) => config,
--- /dev/null
+++ b/crates/cli/tests/crossings.rs
@@ -0,0 +1,573 @@
+//! Two events that cross, each pair forced by the test: see docs/CROSSINGS.md, which names these tests row by row.
+//!
+//! Order is made by what the test withholds, by one write that holds both, or by a process that is stopped and finds
+//! all of it when it is woken. Where a span has to pass (the time of taking after TERM, the idle time of a place), the
+//! test waits at least that long, and nothing is asserted about how long things take.
+
+mod peers;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cresswheel_platform_wire::client::FromGateway;
+use peers::{Client, Directory, Do, F, Host, Node, Played, config, good, host, invokes, request};
+
+const F2: &str = "7f3a9c21e0b4d656";
+/// More than requests are taken for after TERM.
+const TAKEN: Duration = Duration::from_millis(800);
+
+fn id(number: u32) -> String {
+    format!("{number:016x}")
+}
+
+fn one_host(host: &Host, names: &Directory, absent: &str) -> String {
+    config(&[("s-1".to_owned(), host.at)], names.at, absent)
+}
+
+fn frame_of_leaving(client: &mut Client) {
+    assert_eq!(client.next(), Some(FromGateway::Leaving));
+}
+
+/// Asks so many times on a connection that is not read, and has each answered with so much.
+fn answered_at_length(node: &Node, one: &mut Played, client: &mut Client, times: u32, length: usize) {
+    for n in 1..=times {
+        client.ask_as(n, &id(n), "check", "5000");
+    }
+    for _ in 1..=times {
+        let (line, command) = one.next_of("invoke");
+        let n = u32::from_str_radix(&command[1], 16).unwrap();
+        one.answer(line, &command[1], "OK", "-", &vec![n as u8; length]);
+        node.logged(&format!("stream={n} status=served"));
+    }
+}
+
+// Shutdown and start.
+
+#[test]
+fn connections_that_wait_to_be_accepted_as_taking_ends_are_answered() {
+    let (one, names) = (host(good), Directory::new(1));
+    let mut node = Node::new(&[("s-1", &one)], &names, "load");
+    let mut first = node.client();
+    first.ask("check", "3000", 1);
+    assert_eq!(first.answer(), (1, 0));
+    node.signal("-TERM");
+    frame_of_leaving(&mut first);
+    node.freeze();
+    std::thread::sleep(TAKEN);
+    // More than are accepted in one turn: as the process wakes, the time of taking is over.
+    let mut waiting: Vec<Client> = (0..100).map(|_| node.client()).collect();
+    waiting.iter_mut().enumerate().for_each(|(n, client)| _ = client.ask("check", "3000", 100 + n as u64));
+    node.wake();
+    for client in &mut waiting {
+        let (stream, code) = client.answer();
+        assert!(stream == 1 && matches!(code, 0 | 8), "served or refused, not broken: {code}");
+    }
+    assert_eq!(node.ends(), Some(0));
+}
+
+#[test]
+fn what_is_unread_as_the_last_answer_leaves_is_answered_and_the_end_is_no_reset() {
+    let (mut one, names) = (Played::new(), Directory::new(1));
+    let mut node = Node::with(&one_host(&one.host(), &names, "load"));
+    let mut client = node.client();
+    client.ask_as(1, &id(1), "post", "3000");
+    let (line, _) = one.next_of("invoke");
+    node.signal("-TERM");
+    frame_of_leaving(&mut client);
+    // The end of taking is past: it is told once more.
+    frame_of_leaving(&mut client);
+    node.freeze();
+    // More than is read in one turn, and the answer that all wait for.
+    let many = 2..=60;
+    let all: Vec<u8> =
+        many.clone().flat_map(|n| request(n, &id(n), "check", "3000", F, &[7; 8 << 10])).collect();
+    client.send(&all);
+    one.answer(line, &id(1), "OK", "-", b"out");
+    node.wake();
+    let mut answers: Vec<(u32, u8)> = many.clone().chain([1]).map(|_| client.answer()).collect();
+    answers.sort_unstable();
+    let wanted: Vec<(u32, u8)> = [(1, 0)].into_iter().chain(many.map(|n| (n, 8))).collect();
+    assert_eq!(answers, wanted);
+    let end = std::io::Read::read(&mut client.socket, &mut [0]);
+    assert!(matches!(end, Ok(0)), "an end in good order: {end:?}");
+    drop(client);
+    assert_eq!(node.ends(), Some(0));
+}
+
+#[test]
+fn a_last_answer_larger_than_the_buffers_reaches_a_client_that_reads_slowly() {
+    const BODY: usize = 200 << 10;
+    let (mut one, names) = (Played::new(), Directory::new(1));
+    let mut node = Node::with(&one_host(&one.host(), &names, "load"));
+    let mut client = node.narrow_client();
+    answered_at_length(&node, &mut one, &mut client, 4, BODY);
+    node.signal("-TERM");
+    node.logged("stopping");
+    // The time of taking and a little more goes by without a byte being read.
+    std::thread::sleep(TAKEN + Duration::from_millis(400));
+    let mut whole = 0;
+    while let Some(frame) = client.next() {
+        if let FromGateway::Answer(n, 0, None, body) = frame {
+            assert_eq!(body, vec![n as u8; BODY]);
+            whole += 1;
+        }
+    }
+    assert_eq!(whole, 4);
+    drop(client);
+    assert_eq!(node.ends(), Some(0));
+}
+
+#[test]
+fn term_twice_and_hup_between_change_nothing_about_the_way_to_the_end() {
+    let (mut one, names, later) = (Played::new(), Directory::new(1), Directory::new(1));
+    let mut node = Node::with(&one_host(&one.host(), &names, "load"));
+    let mut client = node.client();
+    client.ask_as(1, &id(1), "post", "3000");
+    let (line, _) = one.next_of("invoke");
+    node.signal("-TERM");
+    frame_of_leaving(&mut client);
+    later.tell(5, &[("s-1", one.at, 0)]);
+    node.configure(&one_host(&one.host(), &later, "load"));
+    node.signal("-HUP");
+    node.logged("list serial=5");
+    node.signal("-TERM");
+    one.answer(line, &id(1), "OK", "-", b"out");
+    assert_eq!(client.answer(), (1, 0));
+    drop(client);
+    assert_eq!(node.ends(), Some(0));
+}
+
+#[test]
+fn a_killed_gateway_comes_back_on_its_port_while_old_connections_linger() {
+    let (one, names) = (host(good), Directory::new(1));
+    let config = one_host(&one, &names, "load");
+    let mut node = Node::with(&config);
+    let at = node.at;
+    let mut clients: Vec<Client> = (0..20).map(|_| node.client()).collect();
+    for client in &mut clients {
+        client.ask("check", "3000", 1 + u64::from(client.socket.local_addr().unwrap().port()));
+        assert_eq!(client.answer(), (1, 0));
+    }
+    node.signal("-KILL");
+    assert_eq!(node.ends(), None);
+    let again = Node::with(&config.replace("127.0.0.1:0", &at.to_string()));
+    assert_eq!(again.at, at);
+    let mut client = again.client();
+    client.ask("check", "3000", 7);
+    assert_eq!(client.answer(), (1, 0));
+}
+
+// Clients.
+
+/// A gateway of which a request for `F2` waits for a load, asked on stream 9 by this client.
+fn waiting_for_a_load() -> (Node, Played, Client, usize, String) {
+    let (mut one, names) = (Played::new(), Directory::new(1));
+    let node = Node::with(&one_host(&one.host(), &names, "miss"));
+    let mut client = node.narrow_client();
+    client.send(&request(9, &id(9), "check", "5000", F2, b"in"));
+    let (line, order) = one.next_of("prewarm");
+    (node, one, client, line, order[1].clone())
+}
+
+/// The load is there now; what waited was taken back, so only what is asked now may be sent.
+fn nothing_but_what_is_asked_now(node: &Node, one: &mut Played, line: usize, order: &str) {
+    one.answer(line, order, "OK", "instances=1", b"");
+    let mut other = node.client();
+    other.send(&request(1, &id(77), "check", "5000", F2, b"in"));
+    let (line, command) = one.next_of("invoke");
+    assert_eq!(command[1], id(77), "a request whose client left while it waited was sent on");
+    one.answer(line, &id(77), "OK", "-", b"out");
+    assert_eq!(other.answer(), (1, 0));
+    assert!(one.next_within(Duration::from_millis(100)).is_none_or(|(_, c)| c[0] != "invoke"));
+}
+
+#[test]
+fn what_waits_for_a_load_is_not_sent_on_when_its_client_takes_it_back_or_leaves() {
+    for way in 0..4 {
+        let (node, mut one, mut client, line, order) = waiting_for_a_load();
+        match way {
+            0 => client.take_back(9),
+            // A half-close is an end: a client that leaves shows no more than that.
+            1 => client.socket.shutdown(std::net::Shutdown::Write).unwrap(),
+            2 => drop(client),
+            _ => client.reset(),
+        }
+        // It was read before this is, which came after it.
+        let mut other = node.client();
+        other.send(&request(1, &id(70), "no-such-class", "5000", F, b"in"));
+        assert_eq!(other.answer(), (1, 8));
+        nothing_but_what_is_asked_now(&node, &mut one, line, &order);
+    }
+}
+
+#[test]
+fn a_client_that_does_not_read_can_still_take_back_what_waits() {
+    for leaves in [false, true] {
+        let (node, mut one, mut client, line, order) = waiting_for_a_load();
+        // Answers that it does not read: far more waits for it than the bound.
+        client.send(&request(1, &id(1), "check", "5000", F, b"in"));
+        let (second, prewarm) = one.next_of("prewarm");
+        one.answer(second, &prewarm[1], "OK", "instances=1", b"");
+        let (at, _) = one.next_of("invoke");
+        one.answer(at, &id(1), "OK", "-", &vec![0; 250 << 10]);
+        node.logged("stream=1 status=served");
+        match leaves {
+            false => client.take_back(9),
+            true => client.socket.shutdown(std::net::Shutdown::Write).unwrap(),
+        }
+        let mut other = node.client();
+        other.send(&request(1, &id(70), "no-such-class", "5000", F, b"in"));
+        assert_eq!(other.answer(), (1, 8));
+        nothing_but_what_is_asked_now(&node, &mut one, line, &order);
+    }
+}
+
+#[test]
+fn a_client_that_sent_no_frame_and_leaves_takes_back_what_waits() {
+    let (node, mut one, mut client, line, order) = waiting_for_a_load();
+    client.send(&[0, 0, 0, 0, 100]);
+    assert_eq!(client.answer(), (0, 13), "it is told");
+    drop(client);
+    let mut other = node.client();
+    other.send(&request(1, &id(70), "no-such-class", "5000", F, b"in"));
+    assert_eq!(other.answer(), (1, 8));
+    nothing_but_what_is_asked_now(&node, &mut one, line, &order);
+}
+
+#[test]
+fn what_waits_for_a_hosts_connection_is_not_sent_on_when_its_client_takes_it_back() {
+    let (mut one, names) = (Played::narrow(), Directory::new(1));
+    // Connections may come up late here.
+    let slow = one_host(&one.host(), &names, "load")
+        .replace("\"connect_timeout\":250000", "\"connect_timeout\":9000000");
+    let node = Node::with(&slow);
+    one.deaf = true;
+    // The first takes the one place that the machine holds, the second has to wait for its connection.
+    let mut clients: Vec<Client> = (1..=3).map(|_| node.client()).collect();
+    for (n, client) in (1..).zip(&mut clients) {
+        client.send(&request(1, &id(n), "check", "5000", F, b"in"));
+        node.logged(&format!("run id={}", id(n)));
+    }
+    for client in &mut clients[1..] {
+        client.take_back(1);
+    }
+    let mut other = node.client();
+    other.send(&request(1, &id(70), "no-such-class", "5000", F, b"in"));
+    assert_eq!(other.answer(), (1, 8));
+    one.deaf = false;
+    let (line, command) = one.next_of("invoke");
+    assert_eq!(command[1], id(1));
+    // Long enough for the kernel to try the connections again.
+    let sent = one.next_within(Duration::from_millis(1_500));
+    assert!(sent.as_ref().is_none_or(|(_, c)| c[0] != "invoke"), "{sent:?}");
+    one.answer(line, &id(1), "OK", "-", b"out");
+    assert_eq!(clients[0].answer(), (1, 0));
+}
+
+#[test]
+fn an_answer_that_crosses_its_taking_back_is_dropped_and_the_stream_may_be_used_again() {
+    let (mut one, names) = (Played::new(), Directory::new(1));
+    let node = Node::with(&one_host(&one.host(), &names, "load"));
+    let mut client = node.client();
+    client.ask_as(1, &id(1), "post", "3000");
+    let (line, _) = one.next_of("invoke");
+    node.freeze();
+    // Both are there when it looks: the taking back, and the answer to what is taken back.
+    client.take_back(1);
+    client.ask_as(1, &id(2), "post", "3000");
+    one.answer(line, &id(1), "OK", "-", b"first");
+    node.wake();
+    let (line, command) = one.next_of("invoke");
+    assert_eq!(command[1], id(2));
+    one.answer(line, &id(2), "OK", "-", b"second");
+    // Whichever it read first, the second request gets its own answer and nothing else follows.
+    let mut frame = client.next();
+    if frame == Some(FromGateway::Answer(1, 0, None, b"first".to_vec())) {
+        frame = client.next();
+    }
+    assert_eq!(frame, Some(FromGateway::Answer(1, 0, None, b"second".to_vec())));
+    client.ask_as(2, &id(3), "no-such-class", "3000");
+    assert_eq!(client.answer(), (2, 8));
+}
+
+#[test]
+fn the_same_id_again_while_its_first_attempt_is_out_goes_to_another_connection() {
+    let (mut one, names) = (Played::new(), Directory::new(1));
+    let node = Node::with(&one_host(&one.host(), &names, "load"));
+    let mut client = node.client();
+    client.ask_as(1, &id(1), "check", "3000");
+    let (line, _) = one.next_of("invoke");
+    client.take_back(1);
+    client.ask_as(2, &id(1), "check", "3000");
+    let (again, command) = one.next_of("invoke");
+    assert_eq!((command[1].as_str(), again != line), (id(1).as_str(), true));
+    one.answer(line, &id(1), "OK", "-", b"first");
+    one.answer(again, &id(1), "OK", "-", b"second");
+    assert_eq!(client.next(), Some(FromGateway::Answer(2, 0, None, b"second".to_vec())));
+}
+
+#[test]
+fn a_place_is_not_taken_from_a_connection_on_which_a_request_has_just_come() {
+    let (one, names) = (host(good), Directory::new(1));
+    let node = Node::new(&[("s-1", &one)], &names, "load");
+    // 256 descriptors leave 116 places; all are taken, by clients that were served and have been idle for a while.
+    let mut clients: Vec<Client> = (0..116).map(|_| node.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.ask("check", "3000", n as u64);
+        assert_eq!(client.answer(), (1, 0));
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    node.freeze();
+    // The one that has been idle the longest asks, and another comes: both are there when it looks.
+    clients[0].ask("check", "3000", 500);
+    let mut newcomer = node.client();
+    newcomer.ask("check", "3000", 501);
+    node.wake();
+    assert_eq!(clients[0].answer(), (2, 0));
+    assert_eq!(newcomer.answer(), (1, 0));
+    assert_eq!(clients[1].next(), None, "the next longest gives way");
+}
+
+#[test]
+fn half_a_message_ends_its_connection_only_after_what_is_open_there_is_answered() {
+    let (mut one, names) = (Played::new(), Directory::new(1));
+    let node = Node::with(&one_host(&one.host(), &names, "load"));
+    let mut client = node.client();
+    client.ask_as(1, &id(1), "post", "5000");
+    let (line, _) = one.next_of("invoke");
+    client.send(&[200, 0, 0, 0, 100, 1]);
+    assert_eq!(client.answer(), (0, 13), "it is told");
+    one.answer(line, &id(1), "OK", "-", b"out");
+    assert_eq!(client.answer(), (1, 0));
+    assert_eq!(client.next(), None);
+}
+
+#[test]
+fn a_client_that_reads_slowly_is_waited_for_and_one_that_reads_nothing_is_not() {
+    const BODY: usize = 250 << 10;
+    for reads in [true, false] {
+        let (mut one, names) = (Played::new(), Directory::new(1));
+        let node = Node::with(&one_host(&one.host(), &names, "load"));
+        let mut client = node.narrow_client();
+        answered_at_length(&node, &mut one, &mut client, 4, BODY);
+        if !reads {
+            node.logged("closed connection");
+            continue;
+        }
+        // Longer than the two seconds for which one that reads nothing is waited for.
+        let mut part = vec![0; 30 << 10];
+        for _ in 0..6 {
+            std::io::Read::read_exact(&mut client.socket, &mut part).unwrap();
+            client.held.extend_from_slice(&part);
+            std::thread::sleep(Duration::from_millis(500));
+        }
+        let mut whole = 0;
+        while whole < 4 {
+            let Some(FromGateway::Answer(n, 0, None, body)) = client.next() else { panic!("cut off") };
+            assert_eq!(body, vec![n as u8; BODY]);
+            whole += 1;
+        }
+    }
+}
+
+// Hosts.
+
+#[test]
+fn a_late_second_copy_of_miss_is_not_taken_for_the_word_on_the_next_attempt() {
+    let (mut one, names) = (Played::new(), Directory::new(1));
+    let node = Node::with(&one_host(&one.host(), &names, "miss"));
+    let mut client = node.client();
+    client.ask_as(1, &id(1), "post", "5000");
+    let mut first = None;
+    let second = loop {
+        let (line, command) = one.next();
+        match (command[0].as_str(), first) {
+            ("prewarm", _) => one.answer(line, &command[1], "OK", "instances=1", b""),
+            ("invoke", None) => {
+                one.answer(line, &id(1), "MISS", "-", b"");
+                first = Some(line);
+            }
+            ("invoke", Some(_)) => break line,
+            other => panic!("{other:?}"),
+        }
+    };
+    // It runs there now, and the first answer comes a second time.
+    one.answer(first.unwrap(), &id(1), "MISS", "-", b"");
+    while let Some((line, command)) = one.next_within(Duration::from_millis(500)) {
+        assert_ne!(command[0], "invoke", "a post was sent a second time while it runs");
+        one.answer(line, &command[1], "OK", "instances=1", b"");
+    }
+    one.answer(second, &id(1), "OK", "-", b"out");
+    assert_eq!(client.next(), Some(FromGateway::Answer(1, 0, None, b"out".to_vec())));
+}
+
+#[test]
+fn an_answer_that_breaks_off_fails_a_post_and_one_that_comes_with_the_end_counts() {
+    for (way, code) in [("end", 13), ("reset", 13), ("whole", 0)] {
+        let (mut one, names) = (Played::new(), Directory::new(1));
+        let node = Node::with(&one_host(&one.host(), &names, "load"));
+        let mut client = node.client();
+        client.ask_as(1, &id(1), "post", "3000");
+        let (line, _) = one.next_of("invoke");
+        node.freeze();
+        let whole = b"*4\r\n$16\r\n0000000000000001\r\n$2\r\nOK\r\n$1\r\n-\r\n$3\r\nout\r\n";
+        let cut = if way == "whole" { whole.len() } else { whole.len() - 4 };
+        one.bytes(line, &whole[..cut]);
+        if way == "reset" {
+            one.reset(line)
+        } else {
+            one.end(line)
+        }
+        node.wake();
+        assert_eq!(client.answer(), (1, code), "{way}");
+        let more = one.next_within(Duration::from_millis(200));
+        assert!(more.as_ref().is_none_or(|(_, c)| c[0] != "invoke"), "{way}: {more:?}");
+    }
+}
+
+#[test]
+fn a_connection_that_never_comes_up_says_nothing_of_a_host_that_is_heard_on_another() {
+    let (mut one, names) = (Played::narrow(), Directory::new(1));
+    let node = Node::with(&one_host(&one.host(), &names, "load"));
+    let mut clients: Vec<Client> = (1..=4).map(|_| node.client()).collect();
+    clients[0].send(&request(1, &id(1), "check", "5000", F, b"in"));
+    let (line, _) = one.next_of("invoke");
+    one.deaf = true;
+    for n in 2..=4 {
+        clients[n as usize - 1].send(&request(1, &id(n), "check", "5000", F, b"in"));
+        node.logged(&format!("run id={}", id(n)));
+    }
+    one.answer(line, &id(1), "OK", "-", b"out");
+    assert_eq!(clients[0].answer(), (1, 0));
+    let line = node.logged("never_stood=true");
+    assert!(line.contains("no connection in time"), "{line}");
+    let run = node.logged(&format!("run id={}", id(4)));
+    let attempt = run.split(' ').find(|word| word.starts_with("attempt=")).unwrap();
+    let ended = node.logged(&format!("ended {attempt} "));
+    assert!(ended.contains("NotWritten"), "{ended}");
+}
+
+#[test]
+fn an_address_that_passes_to_another_id_serves_under_that_id_alone() {
+    for turned in [false, true] {
+        let (one, names) = (host(good), Directory::new(1));
+        let node = Node::new(&[("s-1", &one)], &names, "load");
+        let mut client = node.client();
+        client.ask("check", "3000", 1);
+        assert_eq!(client.answer(), (1, 0));
+        let before = host(good);
+        let mut list: Vec<(&str, SocketAddr, u16)> = vec![("s-2", one.at, 0), ("s-3", before.at, 1)];
+        if turned {
+            list.reverse();
+        }
+        names.tell(5, &list);
+        node.logged("list serial=5");
+        for n in 2..6 {
+            let stream = client.ask("post", "3000", n);
+            assert_eq!(client.answer(), (stream, 0));
+        }
+        assert_eq!((invokes(&one), invokes(&before)), (5, 0));
+        let log = std::fs::read_to_string(node.log()).unwrap();
+        let under = |id: &str| {
+            log.lines().filter(|l| l.contains("run id=") && l.contains(&format!("host={id} "))).count()
+        };
+        assert_eq!((under("s-1"), under("s-2"), under("s-3")), (1, 4, 0));
+    }
+}
+
+// The list.
+
+#[test]
+fn after_hup_a_list_that_only_the_new_directory_tells_is_taken_though_a_question_was_out() {
+    // The old directory never answers, so a question is out at any time.
+    let (one, two, names, later) = (host(good), host(good), Directory::new(1), Directory::new(1));
+    let hosts = [("s-1".to_owned(), one.at), ("s-2".to_owned(), two.at)];
+    let node = Node::with(&config(&hosts, names.at, "load"));
+    later.tell(3, &[("s-1", one.at, 1), ("s-2", two.at, 0)]);
+    node.freeze();
+    node.configure(&config(&hosts, later.at, "load"));
+    node.signal("-HUP");
+    node.wake();
+    node.logged("list serial=3");
+    let mut client = node.client();
+    for n in 0..10 {
+        let stream = client.ask("post", "3000", n);
+        assert_eq!(client.answer(), (stream, 0));
+    }
+    assert_eq!((invokes(&one), invokes(&two)), (0, 10));
+}
+
+// Settings of another customer.
+
+#[test]
+fn a_file_that_is_no_configuration_or_another_gateways_changes_nothing_on_hup() {
+    let (one, other, names, wrong) = (host(good), host(good), Directory::new(1), Directory::new(1));
+    let sound = one_host(&one, &names, "load");
+    let node = Node::with(&sound);
+    wrong.tell(9, &[("s-9", other.at, 0)]);
+    let elsewhere = one_host(&other, &wrong, "load");
+    let files = [
+        String::new(),
+        elsewhere[..elsewhere.len() / 2].to_owned(),
+        elsewhere.replace("\"check\"", "\"match\""),
+        elsewhere.replace("\"n0\"", "\"n7\""),
+        elsewhere.replace("\"profiles\"", "\"classes\""),
+    ];
+    for (n, file) in files.iter().enumerate() {
+        node.configure(file);
+        node.signal("-HUP");
+        let said = || {
+            let log = std::fs::read_to_string(node.log()).unwrap();
+            log.lines().filter(|line| line.contains("the configuration stays as it was")).count()
+        };
+        let end = std::time::Instant::now() + peers::PATIENCE;
+        while said() <= n {
+            assert!(std::time::Instant::now() < end, "file {n} was taken");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+    // The directory is the one it had.
+    names.tell(2, &[("s-1", one.at, 0)]);
+    node.logged("list serial=2");
+    let mut client = node.client();
+    client.ask("check", "3000", 1);
+    assert_eq!(client.answer(), (1, 0));
+    assert_eq!(invokes(&other), 0);
+}
+
+#[test]
+fn a_configuration_that_cant_be_used_ends_with_2_and_one_line_that_names_the_setting() {
+    let (one, names) = (host(good), Directory::new(1));
+    let sound = one_host(&one, &names, "load");
+    for (from, to, named) in [
+        ("\"profiles\"", "\"classes\"", "profiles"),
+        ("\"tick\":2000", "\"tick\":0", "tick"),
+        ("\"tick\":2000", "\"tick\":18446744073709551615", "tick"),
+        ("\"aim\":600000", "\"aim\":0", "aim"),
+        ("\"aim\":600000", "\"aim\":\"soon\"", "aim"),
+        ("\"give_up\":5000000", "\"give_up\":-1", "give_up"),
+        ("\"names\":", "\"directory\":", "names"),
+        ("\"memory_mb\":64", "\"memory_mb\":-1", "memory_mb"),
+        ("\"keep_alive\":10000000", "\"keep_alive\":18446744073709551615", "keep_alive"),
+    ] {
+        assert!(sound.contains(from));
+        let folder = tempfile::tempdir().unwrap();
+        let file = folder.path().join("config.json");
+        std::fs::write(&file, sound.replace(from, to)).unwrap();
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_cresswheel"));
+        let done = command.arg("platform").env("NODE_CONFIG", &file).output().unwrap();
+        let said = String::from_utf8_lossy(&done.stderr).into_owned();
+        assert_eq!(done.status.code(), Some(2), "{to}: {said}");
+        assert!(said.lines().count() == 1 && said.contains(named), "{to}: {said}");
+    }
+}
+
+#[test]
+fn an_answer_held_back_past_a_clients_time_is_made_up_for_by_one_of_our_own() {
+    let script = |word: &str, _: usize| if word == "invoke" { Do::Nothing } else { good(word, 0) };
+    let (one, names) = (host(script), Directory::new(1));
+    let node = Node::new(&[("s-1", &one)], &names, "load");
+    let mut client = node.client();
+    client.ask("post", "400", 1);
+    assert_eq!(client.answer(), (1, 13), "it may have run");
+}
--- /dev/null
+++ b/crates/cli/tests/peers/mod.rs
@@ -0,0 +1,489 @@
+//! What the tests of the gateway on the platform share: the process, and the clients, hosts and directory that a test
+//! plays.
+#![allow(dead_code)]
+
+use std::fmt::Write as _;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use cresswheel_platform_wire::client::{FromGateway, encode_bare, encode_request, take_from_gateway};
+use cresswheel_platform_wire::host::{encode_answer, take_command};
+use hickory_proto::op::{Message, MessageType, OpCode, Query};
+use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
+use hickory_proto::rr::{Name, RData, Record, RecordType};
+
+/// Nothing in these tests takes as long; what does is a failure.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+pub const F: &str = "7f3a9c21e0b4d655";
+
+/// What a host does with a command.
+pub enum Do {
+    Answer(&'static str, &'static str, &'static [u8]),
+    Bytes(&'static [u8]),
+    /// Ends the connection in good order.
+    End,
+    Nothing,
+}
+
+pub type Script = Arc<dyn Fn(&str, usize) -> Do + Send + Sync>;
+
+/// A host: answers by a script, which is told the command's first word and how often that came before.
+pub struct Host {
+    pub at: SocketAddr,
+    /// `word id-or-tag` of each command.
+    pub seen: Arc<Mutex<Vec<String>>>,
+}
+
+pub fn host(script: impl Fn(&str, usize) -> Do + Send + Sync + 'static) -> Host {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let seen: Arc<Mutex<Vec<String>>> = Arc::default();
+    let (script, noted): (Script, _) = (Arc::new(script), seen.clone());
+    std::thread::spawn(move || {
+        for socket in listener.incoming() {
+            let (script, noted) = (script.clone(), noted.clone());
+            std::thread::spawn(move || talk(socket.unwrap(), &script, &noted));
+        }
+    });
+    Host { at, seen }
+}
+
+pub fn talk(mut socket: TcpStream, script: &Script, seen: &Mutex<Vec<String>>) {
+    let (mut held, mut part) = (Vec::new(), [0; 4096]);
+    loop {
+        while let Some(command) = take_command(&mut held).expect("commands") {
+            let text = |n: usize| String::from_utf8_lossy(command.get(n).map_or(&[], |p| p)).into_owned();
+            let (word, id) = (text(0), text(1));
+            let before = {
+                let mut seen = seen.lock().unwrap();
+                let before = seen.iter().filter(|line| line.starts_with(&word)).count();
+                seen.push(format!("{word} {id}"));
+                before
+            };
+            let mut out = Vec::new();
+            match script(&word, before) {
+                Do::Answer(word, fields, body) => encode_answer(&mut out, &id, word, fields, body),
+                Do::Bytes(bytes) => out.extend_from_slice(bytes),
+                Do::End => return,
+                Do::Nothing => {}
+            }
+            if socket.write_all(&out).is_err() {
+                return;
+            }
+        }
+        match socket.read(&mut part) {
+            Ok(0) | Err(_) => return,
+            Ok(count) => held.extend_from_slice(&part[..count]),
+        }
+    }
+}
+
+pub fn good(word: &str, _: usize) -> Do {
+    match word {
+        "invoke" => Do::Answer("OK", "rivals=1", b"out"),
+        "prewarm" => Do::Answer("OK", "instances=1", b""),
+        _ => Do::Nothing,
+    }
+}
+
+/// A serial, and hosts with their priorities.
+pub type List = Arc<Mutex<(u32, Vec<(String, SocketAddr, u16)>)>>;
+
+/// A directory; it says nothing until it has hosts to tell of.
+#[derive(Clone)]
+pub struct Directory {
+    pub at: SocketAddr,
+    pub list: List,
+}
+
+impl Directory {
+    pub fn new(serial: u32) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let at = socket.local_addr().unwrap();
+        let list: List = Arc::new(Mutex::new((serial, vec![])));
+        let told = list.clone();
+        std::thread::spawn(move || {
+            let mut bytes = [0; 512];
+            while let Ok((count, from)) = socket.recv_from(&mut bytes) {
+                let asked = Message::from_vec(&bytes[..count]).unwrap();
+                let (serial, hosts) = told.lock().unwrap().clone();
+                if !hosts.is_empty() {
+                    socket.send_to(&answer(asked.metadata.id, serial, &hosts), from).unwrap();
+                }
+            }
+        });
+        Self { at, list }
+    }
+
+    pub fn tell(&self, serial: u32, hosts: &[(&str, SocketAddr, u16)]) {
+        let hosts = hosts.iter().map(|(id, at, priority)| ((*id).to_owned(), *at, *priority));
+        *self.list.lock().unwrap() = (serial, hosts.collect());
+    }
+}
+
+pub fn answer(id: u16, serial: u32, hosts: &[(String, SocketAddr, u16)]) -> Vec<u8> {
+    let name = |text: &str| Name::from_ascii(text).unwrap();
+    let service = name("_data._tcp.farm.lan.");
+    let mut message = Message::new(id, MessageType::Response, OpCode::Query);
+    message.add_query(Query::query(service.clone(), RecordType::SRV));
+    for (id, at, priority) in hosts {
+        let target = name(&format!("{id}.east.hosts."));
+        let SocketAddr::V4(at) = at else { unreachable!("hosts are on IPv4") };
+        let srv = SRV::new(*priority, 40, at.port(), target.clone());
+        message.add_answer(Record::from_rdata(service.clone(), 1, RData::SRV(srv)));
+        message.add_additional(Record::from_rdata(target.clone(), 1, RData::A(A(*at.ip()))));
+        let text = TXT::new(vec!["kind=std".into(), "cell=1".into(), "started=0".into()]);
+        message.add_additional(Record::from_rdata(target, 1, RData::TXT(text)));
+    }
+    let soa = SOA::new(name("ns.farm.lan."), name("op.farm.lan."), serial, 1, 1, 1, 1);
+    message.add_authority(Record::from_rdata(name("farm.lan."), 1, RData::SOA(soa)));
+    message.to_vec().unwrap()
+}
+
+pub struct Node {
+    pub child: Child,
+    pub at: SocketAddr,
+    pub folder: tempfile::TempDir,
+    pub hosts: Vec<(String, SocketAddr)>,
+    pub absent: &'static str,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn config(hosts: &[(String, SocketAddr)], names: SocketAddr, absent: &str) -> String {
+    let mut members = String::new();
+    for (id, at) in hosts {
+        let comma = if members.is_empty() { "" } else { "," };
+        let _ = write!(
+            members,
+            "{comma}{{\"id\":\"{id}\",\"host_port\":\"{at}\",\"locality\":\"east\",\"flavor\":\"std\",\"cell\":1,\
+             \"phase\":\"Ready\",\"size\":4,\"up_since_ms\":0}}"
+        );
+    }
+    let class = |name: &str, semantics: &str| {
+        format!(
+            "{{\"name\":\"{name}\",\"aim\":600000,\"give_up\":5000000,\"semantics\":\"{semantics}\",\"value\":2.0}}"
+        )
+    };
+    format!(
+        "{{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"seed\":\"01\",\"names\":\"{names}\",\
+         \"limits\":{{\"cores\":1.0,\"memory_mb\":64,\"sockets\":256}},\
+         \"known\":{{\"pos\":1,\"entries\":[{{\"pos\":1,\"hosts\":{{\"revision\":1,\"complete\":true,\
+         \"members\":[{members}]}}}}]}},\
+         \"settings\":{{\"balancers\":1,\"tick\":2000,\"profiles\":[{},{}],\
+         \"limits\":{{\"max_attempts\":5,\"cancel\":true,\"connect_timeout\":250000,\"retry_after\":true,\
+         \"max_retry_after\":2000000}},\"rules\":{{\"drain_grace\":1000000}},\
+         \"specifics\":{{\"may_load\":true,\"when_absent\":\"{absent}\",\"keep_alive\":10000000,\
+         \"load_wait\":10000000}}}}}}",
+        class("check", "idempotent"),
+        class("post", "at_most_once")
+    )
+}
+
+impl Node {
+    pub fn new(hosts: &[(&str, &Host)], names: &Directory, absent: &'static str) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cresswheel"));
+        command.args(["--log", "debug", "platform"]);
+        Self::start(command, hosts, names, absent)
+    }
+
+    pub fn start(command: Command, hosts: &[(&str, &Host)], names: &Directory, absent: &'static str) -> Self {
+        let hosts: Vec<_> = hosts.iter().map(|(id, host)| ((*id).to_owned(), host.at)).collect();
+        let mut node = Self::of(command, &config(&hosts, names.at, absent));
+        (node.hosts, node.absent) = (hosts, absent);
+        node
+    }
+
+    /// One with this configuration.
+    pub fn with(config: &str) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cresswheel"));
+        command.args(["--log", "debug", "platform"]);
+        Self::of(command, config)
+    }
+
+    fn of(mut command: Command, config: &str) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let file = folder.path().join("config.json");
+        std::fs::write(&file, config).unwrap();
+        let log = std::fs::File::create(folder.path().join("log")).unwrap();
+        let child = command.env("NODE_CONFIG", &file).stdin(Stdio::null()).stderr(log).spawn().unwrap();
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut node = Self { child, at: nowhere, folder, hosts: Vec::new(), absent: "" };
+        let line = node.logged("listens address=");
+        node.at = line.rsplit('=').next().unwrap().parse().unwrap();
+        node
+    }
+
+    pub fn log(&self) -> PathBuf {
+        self.folder.path().join("log")
+    }
+
+    /// Waits until the log has a line with these words.
+    pub fn logged(&self, words: &str) -> String {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let log = std::fs::read_to_string(self.log()).unwrap();
+            // The last line may not be whole yet.
+            let whole = log.rsplit_once('\n').map_or("", |(whole, _)| whole);
+            if let Some(line) = whole.lines().find(|line| line.contains(words)) {
+                return line.to_owned();
+            }
+            assert!(Instant::now() < end, "the log never said {words:?}:\n{log}");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(done.success());
+    }
+
+    /// Replaces its configuration.
+    pub fn configure(&self, config: &str) {
+        std::fs::write(self.folder.path().join("config.json"), config).unwrap();
+    }
+
+    /// Stops the process where it stands: what others do now comes to it all at once when it is woken.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+        let end = Instant::now() + PATIENCE;
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&stat).unwrap().rsplit(')').next().unwrap().starts_with(" T") {
+            assert!(Instant::now() < end, "it never stopped");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    pub fn wake(&self) {
+        self.signal("-CONT");
+    }
+
+    pub fn client(&self) -> Client {
+        Client::of(TcpStream::connect(self.at).unwrap())
+    }
+
+    /// A client for which the kernel holds some tens of kilobytes at most until it reads: its window and its segments
+    /// are small, and with them the buffer at the gateway's side.
+    pub fn narrow_client(&self) -> Client {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(4 << 10).unwrap();
+        socket.set_tcp_mss(536).unwrap();
+        socket.connect(&self.at.into()).unwrap();
+        Client::of(socket.into())
+    }
+
+    pub fn ends(&mut self) -> Option<i32> {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            assert!(Instant::now() < end, "it never ended");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+pub struct Client {
+    pub socket: TcpStream,
+    pub held: Vec<u8>,
+    next: u32,
+}
+
+impl Client {
+    fn of(socket: TcpStream) -> Self {
+        socket.set_read_timeout(Some(PATIENCE)).unwrap();
+        Self { socket, held: Vec::new(), next: 0 }
+    }
+
+    /// Asks; the stream is the number of the request on this connection, and the id is made from it and `salt`.
+    pub fn ask(&mut self, class: &str, wait: &str, salt: u64) -> u32 {
+        self.next += 1;
+        let id = format!("{:08x}{:08x}", salt, self.next);
+        self.ask_as(self.next, &id, class, wait);
+        self.next
+    }
+
+    pub fn ask_as(&mut self, stream: u32, id: &str, class: &str, wait: &str) {
+        self.send(&request(stream, id, class, wait, F, b"in"));
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.socket.write_all(bytes).unwrap();
+    }
+
+    /// Takes back what was asked on a stream.
+    pub fn take_back(&mut self, stream: u32) {
+        let mut out = Vec::new();
+        encode_bare(&mut out, false, stream);
+        self.send(&out);
+    }
+
+    /// Closes with a reset.
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.socket).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
+    /// The next frame; `None`: the connection has ended.
+    pub fn next(&mut self) -> Option<FromGateway> {
+        loop {
+            if let Some(frame) = take_from_gateway(&mut self.held).unwrap() {
+                return Some(frame);
+            }
+            let mut part = [0; 4096];
+            match self.socket.read(&mut part) {
+                Ok(0) => return None,
+                Ok(count) => self.held.extend_from_slice(&part[..count]),
+                Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                Err(error) => panic!("{error}"),
+            }
+        }
+    }
+
+    /// The next answer: its stream and its code.
+    pub fn answer(&mut self) -> (u32, u8) {
+        loop {
+            match self.next().expect("an answer") {
+                FromGateway::Answer(stream, code, ..) => return (stream, code),
+                FromGateway::Leaving => {}
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+}
+
+/// The bytes of a request.
+pub fn request(stream: u32, id: &str, class: &str, wait: &str, function: &str, body: &[u8]) -> Vec<u8> {
+    let fields = [
+        ("class", class),
+        ("id", id),
+        ("wait", wait),
+        ("key", function),
+        ("spec", "memory_mb:512;lanes:4;load_ms:1"),
+    ];
+    let mut out = Vec::new();
+    encode_request(&mut out, stream, &fields, body);
+    out
+}
+
+/// A host of which the test speaks every word itself, on each of its connections.
+pub struct Played {
+    listener: TcpListener,
+    pub at: SocketAddr,
+    lines: Vec<Option<(TcpStream, Vec<u8>)>>,
+    /// Connections that come are left waiting.
+    pub deaf: bool,
+}
+
+impl Played {
+    pub fn new() -> Self {
+        Self::of(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    /// One whose machine holds one connection that it did not take yet; further ones don't come up.
+    pub fn narrow() -> Self {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        Self::of(socket.into())
+    }
+
+    fn of(listener: TcpListener) -> Self {
+        listener.set_nonblocking(true).unwrap();
+        let at = listener.local_addr().unwrap();
+        Self { listener, at, lines: Vec::new(), deaf: false }
+    }
+
+    pub fn host(&self) -> Host {
+        Host { at: self.at, seen: Arc::default() }
+    }
+
+    /// The next command, and the number of the connection that it came on.
+    pub fn next(&mut self) -> (usize, Vec<String>) {
+        self.next_within(PATIENCE).expect("a command")
+    }
+
+    /// The same; `None`: there was none for so long.
+    pub fn next_within(&mut self, span: Duration) -> Option<(usize, Vec<String>)> {
+        let end = Instant::now() + span;
+        loop {
+            if let Some(found) = self.look() {
+                return Some(found);
+            }
+            if Instant::now() > end {
+                return None;
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn look(&mut self) -> Option<(usize, Vec<String>)> {
+        if !self.deaf
+            && let Ok((socket, _)) = self.listener.accept()
+        {
+            socket.set_nonblocking(true).unwrap();
+            self.lines.push(Some((socket, Vec::new())));
+        }
+        for (number, line) in self.lines.iter_mut().enumerate() {
+            let Some((socket, held)) = line else { continue };
+            let mut part = [0; 64 << 10];
+            if let Ok(count) = socket.read(&mut part) {
+                held.extend_from_slice(&part[..count]);
+            }
+            if let Some(command) = take_command(held).expect("commands") {
+                let text = |part: &Vec<u8>| String::from_utf8_lossy(part).into_owned();
+                return Some((number, command.iter().map(text).collect()));
+            }
+        }
+        None
+    }
+
+    /// The next command with this first word; others are passed over.
+    pub fn next_of(&mut self, word: &str) -> (usize, Vec<String>) {
+        loop {
+            let (line, command) = self.next();
+            if command[0] == word {
+                return (line, command);
+            }
+        }
+    }
+
+    pub fn answer(&mut self, line: usize, id: &str, word: &str, fields: &str, body: &[u8]) {
+        let mut out = Vec::new();
+        encode_answer(&mut out, id, word, fields, body);
+        self.bytes(line, &out);
+    }
+
+    pub fn bytes(&mut self, line: usize, bytes: &[u8]) {
+        let (socket, _) = self.lines[line].as_mut().expect("a connection that was not ended");
+        socket.set_nonblocking(false).unwrap();
+        socket.write_all(bytes).unwrap();
+        socket.set_nonblocking(true).unwrap();
+    }
+
+    /// Ends a connection in good order.
+    pub fn end(&mut self, line: usize) {
+        self.lines[line] = None;
+    }
+
+    /// Ends a connection with a reset.
+    pub fn reset(&mut self, line: usize) {
+        if let Some((socket, _)) = self.lines[line].take() {
+            socket2::SockRef::from(&socket).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+    }
+}
+
+pub fn invokes(host: &Host) -> usize {
+    host.seen.lock().unwrap().iter().filter(|line| line.starts_with("invoke")).count()
+}
--- a/crates/clients/src/clients.rs
+++ b/crates/clients/src/clients.rs
@@ -167,7 +167,9 @@
         // It is gone already; what it asked, if anything, comes before its end.
         let Some(address) = hub.peer(connection) else { return hub.close(connection, "gone at the door") };
         let slot = slot(connection);
-        match self.door.arrives(hub.clock().now(), slot, address.ip(), http) {
+        let (now, states) = (hub.clock().now(), &self.states);
+        let quiet = |slot: usize| states[slot].connection.is_none_or(|other| hub.is_quiet(other));
+        match self.door.arrives(now, slot, address.ip(), http, quiet) {
             Arrival::Welcome => {}
             Arrival::Instead(other) => {
                 self.states[other].connection.into_iter().for_each(|other| hub.close(other, "room-needed"));
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -718,6 +718,7 @@
             streams,
             spread: streams,
             connect_timeout: self.settings.engine.module.connect_timeout,
+            idle: self.settings.shell.worker_idle,
         };
         let hello = hello(&self.settings);
         let (begin, frame) =
--- a/crates/platform-wire/src/config.rs
+++ b/crates/platform-wire/src/config.rs
@@ -2,12 +2,15 @@
 
 use std::net::SocketAddr;
 
-use cresswheel::{PairError, Pairs, Settings};
+use cresswheel::{PairError, Pairs, Settings, SettingsError};
 use serde::Deserialize;
 use serde_json::Value;
 
 use crate::directory::Known;
 
+/// The longest span that means anything, in microseconds: a year. Sums of a few of them are numbers still.
+const LONGEST: u64 = 31_536_000_000_000;
+
 /// What a gateway is told.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Config {
@@ -45,16 +48,25 @@
 pub enum ConfigError {
     /// It is no JSON of this form.
     #[error("configuration: {0}")]
-    Form(#[from] serde_json::Error),
+    Form(#[from] serde_path_to_error::Error<serde_json::Error>),
+    /// More follows where it should end.
+    #[error("configuration: {0}")]
+    End(#[from] serde_json::Error),
     /// A setting is missing or means nothing.
     #[error("configuration, settings: {0}")]
     Setting(#[from] PairError),
+    /// Together they make no sense.
+    #[error("configuration, {0}")]
+    Senseless(#[from] SettingsError),
 }
 
 impl Config {
     /// Reads the text of the file.
     pub fn read(text: &str) -> Result<Self, ConfigError> {
-        Ok(serde_json::from_str(text)?)
+        let mut text = serde_json::Deserializer::from_str(text);
+        let config = serde_path_to_error::deserialize(&mut text)?;
+        text.end()?;
+        Ok(config)
     }
 
     /// The settings as pairs of path and text.
@@ -66,7 +78,27 @@
 
     /// The module's settings.
     pub fn module(&self) -> Result<Settings, ConfigError> {
-        Ok(self.pairs().settings()?)
+        let settings = self.pairs().settings()?;
+        if settings.classes.is_empty() {
+            return Err(PairError::Absent("profiles".into()).into());
+        }
+        settings.check()?;
+        let spans = [
+            ("tick", settings.tick),
+            ("profiles, aim", settings.classes.iter().map(|class| class.aim).max().unwrap_or(0)),
+            ("profiles, give_up", settings.classes.iter().map(|class| class.give_up).max().unwrap_or(0)),
+            ("specifics.keep_alive", settings.keep_alive),
+            ("specifics.load_wait", settings.order_timeout),
+            ("limits.connect_timeout", settings.connect_timeout),
+            ("limits.max_retry_after", settings.max_retry_after),
+            ("rules.drain_grace", settings.drain_grace),
+            ("rules.warm_up", settings.cold.warm_up),
+            ("rules.fall", settings.cold.window),
+        ];
+        match spans.into_iter().find(|(_, span)| *span > LONGEST) {
+            Some((path, span)) => Err(PairError::Bad { path: path.into(), text: span.to_string() }.into()),
+            None => Ok(settings),
+        }
     }
 
     /// The seed as a number; 0 if it is none.
--- a/crates/platform/src/directory.rs
+++ b/crates/platform/src/directory.rs
@@ -1,8 +1,8 @@
 //! The directory, asked again and again.
 //!
 //! An event counts as told when an answer that holds it is sent, and 1.5 s after it happened at the latest, whether
-//! the answer comes here or not. The shortest drain grace is a second, so an answer that got lost must be made up
-//! for well within one.
+//! the answer comes here or not. So an answer that got lost must be made up for well within the grace that the
+//! settings give a drain: a question without a good answer is soon asked again.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -11,8 +11,16 @@
 use cresswheel_platform_wire::directory::{self, Listing};
 use cresswheel_transport::Hub;
 
-/// Between two questions: four of five may be lost within a second, and five small answers a second cost nothing.
-const PERIOD: Micros = 200_000;
+/// Questions within a drain's grace, besides those that are asked again: an event may happen right after an answer.
+const IN_A_GRACE: Micros = 5;
+/// However long the grace, it is asked that often: an event counts as told 1.5 s after it happened at the latest.
+const LONGEST: Micros = 200_000;
+/// However short, no more often: each gateway of a fleet asks.
+const SHORTEST: Micros = 50_000;
+/// A question without a good answer is asked again after this part of the period, so many times in a row; then it
+/// is the directory that does not answer, and is asked at the usual pace.
+const AGAIN: Micros = 4;
+const AGAIN_AT_MOST: u32 = 7;
 /// Questions whose answers are still good.
 const RECENT: usize = 8;
 
@@ -20,7 +28,11 @@
 pub struct Directory {
     socket: Option<usize>,
     address: SocketAddr,
+    period: Micros,
+    asked: Micros,
     next: Micros,
+    /// Questions since the last good answer.
+    unanswered: u32,
     id: u16,
     recent: VecDeque<u16>,
     serial: u64,
@@ -30,10 +42,21 @@
 }
 
 impl Directory {
-    /// A directory whose events up to `serial` are known.
-    pub fn new(now: Micros, address: SocketAddr, serial: u64, seed: u64) -> Self {
-        let (id, recent) = (seed as u16, VecDeque::new());
-        Self { socket: None, address, next: now, id, recent, serial, heard: now, silent: false }
+    /// A directory whose events up to `serial` are known; a drain that it told is to be kept within `grace`.
+    pub fn new(now: Micros, address: SocketAddr, serial: u64, seed: u64, grace: Micros) -> Self {
+        Self {
+            socket: None,
+            address,
+            period: (grace / IN_A_GRACE).clamp(SHORTEST, LONGEST),
+            asked: now,
+            next: now,
+            unanswered: 0,
+            id: seed as u16,
+            recent: VecDeque::new(),
+            serial,
+            heard: now,
+            silent: false,
+        }
     }
 
     /// It is at another address from now on; its events are numbered on.
@@ -43,7 +66,7 @@
             self.address = address;
             self.socket.take().into_iter().for_each(|socket| hub.close_datagrams(socket));
             self.recent.clear();
-            self.next = 0;
+            (self.next, self.unanswered) = (0, 0);
         }
     }
 
@@ -67,8 +90,10 @@
         if now < self.next {
             return;
         }
-        self.next = now + PERIOD;
-        if !self.silent && now.saturating_sub(self.heard) > 10 * PERIOD {
+        let again = self.unanswered < AGAIN_AT_MOST;
+        self.next = now + if again { self.period / AGAIN } else { self.period };
+        (self.asked, self.unanswered) = (now, self.unanswered.saturating_add(1));
+        if !self.silent && now.saturating_sub(self.heard) > 10 * self.period {
             self.silent = true;
             tracing::warn!(serial = self.serial, "the directory is silent");
         }
@@ -104,7 +129,8 @@
                 if std::mem::replace(&mut self.silent, false) {
                     tracing::info!("the directory answers again");
                 }
-                self.heard = now;
+                (self.heard, self.unanswered) = (now, 0);
+                self.next = self.next.max(self.asked + self.period);
                 let newer = listing.serial > self.serial;
                 self.serial = self.serial.max(listing.serial);
                 newer.then_some(listing)
@@ -131,7 +157,7 @@
 
     #[test]
     fn only_a_whole_answer_to_a_recent_question_that_is_newer_counts() {
-        let mut directory = Directory::new(0, ([127, 0, 0, 1], 9).into(), 5, 40);
+        let mut directory = Directory::new(0, ([127, 0, 0, 1], 9).into(), 5, 40, 1_000_000);
         directory.recent.extend([41, 42]);
         assert!(directory.answered(1, &told(43, 9)).is_none(), "another id");
         assert!(directory.answered(1, &told(41, 9)[..20]).is_none(), "cut");
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -11,10 +11,13 @@
 
 use crate::settings::PER_CONNECTION;
 
-/// Bytes waiting for a client from which on no more is read from it.
+/// Bytes waiting for a client from which on it is held not to read: what it asks is turned away. It is read on, as it
+/// may take back what it asked before.
 const BACKLOG: usize = 64 << 10;
 /// A connection that sent so many requests that can't be used is closed.
 const UNUSABLE: u32 = 8;
+/// So is one that asked so often without reading.
+const UNREAD: u32 = 1_000;
 
 /// What clients ask.
 #[derive(Debug)]
@@ -32,6 +35,8 @@
     /// Streams that are owed an answer, and the ids asked for on them.
     streams: HashMap<u32, String>,
     unusable: u32,
+    /// It does not read: what waited for it when that was looked at last, and how often it asked since.
+    stalled: Option<(usize, u32)>,
     /// What it sent was no frame, or the like: it is told, hears what it is owed, and is closed.
     ending: bool,
 }
@@ -40,6 +45,8 @@
 pub struct Front {
     door: Door,
     places: usize,
+    /// Clients that read slowly are waited for while no more than this waits for all of them.
+    most_unread: usize,
     guests: HashMap<Connection, Guest>,
     by_slot: HashMap<usize, Connection>,
     /// Ids of open requests.
@@ -56,6 +63,7 @@
         Self {
             door: Door::new(now, limits),
             places: limits.connections,
+            most_unread: limits.half_bytes,
             guests: HashMap::new(),
             by_slot: HashMap::new(),
             ids: HashSet::new(),
@@ -74,11 +82,6 @@
         self.door.counts()
     }
 
-    /// Whether answers still wait to be written.
-    pub fn owes(&self, hub: &Hub) -> bool {
-        self.guests.keys().any(|connection| hub.backlog(*connection) > 0)
-    }
-
     /// Tells all clients to send nothing new here. What comes all the same is taken as before.
     pub fn leave(&mut self, hub: &mut Hub) {
         self.leaving = true;
@@ -87,8 +90,9 @@
         }
     }
 
-    /// Takes no more connections.
+    /// Takes no more connections after those that wait to be accepted.
     pub fn shut(&mut self, hub: &mut Hub) {
+        hub.accept_waiting();
         hub.stop_listening();
         self.leave(hub);
     }
@@ -103,10 +107,7 @@
             }
             Notice::Flushed(connection) if self.guests.contains_key(&connection) => {
                 self.door.sign(now, slot(connection), Sign::Reads);
-                let ending = self.guests.get(&connection).is_some_and(|guest| guest.ending);
-                if !ending {
-                    hub.pause(connection, false);
-                }
+                self.guests.entry(connection).and_modify(|guest| guest.stalled = None);
             }
             Notice::Closed { connection, guest: true, .. } => {
                 // One that was turned away at the door is closed as well, and was never here.
@@ -129,7 +130,9 @@
         }
         // All clients come through the platform's front layer: their addresses tell nothing of who they are.
         let address = Ipv4Addr::UNSPECIFIED.into();
-        match self.door.arrives(hub.clock().now(), slot(connection), address, false) {
+        let (now, by_slot) = (hub.clock().now(), &self.by_slot);
+        let quiet = |slot| by_slot.get(&slot).is_none_or(|other| hub.is_quiet(*other));
+        match self.door.arrives(now, slot(connection), address, false, quiet) {
             Arrival::Welcome => {}
             Arrival::Instead(other) => {
                 self.by_slot.get(&other).into_iter().for_each(|other| hub.close(*other, "room-needed"));
@@ -140,7 +143,7 @@
             }
         }
         let decoder = ClientDecoder::default();
-        let guest = Guest { decoder, streams: HashMap::new(), unusable: 0, ending: false };
+        let guest = Guest { decoder, streams: HashMap::new(), unusable: 0, stalled: None, ending: false };
         self.guests.insert(connection, guest);
         self.by_slot.insert(slot(connection), connection);
         if self.leaving {
@@ -182,6 +185,7 @@
                 hub.write(connection, None, |out| client::ready(out, stream, is_ready));
                 self.door.asks(hub.clock().now(), slot(connection), "");
                 self.door.answered(hub.clock().now(), slot(connection));
+                self.watch_backlog(hub, connection);
             }
             FromClient::TakenBack(stream) => {
                 if let Some(id) = guest.streams.remove(&stream) {
@@ -203,7 +207,9 @@
                 }
             }
             FromClient::Request(stream, Ok(request)) => {
-                let why = if guest.streams.len() >= PER_CONNECTION {
+                let why = if guest.stalled.is_some() {
+                    Some("does-not-read")
+                } else if guest.streams.len() >= PER_CONNECTION {
                     Some("connection-full")
                 } else if self.ids.contains(&request.id) {
                     Some("id-in-use")
@@ -228,15 +234,15 @@
         self.watch_backlog(hub, connection);
     }
 
-    /// Tells the client what was wrong. What it is owed it still gets; nothing more is read.
+    /// Tells the client what was wrong. What it is owed it still gets. Nothing more that comes is looked at, but it is
+    /// read, so that its end is seen.
     fn end(&mut self, hub: &mut Hub, connection: Connection, why: &str) {
         tracing::debug!(connection, why, "a client's connection ends");
         hub.write(connection, None, |out| client::answer(out, 0, Code::Failed, None, why.as_bytes()));
         let Some(guest) = self.guests.get_mut(&connection) else { return };
         guest.ending = true;
-        match guest.streams.is_empty() {
-            true => hub.finish(connection),
-            false => hub.pause(connection, true),
+        if guest.streams.is_empty() {
+            hub.finish(connection);
         }
     }
 
@@ -271,10 +277,59 @@
     }
 
     fn watch_backlog(&mut self, hub: &mut Hub, connection: Connection) {
-        if hub.backlog(connection) > BACKLOG {
-            hub.pause(connection, true);
-            self.door.sign(hub.clock().now(), slot(connection), Sign::Stalled);
+        let backlog = hub.backlog(connection);
+        let Some(guest) = self.guests.get_mut(&connection).filter(|_| backlog > BACKLOG) else { return };
+        let (_, asked) = guest.stalled.get_or_insert((backlog, 0));
+        *asked += 1;
+        if *asked > UNREAD {
+            guest.ending = true;
+            return hub.close(connection, "asks and does not read");
         }
+        hub.tell_flushed(connection);
+        self.door.sign(hub.clock().now(), slot(connection), Sign::Stalled);
+    }
+
+    /// The time of a connection is up, for that reason. What came in this very moment is seen to first.
+    fn time_is_up(&mut self, hub: &mut Hub, connection: Connection, why: &'static str) {
+        let (now, slot) = (hub.clock().now(), slot(connection));
+        let unread: usize = self.stalled().map(|(connection, _)| hub.backlog(connection)).sum();
+        let Some(guest) = self.guests.get_mut(&connection) else { return };
+        let backlog = hub.backlog(connection);
+        match (&mut guest.stalled, why) {
+            // It reads, if slowly: its time begins anew.
+            (Some((before, _)), _) if backlog < *before && unread <= self.most_unread => {
+                *before = backlog;
+                self.door.sign(now, slot, Sign::Stalled);
+            }
+            // What is open is still answered.
+            (None, "half-sent" | "half-bytes") if !guest.streams.is_empty() => {
+                self.door.sign(now, slot, Sign::Heard(0));
+                self.end(hub, connection, why);
+            }
+            (None, "half-sent" | "half-bytes") => hub.close(connection, why),
+            (None, _) if !hub.is_quiet(connection) => self.door.sign(now, slot, Sign::Heard(0)),
+            _ => {
+                tracing::debug!(connection, why, "closed");
+                hub.close(connection, why);
+            }
+        }
+    }
+
+    fn stalled(&self) -> impl Iterator<Item = (Connection, &Guest)> {
+        let all = self.guests.iter().map(|(connection, guest)| (*connection, guest));
+        all.filter(|(_, guest)| guest.stalled.is_some())
+    }
+
+    /// Ends all connections on which nothing is out any more, each once what came on it is seen to and what waits for
+    /// it is written. True: none is left.
+    pub fn finish_all(&mut self, hub: &mut Hub) -> bool {
+        for (connection, guest) in &mut self.guests {
+            if !guest.ending && hub.backlog(*connection) == 0 && hub.is_quiet(*connection) {
+                guest.ending = true;
+                hub.finish(*connection);
+            }
+        }
+        self.guests.is_empty()
     }
 
     /// Does what is due at the door, and opens or closes it.
@@ -284,8 +339,7 @@
             if let Act::Close(slot, why) = act
                 && let Some(connection) = self.by_slot.get(&slot)
             {
-                tracing::debug!(connection, why, "closed");
-                hub.close(*connection, why);
+                self.time_is_up(hub, *connection, why);
             }
         }
         let room = self.door.may_accept(now).is_ok();
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -1,7 +1,8 @@
 //! Connections to hosts: commands out, answers in.
 //!
-//! A host's answer names the request's id, which stays the same over all its attempts. So a connection on which an
-//! id was given up, and may still be answered, gets no further attempt under that id.
+//! A host's answer names the request's id, which stays the same over all its attempts, and a second copy of an answer
+//! may come late. So a connection that carried an id gets no further attempt under it for a while: a late copy of
+//! 'busy' would be taken for the word on an attempt that runs.
 
 use std::net::SocketAddr;
 
@@ -16,11 +17,12 @@
 /// What an id or tag on a connection stands for.
 #[derive(Clone, Copy, Debug)]
 enum Name {
-    Attempt(u64, Micros),
+    /// When it was sent, and how long its connection is barred to others under its id once it is over.
+    Attempt(u64, Micros, Micros),
     Order(u64),
     Probe,
-    /// Nobody waits for it, but an answer may be on its way.
-    GivenUp,
+    /// It was answered or given up; nobody waits for it, but an answer may be on its way until then.
+    Over(Micros),
 }
 
 /// One connection.
@@ -38,6 +40,15 @@
     started: Micros,
 }
 
+/// How much later than the first a second copy of an answer is reckoned with.
+#[derive(Clone, Copy, Debug)]
+pub struct Late {
+    /// Of calls that must not run twice: as long as any of them goes on.
+    pub unsafe_calls: Micros,
+    /// Of others: a copy that is taken for another answer costs an attempt, and another connection costs as well.
+    pub others: Micros,
+}
+
 /// What was counted since the start.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HostCounts {
@@ -53,6 +64,7 @@
     limits: CarrierLimits,
     /// Connections to all hosts together.
     most: usize,
+    late: Late,
     lines: HashMap<Connection, Line>,
     places: HashMap<WorkerId, Place>,
     /// The connection and the id of each attempt that is out.
@@ -62,11 +74,12 @@
 }
 
 impl Hosts {
-    pub fn new(limits: CarrierLimits, most: usize) -> Self {
+    pub fn new(limits: CarrierLimits, most: usize, late: Late) -> Self {
         Self {
             carriers: Carriers::default(),
             limits,
             most,
+            late,
             lines: HashMap::new(),
             places: HashMap::new(),
             out: HashMap::new(),
@@ -144,11 +157,12 @@
             // Those that stand are shared; a host without one has to wait for a place.
             limits.connections = 0;
         }
-        let lines = &self.lines;
-        let usable = |connection| lines.get(&connection).is_none_or(|line| !line.names.contains_key(id));
+        let (now, lines) = (hub.clock().now(), &self.lines);
+        let is_over = |name: &Name| matches!(name, Name::Over(until) if *until <= now);
+        let name_of = |connection| lines.get(&connection).and_then(|line: &Line| line.names.get(id));
+        let usable = |connection| name_of(connection).is_none_or(is_over);
         let to = (worker, place.address);
         let connection = self.carriers.give(hub, &limits, to, (cargo, frame), usable, |_| {})?;
-        let now = hub.clock().now();
         let new = || Line { decoder: HostDecoder::default(), names: HashMap::new(), opened: now, heard: now };
         self.lines.entry(connection).or_insert_with(new).names.insert(id.to_owned(), name);
         Some(connection)
@@ -158,7 +172,8 @@
     pub fn run(&mut self, hub: &mut Hub, attempt: &Attempt) -> Option<Input> {
         let call = &attempt.call;
         let patience = (attempt.timeout.min(attempt.time_left) / 1_000).max(1);
-        let name = Name::Attempt(attempt.number, hub.clock().now());
+        let late = if attempt.is_repeatable { self.late.others } else { self.late.unsafe_calls };
+        let name = Name::Attempt(attempt.number, hub.clock().now(), late);
         let cargo = Cargo::Attempt(attempt.number);
         let frame = |out: &mut Vec<u8>| {
             host::invoke(out, &call.trace, &call.class, &call.function, patience, &call.body);
@@ -245,10 +260,12 @@
         tracing::debug!(connection, id, "abort");
         self.carriers.call_off(hub, attempt, |out| host::abort(out, &id));
         let Some(line) = self.lines.get_mut(&connection) else { return };
-        let before = line.names.insert(id, Name::GivenUp);
-        if matches!(before, Some(Name::Attempt(_, sent)) if line.heard <= sent) {
-            // Nothing at all came since: the host may be gone without a word, and the connection with it.
-            self.carriers.leaving(connection);
+        if let Some(Name::Attempt(_, sent, late)) = line.names.get(&id).copied() {
+            line.names.insert(id, Name::Over(hub.clock().now() + late));
+            if line.heard <= sent {
+                // Nothing at all came since: the host may be gone without a word, and the connection with it.
+                self.carriers.leaving(connection);
+            }
         }
     }
 
@@ -269,8 +286,9 @@
     /// Bytes came from a host: what they end.
     pub fn bytes(&mut self, hub: &mut Hub, connection: Connection, bytes: &[u8]) -> Vec<Input> {
         let mut ended = Vec::new();
+        let now = hub.clock().now();
         let Some(line) = self.lines.get_mut(&connection) else { return ended };
-        line.heard = hub.clock().now();
+        line.heard = now;
         line.decoder.push(bytes);
         loop {
             let Some(line) = self.lines.get_mut(&connection) else { return ended };
@@ -282,14 +300,19 @@
                     return ended;
                 }
             };
-            match line.names.remove(&answer.id) {
-                None | Some(Name::GivenUp) => self.counts.unasked += 1,
+            match line.names.get(&answer.id).copied() {
+                None | Some(Name::Over(_)) => self.counts.unasked += 1,
                 Some(Name::Probe) => {
+                    line.names.remove(&answer.id);
                     let up = self.carriers.worker(connection).filter(|_| answer.word == Word::Up);
                     ended.extend(up.map(Input::Probed));
                 }
-                Some(name @ (Name::Attempt(number, _) | Name::Order(number))) => match told(name, answer) {
-                    Some(input) => {
+                Some(name @ (Name::Attempt(number, ..) | Name::Order(number))) => match told(name, answer) {
+                    Some((id, input)) => {
+                        match name {
+                            Name::Attempt(.., late) => line.names.insert(id, Name::Over(now + late)),
+                            _ => line.names.remove(&id),
+                        };
                         self.carriers.done(hub, number);
                         self.out.remove(&number);
                         ended.push(input);
@@ -312,7 +335,8 @@
     }
 
     /// A connection is gone. Hosts end one in good order when no request is open on it; they don't count orders,
-    /// which stand all the same. Nor does a single connection's end tell of its host while another stands.
+    /// which stand all the same. Nor does a single connection's end tell of its host while another stands; one that
+    /// never stood tells nothing if its host was heard on another meanwhile.
     pub fn closed(
         &mut self,
         connection: Connection,
@@ -320,8 +344,9 @@
         unsent: &[u64],
         why: &str,
     ) -> Vec<Input> {
-        self.lines.remove(&connection);
+        let opened = self.lines.remove(&connection).map(|line| line.opened);
         let sibling = self.carriers.has_sibling(connection);
+        let never_stood = never_stood && !opened.is_some_and(|opened| self.was_heard(connection, opened));
         let mut ended = self.carriers.closed(connection, never_stood, unsent);
         let in_order =
             sibling || why == ENDED && !ended.iter().any(|input| matches!(input, Input::AttemptEnded(..)));
@@ -335,8 +360,20 @@
         ended
     }
 
-    pub fn close_idle(&mut self, hub: &mut Hub, idle: Micros) {
-        self.carriers.close_idle(hub, idle);
+    /// Whether the host of a connection said something on another one since then.
+    fn was_heard(&self, connection: Connection, since: Micros) -> bool {
+        let host = self.carriers.worker(connection);
+        let same = |other: &Connection| host.is_some() && self.carriers.worker(*other) == host;
+        self.lines.iter().any(|(other, line)| line.heard > since && same(other))
+    }
+
+    /// Closes what is idle, and forgets ids to which no answer can come any more.
+    pub fn tidy(&mut self, hub: &mut Hub) {
+        self.carriers.close_idle(hub, self.limits.idle);
+        let now = hub.clock().now();
+        for line in self.lines.values_mut() {
+            line.names.retain(|_, name| !matches!(name, Name::Over(until) if *until <= now));
+        }
     }
 }
 
@@ -344,21 +381,21 @@
     Input::AttemptEnded(number, end, Vec::new(), None)
 }
 
-/// A host's word in the engine's terms; `None`: it is no answer to this.
-fn told(name: Name, answer: HostAnswer) -> Option<Input> {
-    match name {
-        Name::Attempt(number, _) => {
+/// A host's word in the engine's terms, and the id that it was under; `None`: it is no answer to this.
+fn told(name: Name, answer: HostAnswer) -> Option<(String, Input)> {
+    let input = match name {
+        Name::Attempt(number, ..) => {
             let ending = match answer.word {
                 Word::Ok => Ending::Ok,
                 Word::Miss if answer.load_failed => Ending::LoadFailed,
                 Word::Miss => Ending::Miss,
                 Word::Busy => Ending::Full,
                 Word::Err => Ending::Error,
-                Word::Void => return Some(ended(number, AttemptEnd::NotSent)),
+                Word::Void => return Some((answer.id, ended(number, AttemptEnd::NotSent))),
                 Word::Up | Word::Down => return None,
             };
             let end = AttemptEnd::Answered(ending, answer.rivals);
-            Some(Input::AttemptEnded(number, end, answer.body, None))
+            Input::AttemptEnded(number, end, answer.body, None)
         }
         Name::Order(order) => {
             let ending = match answer.word {
@@ -367,10 +404,11 @@
                 Word::Err => Ending::Error,
                 _ => return None,
             };
-            Some(Input::OrderEnded(order, OrderEnd::Answered(ending), answer.instances))
+            Input::OrderEnded(order, OrderEnd::Answered(ending), answer.instances)
         }
-        Name::Probe | Name::GivenUp => None,
-    }
+        Name::Probe | Name::Over(_) => return None,
+    };
+    Some((answer.id, input))
 }
 
 #[cfg(test)]
@@ -416,13 +454,22 @@
             before: 0,
             time_left: 1_000_000,
             timeout: 1_000_000,
+            is_repeatable: true,
             call: Arc::new(call),
         };
         for after in [Standing::Draining, Standing::Out] {
             let mut hub = Hub::new(HubLimits::default()).unwrap();
             let (wire, connect_timeout) = (Wire::Raw, 1_000_000);
-            let limits = CarrierLimits { wire, connections: 2, streams: 10, spread: 1, connect_timeout };
-            let mut hosts = Hosts::new(limits, 10);
+            let limits = CarrierLimits {
+                wire,
+                connections: 2,
+                streams: 10,
+                spread: 1,
+                connect_timeout,
+                idle: 1_000_000,
+            };
+            let late = Late { unsafe_calls: 1_000_000, others: 1_000_000 };
+            let mut hosts = Hosts::new(limits, 10, late);
             hosts.take_list(&mut hub, true, &[host(Standing::In)]);
             // The hub has not looked yet: the connection does not stand, and no byte has left.
             assert!(hosts.run(&mut hub, &attempt).is_none());
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -3,13 +3,15 @@
 
 use std::net::SocketAddr;
 
-use cresswheel::{Micros, PairError};
+use cresswheel::Micros;
 use cresswheel_admission::DoorLimits;
 use cresswheel_carriers::CarrierLimits;
 use cresswheel_engine::{AdmissionLimits, EngineSettings, ResultLimits};
 use cresswheel_platform_wire::config::{Config, ConfigError};
 use cresswheel_transport::{HubLimits, Wire};
 
+use crate::hosts::Late;
+
 const S: Micros = 1_000_000;
 const MS: Micros = 1_000;
 
@@ -44,8 +46,10 @@
     pub carriers: CarrierLimits,
     /// Connections to all hosts together.
     pub host_connections: usize,
-    /// A connection to a host on which nothing is out is closed after this, before the host does it.
-    pub host_idle: Micros,
+    /// How late a second copy of a host's answer is reckoned with.
+    pub late: Late,
+    /// How often idle connections to hosts are looked for.
+    pub look: Micros,
     /// Sockets.
     pub hub: HubLimits,
     /// After TERM, requests are taken for this long.
@@ -59,10 +63,8 @@
     pub fn of(config: &Config) -> Result<Self, ConfigError> {
         let pairs = config.pairs();
         let module = config.module()?;
-        if module.classes.is_empty() {
-            return Err(PairError::Absent("profiles".into()).into());
-        }
         let give_up = module.classes.iter().map(|class| class.give_up).max().unwrap_or(S);
+        let aim = module.classes.iter().map(|class| class.aim).min().unwrap_or(S);
         let memory = (config.limits.memory_mb as usize) << 20;
         let (clients, host_connections) = share(config.limits.sockets);
         let open_calls = pairs.or("limits.max_open", 20_000)?.min(memory / 4 / REQUEST_BYTES).max(64);
@@ -105,9 +107,12 @@
                 streams: pairs.or("limits.max_streams", 100)?,
                 spread: 1,
                 connect_timeout,
+                idle: idle_close * 4 / 5,
             },
             host_connections,
-            host_idle: idle_close * 4 / 5,
+            late: Late { unsafe_calls: give_up, others: aim },
+            // Often enough that none stands idle for as long as the host waits.
+            look: (idle_close / 10).clamp(20 * MS, 500 * MS),
             hub: HubLimits { out: 1 << 20, accepted: usize::MAX, ..HubLimits::default() },
             take_for: 750 * MS,
             stop_within: give_up.min(3 * S) + 300 * MS,
@@ -115,6 +120,16 @@
     }
 }
 
+impl PlatformSettings {
+    /// Whether these are of the same gateway of the same customer: name, address and classes stay while it runs.
+    pub fn is_same_gateway(&self, other: &Self) -> bool {
+        let classes = |settings: &Self| -> Vec<String> {
+            settings.engine.module.classes.iter().map(|class| class.name.clone()).collect()
+        };
+        self.name == other.name && self.listen == other.listen && classes(self) == classes(other)
+    }
+}
+
 /// Descriptors of clients and of hosts. Usual clients hold a third of all at most; more places keep theirs free when
 /// others come by the hundred.
 fn share(descriptors: usize) -> (usize, usize) {
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -26,12 +26,12 @@
 /// How long a port that is in use is waited for at the start: a gateway that was killed a moment ago had it.
 const BIND_WITHIN: Duration = Duration::from_secs(2);
 const BIND_AGAIN: Duration = Duration::from_millis(20);
-/// How often idle connections to hosts are looked for.
-const LOOK: Micros = 500_000;
 /// How often a line of counts is logged.
 const TELL: Micros = 10_000_000;
-/// After the last answer, how long it may take to leave.
+/// After the last time for answers, how long they may take to leave.
 const LEAVE_WITHIN: Micros = 250_000;
+/// Meanwhile it is looked that often what has left.
+const FLUSH_LOOK: Micros = 5_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Life {
@@ -40,7 +40,7 @@
     Leaving(Micros),
     /// Nothing is taken any more, and what is open is answered; TERM came then.
     Stopping(Micros),
-    /// All is answered; what waits to be written may leave until then.
+    /// All is answered. What waits to be written may leave until then, and clients may close their connections.
     Flushing(Micros),
 }
 
@@ -70,7 +70,6 @@
             name = settings.name,
             clients = settings.door.connections,
             carriers = ?settings.carriers,
-            host_idle = settings.host_idle,
             open_calls = settings.engine.admission.open_calls,
             "starts"
         );
@@ -81,10 +80,16 @@
         let engine = Engine::new(settings.engine.clone(), settings.seed ^ now)?;
         let mut gateway = Self {
             front: Front::new(now, settings.door),
-            hosts: Hosts::new(settings.carriers, settings.host_connections),
-            directory: Directory::new(now, settings.directory, config.known.pos, settings.seed),
+            hosts: Hosts::new(settings.carriers, settings.host_connections, settings.late),
+            directory: Directory::new(
+                now,
+                settings.directory,
+                config.known.pos,
+                settings.seed,
+                settings.engine.module.drain_grace,
+            ),
             address: settings.listen,
-            look: now + LOOK,
+            look: now + settings.look,
             tell: now + TELL,
             lateness: Lateness::default(),
             inputs: VecDeque::new(),
@@ -129,8 +134,8 @@
             }
             self.front.tick(&mut self.hub);
             if self.look <= now {
-                self.look = now + LOOK;
-                self.hosts.close_idle(&mut self.hub, self.settings.host_idle);
+                self.look = now + self.settings.look;
+                self.hosts.tidy(&mut self.hub);
                 let mut bounds = self.settings.engine.clone();
                 bounds.answer_margin = self.lateness.margin(self.settings.engine.answer_margin);
                 self.engine.change_bounds(&bounds);
@@ -154,9 +159,9 @@
                 if self.engine.open_calls() == 0 || since + self.settings.stop_within <= now =>
             {
                 self.give(Input::Stop);
-                self.life = Life::Flushing(now + LEAVE_WITHIN);
+                self.life = Life::Flushing(since + self.settings.stop_within + LEAVE_WITHIN);
             }
-            Life::Flushing(until) if until <= now || !self.front.owes(&self.hub) => {
+            Life::Flushing(until) if until <= now || self.front.finish_all(&mut self.hub) => {
                 self.tell_counts();
                 tracing::info!("stopped");
                 return true;
@@ -171,7 +176,7 @@
             Life::Running => None,
             Life::Leaving(since) => Some(since + self.settings.take_for),
             Life::Stopping(since) => Some(since + self.settings.stop_within),
-            Life::Flushing(until) => Some(until.min(now + 1_000)),
+            Life::Flushing(until) => Some(until.min(now + FLUSH_LOOK)),
         };
         let dues = [life, self.engine.wake_at(), self.front.next_due(now), Some(self.directory.next_due())];
         dues.into_iter().flatten().chain([self.look, self.tell]).min().unwrap_or(self.look)
@@ -220,10 +225,17 @@
         }
     }
 
-    /// Only the directory's address may change; with a fault in the file all stays as it was.
+    /// Only the directory's address may change; with a fault in the file, or another gateway's, all stays as it was.
     fn read_again(&mut self) {
-        match (self.reload)() {
-            Ok(config) => self.directory.move_to(&mut self.hub, config.names),
+        let ours = |config: Config| match PlatformSettings::of(&config) {
+            Ok(settings) if settings.is_same_gateway(&self.settings) => Ok(settings.directory),
+            Ok(settings) => {
+                Err(format!("it is of another gateway, {} at {}", settings.name, settings.listen))
+            }
+            Err(error) => Err(error.to_string()),
+        };
+        match (self.reload)().and_then(ours) {
+            Ok(address) => self.directory.move_to(&mut self.hub, address),
             Err(error) => tracing::error!(%error, "the configuration stays as it was"),
         }
     }
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -83,7 +83,7 @@
     /// Bytes came, and so many are held of a frame or request that is not whole. Told only of guests, by hubs that
     /// were asked to ([`Hub::tell_halves`]).
     Half(Connection, usize),
-    /// All that waited for a paused connection is written.
+    /// All that waited for a paused connection, or one that was to be told of ([`Hub::tell_flushed`]), is written.
     Flushed(Connection),
     /// A connection is gone, or one that this side opened never stood.
     Closed {
@@ -143,6 +143,7 @@
     readable: bool,
     writable: bool,
     paused: bool,
+    tell_flushed: bool,
     close_when_flushed: bool,
     /// It is among those that have their turn next.
     queued: bool,
@@ -201,6 +202,8 @@
 const DATAGRAMS_AT_ONCE: usize = 16;
 /// Connections accepted before others have their turn.
 const ACCEPT_AT_ONCE: usize = 64;
+/// Connections that may wait to be accepted.
+const QUEUE: usize = 4_096;
 /// How long a connection that is done with waits for the other side to close.
 const LINGER: Micros = 500_000;
 const FINISHED: &str = "finished";
@@ -425,6 +428,21 @@
         }
     }
 
+    /// Takes all that wait to be accepted, as far as there are descriptors: they stand for those who opened them, and
+    /// a listener that is given up breaks them.
+    pub fn accept_waiting(&mut self) {
+        self.pause_listening(false);
+        let at_once = std::mem::replace(&mut self.accept_at_once, QUEUE);
+        if self.accept_again.is_some() {
+            self.starve(None);
+        }
+        for number in 0..self.listeners.len() {
+            self.listeners[number].ready = true;
+            self.accept(number);
+        }
+        self.accept_at_once = at_once;
+    }
+
     /// Gives up all listeners; those that wait to be accepted are another process's, if one shares them.
     pub fn stop_listening(&mut self) {
         self.pause_listening(true);
@@ -534,6 +552,7 @@
             readable: false,
             writable: !connecting,
             paused: false,
+            tell_flushed: false,
             close_when_flushed: false,
             queued: false,
             interest: (!connecting, connecting),
@@ -644,6 +663,26 @@
         }
     }
 
+    /// Once all that waits on a connection is written, [`Notice::Flushed`] says so, whether it is read or not.
+    pub fn tell_flushed(&mut self, id: Connection) {
+        self.get(id).into_iter().for_each(|conn| conn.tell_flushed = true);
+    }
+
+    /// Reads what has come on a connection by now. True: there was nothing, and no notice of it waits to be taken, so
+    /// that it can be closed without the loss of anything that the other side sent. Bytes that are unread at a close
+    /// are lost, and have the other side told of a broken connection instead of an ended one.
+    pub fn is_quiet(&mut self, id: Connection) -> bool {
+        self.get(id).into_iter().for_each(|conn| conn.readable = true);
+        self.read_in(id);
+        let waits = |notice: &Notice| match notice {
+            Notice::Message(of, _) | Notice::Bytes(of, _) | Notice::Request(of, _) => *of == id,
+            Notice::BadRequest(of, _) | Notice::Closed { connection: of, .. } => *of == id,
+            Notice::Opened(..) | Notice::Connected(_) | Notice::Half(..) | Notice::Flushed(_) => false,
+            Notice::Datagram(..) | Notice::Signal(_) => false,
+        };
+        !self.notices.iter().any(|(_, notice)| waits(notice))
+    }
+
     /// Closes a connection once what waits is written. No more notices come for it but `Closed`.
     pub fn finish(&mut self, id: Connection) {
         if let Some(conn) = self.get(id) {
@@ -890,7 +929,7 @@
                 Ok(0) => return self.close(id, "nothing can be written"),
                 Ok(count) => {
                     work.out.took(count);
-                    if conn.paused && conn.unsent() == 0 {
+                    if conn.unsent() == 0 && (std::mem::take(&mut conn.tell_flushed) || conn.paused) {
                         self.tell(Notice::Flushed(id));
                     }
                 }
@@ -995,6 +1034,6 @@
     // What it accepts has this from it: small frames should not wait for each other.
     socket.set_tcp_nodelay(true)?;
     socket.bind(&address.into())?;
-    socket.listen(4096)?;
+    socket.listen(QUEUE as i32)?;
     Ok(socket)
 }
