Only served calls earn loads, and an order's wait for its connection is within the ration

Logs of the worst gateway (n9): at 15.39 s two hundred requests that a client took back in the same bytes, and ten orders in that instant. Ruled out: the clock and the window (orders between floods were within 2 + 0.05 x calls). At fault: rules.rs `arrived` counted each of them as taken, and `order_gate` earned loads by it; nobody says that calls taken back at once count. Also, by reading: an order that waits for its connection arrives up to the connect time-out later than it was counted.

Now a call earns loads once it is served, by the time of its arrival, and orders are remembered longer, calls shorter, by the connect time-out of the settings.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -355,9 +355,6 @@
         }
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_SAVED);
         self.holds.tokens = (self.holds.tokens + PRELOADS_PER_CALL).min(PRELOADS_SAVED);
-        if self.settings.ration.is_some() {
-            self.holds.taken.push_back(self.now);
-        }
         let f = self.function(&request.function);
         let function = &mut self.functions[f];
         function.forecast.arrival(self.now);
@@ -729,6 +726,11 @@
         attempt.avoid = failed || (attempt.warm && outcome != Outcome::Miss);
         let sent = attempt.clone();
         let (f, class, w) = (entry.function, entry.request.class, sent.worker);
+        if outcome == Outcome::Ok && !entry.over && self.settings.ration.is_some() {
+            // Only a served call earns loads: of floods that are taken back at once nobody says that they count.
+            let at = self.holds.taken.partition_point(|taken| *taken <= entry.arrived);
+            self.holds.taken.insert(at, entry.arrived);
+        }
         let took = elapsed as f64;
         self.workers[w].flying = self.workers[w].flying.saturating_sub(1);
         if let (Some(held), Outcome::Ok | Outcome::Full) = (crowd, outcome) {
@@ -934,12 +936,13 @@
             return false;
         }
         if let Some(ration) = &self.settings.ration {
-            // Orders are remembered a tick too long and requests a tick too short: never a rounding too many.
-            let tick = self.settings.tick;
-            while holds.given.front().is_some_and(|at| at + ration.window + tick < self.now) {
+            // An order may wait for its connection: orders are remembered that much and a tick longer, and calls
+            // shorter, so that it is within the ration whenever it leaves.
+            let late = self.settings.tick + self.settings.connect_timeout;
+            while holds.given.front().is_some_and(|at| at + ration.window + late < self.now) {
                 holds.given.pop_front();
             }
-            while holds.taken.front().is_some_and(|at| at + ration.window < self.now + tick) {
+            while holds.taken.front().is_some_and(|at| at + ration.window < self.now + late) {
                 holds.taken.pop_front();
             }
             let allowed = ration.free + ration.per_request * holds.taken.len() as f64;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -753,3 +753,36 @@
         assert!(later.values().all(|count| *count <= 1), "{quiet:?}, then {later:?}");
     }
 }
+
+#[test]
+fn calls_that_are_taken_back_earn_no_loads_and_an_order_that_waits_for_its_connection_is_within_the_ration() {
+    let ration = Some(OrderRation { window: 10 * S, free: 1.0, per_request: 0.5 });
+    let (when_absent, connect_timeout) = (WhenAbsent::Miss, 250 * MS);
+    let mut bench = Bench::new(Settings { when_absent, ration, connect_timeout, ..settings() });
+    bench.give(workers(5));
+    let mut orders = Vec::new();
+    for n in 0..100 {
+        orders.extend(holds(&arrive(&mut bench, &format!("flood-{n}"), 0, &format!("f{n}"))));
+        bench.give(Event::Gone(format!("flood-{n}").as_str().into()));
+    }
+    assert_eq!(orders.len(), 1, "the one that is free");
+    let (home, function) = orders.remove(0);
+    bench.give(held(&home, &function.0, Outcome::Ok, 300 * MS));
+    for n in 0..2 {
+        let id = format!("served-{n}");
+        let sent = sends(&arrive(&mut bench, &id, 0, &function.0));
+        bench.give(ended(&id, 0, &sent[0].1, Outcome::Ok));
+    }
+    assert_eq!(holds(&arrive(&mut bench, "a", 0, "fa")).len(), 1, "two served calls earn one");
+    assert!(holds(&arrive(&mut bench, "b", 0, "fb")).is_empty());
+    bench.give(Event::Gone("a".into()));
+    bench.give(Event::Gone("b".into()));
+    // The first two may have left as late as a connection may take to stand: no sooner than that after the window are
+    // they out of it.
+    bench.run_to(10 * S + 240 * MS);
+    assert!(holds(&arrive(&mut bench, "c", 0, "fc")).is_empty());
+    bench.give(Event::Gone("c".into()));
+    bench.run_to(10 * S + 300 * MS);
+    assert_eq!(holds(&arrive(&mut bench, "d", 0, "fd")).len(), 1);
+    assert!(bench.checker.broken.is_empty(), "{:?}", bench.checker.broken);
+}
