--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -377,7 +377,7 @@
             Waiting::Call(id) => {
                 let Some(open) = self.open.get_mut(&id) else { return };
                 open.waiters.remove(&client);
-                if open.waiters.is_empty() && !open.call.deferred && open.call.key.is_empty() {
+                if open.waiters.is_empty() && !open.call.deferred && !open.call.has_own_key() {
                     self.counters.abandoned += 1;
                     self.withdraw(&id, out);
                     self.events.push_back(Event::Gone(id.clone()));
@@ -433,7 +433,7 @@
         if refused {
             self.keys.forget(&id.0);
         }
-        if open.call.deferred || (!open.call.key.is_empty() && !refused) {
+        if open.call.deferred || (open.call.has_own_key() && !refused) {
             let evicted = self.results.put(self.now, &id.0, answer);
             self.counters.results_evicted += evicted.len() as u64;
             evicted.iter().for_each(|id| self.keys.forget(id));
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -47,8 +47,8 @@
     pub tenant: String,
     /// The idempotency key; empty: none.
     pub key: String,
-    /// Another one, that is the workers' alone: they drop repeats by it, and nothing is kept of it here.
-    pub worker_key: String,
+    /// The workers alone drop repeats by the key; here nothing is kept of it.
+    pub is_key_for_workers: bool,
     /// Follows the call everywhere; empty: the call's id serves.
     pub trace: String,
     /// Time until the client gives up; 0: the class's own.
@@ -77,6 +77,11 @@
 }
 
 impl Call {
+    /// Whether its client's repeats are matched here.
+    pub fn has_own_key(&self) -> bool {
+        !self.key.is_empty() && !self.is_key_for_workers
+    }
+
     /// The name under which it is routed.
     pub fn routed(&self) -> &str {
         self.route.as_ref().map_or(&self.function, |route| &route.function)
--- a/crates/engine/src/keys.rs
+++ b/crates/engine/src/keys.rs
@@ -33,7 +33,7 @@
 
 impl Keys {
     pub fn find(&self, call: &Call) -> Match {
-        if call.key.is_empty() {
+        if !call.has_own_key() {
             return Match::None;
         }
         match self.calls.get(&key(call)) {
@@ -44,7 +44,7 @@
     }
 
     pub fn put(&mut self, call: &Call, id: &str) {
-        if !call.key.is_empty() {
+        if call.has_own_key() {
             self.calls.insert(key(call), (id.into(), digest(call)));
             self.of_call.insert(id.into(), key(call));
         }
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -50,7 +50,7 @@
         body: b"in".to_vec(),
         account: None,
         route: None,
-        worker_key: String::new(),
+        is_key_for_workers: false,
     }
 }
 
--- a/crates/engine/tests/sequences.rs
+++ b/crates/engine/tests/sequences.rs
@@ -203,7 +203,7 @@
                         body: vec![key % 4; 10],
                         account: None,
                         route: None,
-                        worker_key: String::new(),
+                        is_key_for_workers: false,
                     };
                     left = give(&mut checked, now, Input::Call(client, call));
                 }
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -438,7 +438,7 @@
                     body,
                     account,
                     route: None,
-                    worker_key: String::new(),
+                    is_key_for_workers: false,
                 };
                 self.call(Client { connection: key, number }, ask.came, call);
             }
--- a/crates/platform/src/directory.rs
+++ b/crates/platform/src/directory.rs
@@ -140,32 +140,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use hickory_proto::op::{Message, MessageType, OpCode};
-    use hickory_proto::rr::rdata::SOA;
-    use hickory_proto::rr::{Name, RData, Record};
-
-    use super::*;
-
-    fn told(id: u16, serial: u32) -> Vec<u8> {
-        let name = || Name::from_ascii("farm.lan.").unwrap();
-        let mut message = Message::new(id, MessageType::Response, OpCode::Query);
-        let soa = SOA::new(name(), name(), serial, 1, 1, 1, 1);
-        message.add_authority(Record::from_rdata(name(), 1, RData::SOA(soa)));
-        message.to_vec().unwrap()
-    }
-
-    #[test]
-    fn only_a_whole_answer_to_a_recent_question_that_is_newer_counts() {
-        let mut directory = Directory::new(0, ([127, 0, 0, 1], 9).into(), 5, 40, 1_000_000);
-        directory.recent.extend([41, 42]);
-        assert!(directory.answered(1, &told(43, 9)).is_none(), "another id");
-        assert!(directory.answered(1, &told(41, 9)[..20]).is_none(), "cut");
-        assert!(directory.answered(1, &[]).is_none() && directory.answered(1, &[0, 41]).is_none());
-        assert!(directory.answered(1, &told(41, 4)).is_none(), "older");
-        assert!(directory.answered(1, &told(41, 5)).is_none(), "known");
-        assert_eq!(directory.answered(1, &told(42, 6)).map(|listing| listing.serial), Some(6));
-        assert!(directory.answered(1, &told(42, 6)).is_none(), "a second copy");
-        assert_eq!(directory.serial(), 6);
-    }
-}
+mod tests;
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -176,7 +176,7 @@
         let name = Name::Attempt(attempt.number, hub.clock().now(), late);
         let cargo = Cargo::Attempt(attempt.number);
         let frame = |out: &mut Vec<u8>| {
-            let (id, class, function, once) = (&call.trace, &call.class, &call.function, &call.worker_key);
+            let (id, class, function, once) = (&call.trace, &call.class, &call.function, &call.key);
             let (patience_ms, body) = (patience, &call.body);
             host::invoke(out, &Invoke { id, class, function, once, patience_ms, body });
         };
@@ -448,7 +448,7 @@
             body: Vec::new(),
             account: None,
             route: None,
-            worker_key: String::new(),
+            is_key_for_workers: false,
         };
         let attempt = Attempt {
             number: 1,
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -17,6 +17,8 @@
 
 /// Open requests of one connection; the protocol's figure.
 pub const PER_CONNECTION: usize = 32;
+/// Hosts are taken to end idle connections as soon as clients do, where the settings don't say.
+const IDLE_UNLESS_STATED: Micros = 4 * S;
 /// Descriptors of the program itself: loop, listener, directory, logs, and one to refuse with.
 const OWN: usize = 24;
 /// Hosts that descriptors are set aside for at least; a list may name more later.
@@ -62,13 +64,18 @@
     /// Reads them out of a configuration.
     pub fn of(config: &Config) -> Result<Self, ConfigError> {
         let pairs = config.pairs();
-        let module = config.module()?;
+        let mut module = config.module()?;
         let give_up = module.classes.iter().map(|class| class.give_up).max().unwrap_or(S);
         let aim = module.classes.iter().map(|class| class.aim).min().unwrap_or(S);
+        // Not stated is not at once: a connection that takes longer than the shortest aim is of no use to a call, and
+        // no call waits longer for a load than for itself.
+        let unless_stated = |span: Micros, other: Micros| if span > 0 { span } else { other };
+        module.connect_timeout = unless_stated(module.connect_timeout, aim);
+        module.order_timeout = unless_stated(module.order_timeout, give_up);
         let memory = (config.limits.memory_mb as usize) << 20;
         let (clients, host_connections) = share(config.limits.sockets);
-        let open_calls = pairs.or("limits.max_open", 20_000)?.min(memory / 4 / REQUEST_BYTES).max(64);
-        let idle_close: Micros = pairs.or("limits.idle_close", 15 * S)?;
+        let open_calls = pairs.or("limits.max_open", usize::MAX)?.min(memory / 4 / REQUEST_BYTES).max(64);
+        let idle_close: Micros = pairs.or("limits.idle_close", IDLE_UNLESS_STATED)?;
         let answer_margin = (2 * module.tick).max(10 * MS);
         let connect_timeout = module.connect_timeout;
         Ok(Self {
@@ -104,7 +111,7 @@
             carriers: CarrierLimits {
                 wire: Wire::Raw,
                 connections: (host_connections / HOSTS_EXPECTED).clamp(1, 16),
-                streams: pairs.or("limits.max_streams", 100)?,
+                streams: pairs.or("limits.max_streams", PER_CONNECTION)?,
                 spread: 1,
                 connect_timeout,
                 idle: idle_close * 4 / 5,
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -261,8 +261,8 @@
             class: request.class,
             tenant: request.tenant,
             // Hosts drop repeats; this gateway keeps nothing, and a call that its client leaves is over.
-            key: String::new(),
-            worker_key: request.once,
+            key: request.once,
+            is_key_for_workers: true,
             trace: request.id,
             time_left: (request.wait_ms * 1_000).saturating_sub(waited).max(1),
             shape: request.shape,
--- a/crates/rehearsal/src/split.rs
+++ b/crates/rehearsal/src/split.rs
@@ -147,7 +147,7 @@
             body: answer.clone(),
             account: None,
             route: None,
-            worker_key: String::new(),
+            is_key_for_workers: false,
         };
         engine.handle(now, Input::Call(Client { connection: number % 8, number }, call), &mut outputs);
         if out.len() >= OUT
