A directory that no longer answers a socket is asked from another one

By reading: the questions leave from one socket for as long as the gateway runs; a path that falls silent to that one (the standing test's "open watches fall silent") was never tried anew, and the list stood still. At fault: Directory::tick.

Test: a_directory_that_falls_silent_to_one_socket_is_asked_from_another; the build before never takes the third list.

Also: a client's connection that ends already is told why once, not again when its time is up.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -497,6 +497,24 @@
     assert_eq!((invokes(&one), invokes(&two)), (0, 10));
 }
 
+#[test]
+fn a_directory_that_falls_silent_to_one_socket_is_asked_from_another() {
+    let (one, two, names) = (host(good), host(good), Directory::new(1));
+    names.tell(2, &[("s-1", one.at, 0), ("s-2", two.at, 0)]);
+    // Each address from which it is asked gets three answers, then none.
+    names.answers_each(3);
+    let node = Node::new(&[("s-1", &one)], &names, "load");
+    node.logged("list serial=2");
+    for serial in 3..6 {
+        names.tell(serial, &[("s-1", one.at, 1), ("s-2", two.at, 0)]);
+        node.logged(&format!("list serial={serial}"));
+    }
+    let mut client = node.client();
+    client.ask("check", "3000", 1);
+    assert_eq!(client.answer(), (1, 0));
+    assert_eq!((invokes(&one), invokes(&two)), (0, 1));
+}
+
 // Settings of another customer.
 
 #[test]
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -2,11 +2,13 @@
 //! plays.
 #![allow(dead_code)]
 
+use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -99,6 +101,7 @@
 pub struct Directory {
     pub at: SocketAddr,
     pub list: List,
+    most: Arc<AtomicUsize>,
 }
 
 impl Directory {
@@ -107,17 +110,27 @@
         let at = socket.local_addr().unwrap();
         let list: List = Arc::new(Mutex::new((serial, vec![])));
         let told = list.clone();
+        let most = Arc::new(AtomicUsize::new(usize::MAX));
+        let answers = most.clone();
         std::thread::spawn(move || {
             let mut bytes = [0; 512];
+            let mut given: HashMap<SocketAddr, usize> = HashMap::new();
             while let Ok((count, from)) = socket.recv_from(&mut bytes) {
                 let asked = Message::from_vec(&bytes[..count]).unwrap();
                 let (serial, hosts) = told.lock().unwrap().clone();
-                if !hosts.is_empty() {
+                let times = given.entry(from).or_insert(0);
+                if !hosts.is_empty() && *times < answers.load(Ordering::SeqCst) {
+                    *times += 1;
                     socket.send_to(&answer(asked.metadata.id, serial, &hosts), from).unwrap();
                 }
             }
         });
-        Self { at, list }
+        Self { at, list, most }
+    }
+
+    /// From now on each address that asks gets so many answers at most.
+    pub fn answers_each(&self, most: usize) {
+        self.most.store(most, Ordering::SeqCst);
     }
 
     pub fn tell(&self, serial: u32, hosts: &[(&str, SocketAddr, u16)]) {
--- a/crates/platform/src/directory.rs
+++ b/crates/platform/src/directory.rs
@@ -97,6 +97,10 @@
             self.silent = true;
             tracing::warn!(serial = self.serial, "the directory is silent");
         }
+        if self.unanswered > 0 && self.unanswered.is_multiple_of(AGAIN_AT_MOST + 1) {
+            // Whatever no longer answers this socket may answer another: nothing tells the two apart from here.
+            self.socket.take().into_iter().for_each(|socket| hub.close_datagrams(socket));
+        }
         if self.socket.is_none() {
             match hub.datagrams(self.address) {
                 Ok(socket) => self.socket = Some(socket),
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -237,9 +237,9 @@
     /// Tells the client what was wrong. What it is owed it still gets. Nothing more that comes is looked at, but it is
     /// read, so that its end is seen.
     fn end(&mut self, hub: &mut Hub, connection: Connection, why: &str) {
+        let Some(guest) = self.guests.get_mut(&connection).filter(|guest| !guest.ending) else { return };
         tracing::debug!(connection, why, "a client's connection ends");
         hub.write(connection, None, |out| client::answer(out, 0, Code::Failed, None, why.as_bytes()));
-        let Some(guest) = self.guests.get_mut(&connection) else { return };
         guest.ending = true;
         if guest.streams.is_empty() {
             hub.finish(connection);
