A client's end is seen with the bytes before it, so what it left is not sent on

Forced: the gateway is stopped, a client asks and closes, 0.3 s pass, the gateway goes on. The request was read, given a place, and its frame written to a host in the next turn; only the turn after that read the end ("invoke ...2" in the host's record). A busy gateway, or a full accept queue, does the same without being stopped. Ruled out: the clock of the loop (it takes what ends its sleep as just come, so the age of bytes does not tell). At fault: Hub::read_in, one read a turn, whatever stands behind it.

Now the sockets are watched for the other side's end as well (EPOLLRDHUP), and a connection of which it is told is read up to it, so that the engine hears of the leaving before any byte of the attempt goes out, and takes it back.

Test: a_request_whose_client_left_before_it_was_read_is_not_sent_on (four ways); fails on the build before.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -210,6 +210,33 @@
     }
 }
 
+#[test]
+fn a_request_whose_client_left_before_it_was_read_is_not_sent_on() {
+    for way in 0..4 {
+        let (one, names) = (host(good), Directory::new(1));
+        let node = Node::new(&[("s-1", &one)], &names, "load");
+        let mut client = node.client();
+        client.ask_as(1, &id(1), "check", "5000");
+        assert_eq!(client.answer(), (1, 0));
+        node.freeze();
+        // On a connection that stands, or on one that waits to be accepted; with the request come its end or its taking back.
+        let mut client = if way == 0 { client } else { node.client() };
+        client.ask_as(2, &id(2), "check", "5000");
+        match way {
+            0 | 1 => drop(client),
+            2 => client.take_back(2),
+            _ => client.socket.shutdown(std::net::Shutdown::Write).unwrap(),
+        }
+        std::thread::sleep(Duration::from_millis(300));
+        node.wake();
+        let mut other = node.client();
+        other.ask_as(1, &id(3), "check", "5000");
+        assert_eq!(other.answer(), (1, 0));
+        let seen = one.seen.lock().unwrap().clone();
+        assert!(!seen.contains(&format!("invoke {}", id(2))), "way {way}: {seen:?}");
+    }
+}
+
 #[test]
 fn a_client_that_does_not_read_can_still_take_back_what_waits() {
     for leaves in [false, true] {
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -151,6 +151,8 @@
     interest: (bool, bool),
     /// The earliest time at which what is read next can have come.
     since: Micros,
+    /// The other side has ended it, or it broke: behind what can be read is its end.
+    ended: bool,
     /// All that had come was read, and it is watched for more: what is read next came after the last look.
     drained: bool,
     work: Option<Box<Work>>,
@@ -204,6 +206,8 @@
 const ACCEPT_AT_ONCE: usize = 64;
 /// Connections that may wait to be accepted.
 const QUEUE: usize = 4_096;
+/// Reads at once of a connection whose other side has ended it.
+const LAST_READS: u32 = 4;
 /// How long a connection that is done with waits for the other side to close.
 const LINGER: Micros = 500_000;
 const FINISHED: &str = "finished";
@@ -557,6 +561,7 @@
             queued: false,
             interest: (!connecting, connecting),
             since: self.clock.now(),
+            ended: false,
             drained: false,
             work: None,
         });
@@ -774,7 +779,7 @@
     }
 
     fn ready(&mut self, since: Micros, what: Seen) {
-        let (id, Ready { readable, writable, broken }) = match what {
+        let (id, Ready { readable, writable, ended, broken }) = match what {
             Seen::Connection(id, ready) => (id, ready),
             Seen::Listener(number) => {
                 self.listeners.get_mut(number).into_iter().for_each(|listener| listener.ready = true);
@@ -792,6 +797,7 @@
         }
         conn.readable |= readable;
         conn.writable |= writable;
+        conn.ended |= ended;
         self.queue(id);
     }
 
@@ -948,7 +954,10 @@
             return;
         };
         let (mut over, mut came) = (None, false);
-        if conn.reads() {
+        // That the other side left is to be known before anything is done about what it sent before.
+        let mut reads = if conn.ended { LAST_READS } else { 1 };
+        while conn.reads() && reads > 0 {
+            reads -= 1;
             match (&conn.socket).read(&mut scratch) {
                 Ok(0) if conn.lingering => over = Some(FINISHED.to_owned()),
                 Ok(0) => over = Some(ENDED.to_owned()),
@@ -962,11 +971,16 @@
                         Decode::Http(decoder) => decoder.push(&scratch[..count]),
                         Decode::Raw(bytes) => bytes.extend_from_slice(&scratch[..count]),
                     }
+                    if conn.drained && reads > 0 {
+                        conn.readable = true;
+                        continue;
+                    }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => (conn.readable, conn.drained) = (false, true),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(error) => over = Some(error.to_string()),
             }
+            break;
         }
         self.scratch = scratch;
         self.decode(id);
--- a/crates/transport/src/watch.rs
+++ b/crates/transport/src/watch.rs
@@ -25,6 +25,8 @@
 pub struct Ready {
     pub readable: bool,
     pub writable: bool,
+    /// The other side has ended it; told with the bytes before that.
+    pub ended: bool,
     pub broken: bool,
 }
 
@@ -43,7 +45,7 @@
 
 fn flags(read: bool, write: bool) -> EventFlags {
     let mut flags = EventFlags::empty();
-    flags.set(EventFlags::IN, read);
+    flags.set(EventFlags::IN | EventFlags::RDHUP, read);
     flags.set(EventFlags::OUT, write);
     flags
 }
@@ -98,6 +100,7 @@
             let ready = Ready {
                 readable: flags.contains(EventFlags::IN) || broken,
                 writable: flags.contains(EventFlags::OUT) || broken,
+                ended: flags.contains(EventFlags::RDHUP) || broken,
                 broken,
             };
             let what = match id & (LISTENERS | DATAGRAMS) {
