--- a/src/rules.rs
+++ b/src/rules.rs
@@ -727,7 +727,7 @@
         let sent = attempt.clone();
         let (f, class, w) = (entry.function, entry.request.class, sent.worker);
         if outcome == Outcome::Ok && !entry.over && self.settings.ration.is_some() {
-            // Only a served call earns loads: of floods that are taken back at once nobody says that they count.
+            // Only a served call earns loads: nobody says that floods count which are taken back at once.
             let at = self.holds.taken.partition_point(|taken| *taken <= entry.arrived);
             self.holds.taken.insert(at, entry.arrived);
         }
@@ -936,8 +936,8 @@
             return false;
         }
         if let Some(ration) = &self.settings.ration {
-            // An order may wait for its connection: orders are remembered that much and a tick longer, and calls
-            // shorter, so that it is within the ration whenever it leaves.
+            // An order may wait for its connection: orders are remembered that much and a tick longer,
+            // and calls shorter, so that it is within the ration whenever it leaves.
             let late = self.settings.tick + self.settings.connect_timeout;
             while holds.given.front().is_some_and(|at| at + ration.window + late < self.now) {
                 holds.given.pop_front();
