Of a call's 'never ran' one record instead of two; one set-up for the tests of crossings

Read once more: Open kept `never_ran` beside `may_have_run`, and the one follows from the other. Nine tests of crossings wrote out the same gateway, host and client. Behaviour and assertions are as they were: engine 18 and 2 tests, crossings 26, clippy, fmt pass.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -24,6 +24,14 @@
     config(&[("s-1".to_owned(), host.at)], names.at, absent)
 }
 
+/// A gateway before one host that the test plays, and a client of it. Its directory says nothing.
+fn played(absent: &str, client: fn(&Node) -> Client) -> (Node, Played, Client) {
+    let (one, names) = (Played::new(), Directory::new(1));
+    let node = Node::with(&one_host(&one.host(), &names, absent));
+    let client = client(&node);
+    (node, one, client)
+}
+
 fn frame_of_leaving(client: &mut Client) {
     assert_eq!(client.next(), Some(FromGateway::Leaving));
 }
@@ -67,9 +75,7 @@
 
 #[test]
 fn what_is_unread_as_the_last_answer_leaves_is_answered_and_the_end_is_no_reset() {
-    let (mut one, names) = (Played::new(), Directory::new(1));
-    let mut node = Node::with(&one_host(&one.host(), &names, "load"));
-    let mut client = node.client();
+    let (mut node, mut one, mut client) = played("load", Node::client);
     client.ask_as(1, &id(1), "post", "3000");
     let (line, _) = one.next_of("invoke");
     node.signal("-TERM");
@@ -97,9 +103,7 @@
 #[test]
 fn a_last_answer_larger_than_the_buffers_reaches_a_client_that_reads_slowly() {
     const BODY: usize = 200 << 10;
-    let (mut one, names) = (Played::new(), Directory::new(1));
-    let mut node = Node::with(&one_host(&one.host(), &names, "load"));
-    let mut client = node.narrow_client();
+    let (mut node, mut one, mut client) = played("load", Node::narrow_client);
     answered_at_length(&node, &mut one, &mut client, 4, BODY);
     node.signal("-TERM");
     node.logged("stopping");
@@ -174,9 +178,7 @@
 
 /// A gateway of which a request for `F2` waits for a load, asked on stream 9 by this client.
 fn waiting_for_a_load() -> (Node, Played, Client, usize, String) {
-    let (mut one, names) = (Played::new(), Directory::new(1));
-    let node = Node::with(&one_host(&one.host(), &names, "miss"));
-    let mut client = node.narrow_client();
+    let (node, mut one, mut client) = played("miss", Node::narrow_client);
     client.send(&request(9, &id(9), "check", "5000", F2, b"in"));
     let (line, order) = one.next_of("prewarm");
     (node, one, client, line, order[1].clone())
@@ -297,9 +299,7 @@
 
 #[test]
 fn an_answer_that_crosses_its_taking_back_is_dropped_and_the_stream_may_be_used_again() {
-    let (mut one, names) = (Played::new(), Directory::new(1));
-    let node = Node::with(&one_host(&one.host(), &names, "load"));
-    let mut client = node.client();
+    let (node, mut one, mut client) = played("load", Node::client);
     client.ask_as(1, &id(1), "post", "3000");
     let (line, _) = one.next_of("invoke");
     node.freeze();
@@ -323,9 +323,7 @@
 
 #[test]
 fn the_same_id_again_while_its_first_attempt_is_out_goes_to_another_connection() {
-    let (mut one, names) = (Played::new(), Directory::new(1));
-    let node = Node::with(&one_host(&one.host(), &names, "load"));
-    let mut client = node.client();
+    let (_node, mut one, mut client) = played("load", Node::client);
     client.ask_as(1, &id(1), "check", "3000");
     let (line, _) = one.next_of("invoke");
     client.take_back(1);
@@ -374,9 +372,7 @@
 
 #[test]
 fn half_a_message_ends_its_connection_only_after_what_is_open_there_is_answered() {
-    let (mut one, names) = (Played::new(), Directory::new(1));
-    let node = Node::with(&one_host(&one.host(), &names, "load"));
-    let mut client = node.client();
+    let (_node, mut one, mut client) = played("load", Node::client);
     client.ask_as(1, &id(1), "post", "5000");
     let (line, _) = one.next_of("invoke");
     client.send(&[200, 0, 0, 0, 100, 1]);
@@ -390,9 +386,7 @@
 fn a_client_that_reads_slowly_is_waited_for_and_one_that_reads_nothing_is_not() {
     const BODY: usize = 250 << 10;
     for reads in [true, false] {
-        let (mut one, names) = (Played::new(), Directory::new(1));
-        let node = Node::with(&one_host(&one.host(), &names, "load"));
-        let mut client = node.narrow_client();
+        let (node, mut one, mut client) = played("load", Node::narrow_client);
         // One that will be answered last of all; a client of which nothing is open is waited for only as it reads.
         if reads {
             client.ask_as(5, &id(5), "post", "5000");
@@ -425,9 +419,7 @@
 
 #[test]
 fn a_late_second_copy_of_miss_is_not_taken_for_the_word_on_the_next_attempt() {
-    let (mut one, names) = (Played::new(), Directory::new(1));
-    let node = Node::with(&one_host(&one.host(), &names, "miss"));
-    let mut client = node.client();
+    let (_node, mut one, mut client) = played("miss", Node::client);
     client.ask_as(1, &id(1), "post", "5000");
     let mut first = None;
     let second = loop {
@@ -455,9 +447,7 @@
 #[test]
 fn an_answer_that_breaks_off_fails_a_post_and_one_that_comes_with_the_end_counts() {
     for (way, code) in [("end", 13), ("reset", 13), ("whole", 0)] {
-        let (mut one, names) = (Played::new(), Directory::new(1));
-        let node = Node::with(&one_host(&one.host(), &names, "load"));
-        let mut client = node.client();
+        let (node, mut one, mut client) = played("load", Node::client);
         client.ask_as(1, &id(1), "post", "3000");
         let (line, _) = one.next_of("invoke");
         node.freeze();
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -28,9 +28,7 @@
     waiters: BTreeMap<Client, Micros>,
     /// Its attempts, in the order of sending; those among them that ended are no longer in flight.
     attempts: Vec<u64>,
-    /// All attempts so far are over and provably never ran.
-    never_ran: bool,
-    /// When the first attempt was sent that is over and may have run.
+    /// When the first attempt was sent that is over and may have run; `None`: all that are over provably never ran.
     may_have_run: Option<Micros>,
     last: Option<(AttemptEnd, Arc<[u8]>)>,
     /// What ran, or else what it was given.
@@ -286,7 +284,6 @@
             deadline: self.now + time,
             waiters,
             attempts: Vec::new(),
-            never_ran: true,
             may_have_run: None,
             last: None,
             erred: false,
@@ -464,7 +461,6 @@
             None => true,
             Some(open) => {
                 if !outcome.never_ran() {
-                    open.never_ran = false;
                     open.may_have_run = Some(open.may_have_run.unwrap_or(flight.sent).min(flight.sent));
                 }
                 open.erred |= outcome == cresswheel::Outcome::Error;
@@ -581,7 +577,7 @@
             let out_still = open.attempts.iter().any(|attempt| self.flights.contains_key(attempt));
             let harmless = match self.settings.module.classes[open.class].effect {
                 Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
-                _ => open.never_ran && !out_still,
+                _ => open.may_have_run.is_none() && !out_still,
             };
             let status = if harmless { Status::Refused } else { Status::Failed };
             self.events.push_back(Event::Gone(id.clone()));
