--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -240,7 +240,7 @@
     }
 
     /// Waits until it listens.
-    fn listens(mut self) -> Self {
+    pub fn listens(mut self) -> Self {
         let line = self.logged("listens address=");
         self.at = line.rsplit('=').next().unwrap().parse().unwrap();
         self
@@ -328,7 +328,7 @@
 }
 
 impl Client {
-    fn of(socket: TcpStream) -> Self {
+    pub fn of(socket: TcpStream) -> Self {
         socket.set_read_timeout(Some(PATIENCE)).unwrap();
         Self { socket, held: Vec::new(), next: 0 }
     }
@@ -345,6 +345,13 @@
         self.send(&request(stream, id, class, wait, F, b"in"));
     }
 
+    /// Asks as `ask` does, on a connection that may have ended; whether all of it was written.
+    pub fn try_ask(&mut self, class: &str, wait: &str, salt: u64) -> bool {
+        self.next += 1;
+        let id = format!("{:08x}{:08x}", salt, self.next);
+        self.socket.write_all(&request(self.next, &id, class, wait, F, b"in")).is_ok()
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
         self.socket.write_all(bytes).unwrap();
     }
@@ -372,6 +379,7 @@
                 Ok(0) => return None,
                 Ok(count) => self.held.extend_from_slice(&part[..count]),
                 Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(error) => panic!("{error}"),
             }
         }
