protocol: errors and limits below field, frame and message; values apart from messages

Need: 'field' used 'frame' and 'message', which both used 'field'. The crate's public names are the same, now listed one by one.

--- /dev/null
+++ b/crates/protocol/src/error.rs
@@ -0,0 +1,52 @@
+//! Why bytes cannot be decoded.
+
+use crate::limits::VERSION;
+
+/// Why bytes are no frame. The connection they came on is of no further use.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FrameError {
+    /// The header announces more than the bound.
+    #[error("frame of {length} bytes, {most} at most")]
+    TooLong {
+        /// Bytes announced.
+        length: usize,
+        /// The bound.
+        most: usize,
+    },
+    /// The header announces less than a header's own version and kind.
+    #[error("frame of {0} bytes, shorter than its header")]
+    NoHeader(usize),
+    /// The other side speaks another version.
+    #[error("protocol version {0}, this side speaks {VERSION}")]
+    Version(u8),
+    /// The payload ends inside a field.
+    #[error("{field} runs past the frame")]
+    Short {
+        /// The field.
+        field: &'static str,
+    },
+    /// A name is too long.
+    #[error("{field} has {length} bytes, {most} at most")]
+    Long {
+        /// The field.
+        field: &'static str,
+        /// Its length.
+        length: usize,
+        /// The bound.
+        most: usize,
+    },
+    /// A name is not UTF-8.
+    #[error("{field} is not UTF-8")]
+    NotText {
+        /// The field.
+        field: &'static str,
+    },
+    /// A choice has a value that means nothing.
+    #[error("{field} has the value {value}, which means nothing")]
+    Value {
+        /// The field.
+        field: &'static str,
+        /// The value.
+        value: u8,
+    },
+}
--- a/crates/protocol/src/field.rs
+++ b/crates/protocol/src/field.rs
@@ -1,7 +1,7 @@
 //! One field of a frame: its bytes, its bounds.
 
-use crate::frame::FrameError;
-use crate::message::MAX_NAME;
+use crate::error::FrameError;
+use crate::limits::MAX_NAME;
 
 /// What remains of a frame's payload.
 pub struct Reader<'a> {
@@ -125,40 +125,3 @@
     }
     Ok(items)
 }
-
-macro_rules! choice {
-    ($(#[$doc:meta])* $name:ident { $($(#[$vdoc:meta])* $variant:ident = $code:literal => $word:literal,)* }) => {
-        $(#[$doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-        pub enum $name { $($(#[$vdoc])* $variant,)* }
-        impl $name {
-            /// All values, in the order of their codes.
-            pub const ALL: &'static [Self] = &[$(Self::$variant),*];
-            /// The value as a word, for logs, headers and records.
-            pub fn word(self) -> &'static str {
-                match self { $(Self::$variant => $word),* }
-            }
-            /// The value of a word.
-            pub fn from_word(word: &str) -> Option<Self> {
-                match word { $($word => Some(Self::$variant),)* _ => None }
-            }
-        }
-        impl std::fmt::Display for $name {
-            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-                f.write_str(self.word())
-            }
-        }
-        impl crate::field::Field for $name {
-            fn put(&self, out: &mut Vec<u8>) {
-                out.push(match self { $(Self::$variant => $code),* });
-            }
-            fn take(reader: &mut crate::field::Reader) -> Result<Self, crate::frame::FrameError> {
-                match u8::take(reader)? {
-                    $($code => Ok(Self::$variant),)*
-                    value => Err(crate::frame::FrameError::Value { field: reader.field, value }),
-                }
-            }
-        }
-    };
-}
-pub(crate) use choice;
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -1,76 +1,10 @@
 //! Frames: a header of six bytes (length of the rest, version, kind), then the payload.
 
+use crate::error::FrameError;
 use crate::field::Reader;
+use crate::limits::{HEADER, Limits, VERSION};
 use crate::message::Message;
 
-/// The version that this side speaks.
-pub const VERSION: u8 = 1;
-/// Bytes of a header: length (4, of what follows it), version (1), kind (1).
-pub const HEADER: usize = 6;
-
-/// Bounds of what one connection may make this side hold.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limits {
-    /// Longest frame, header included, in bytes.
-    pub frame: usize,
-}
-
-impl Default for Limits {
-    /// 4 MiB.
-    fn default() -> Self {
-        Self { frame: 4 << 20 }
-    }
-}
-
-/// Why bytes are no frame. The connection they came on is of no further use.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum FrameError {
-    /// The header announces more than the bound.
-    #[error("frame of {length} bytes, {most} at most")]
-    TooLong {
-        /// Bytes announced.
-        length: usize,
-        /// The bound.
-        most: usize,
-    },
-    /// The header announces less than a header's own version and kind.
-    #[error("frame of {0} bytes, shorter than its header")]
-    NoHeader(usize),
-    /// The other side speaks another version.
-    #[error("protocol version {0}, this side speaks {VERSION}")]
-    Version(u8),
-    /// The payload ends inside a field.
-    #[error("{field} runs past the frame")]
-    Short {
-        /// The field.
-        field: &'static str,
-    },
-    /// A name is too long.
-    #[error("{field} has {length} bytes, {most} at most")]
-    Long {
-        /// The field.
-        field: &'static str,
-        /// Its length.
-        length: usize,
-        /// The bound.
-        most: usize,
-    },
-    /// A name is not UTF-8.
-    #[error("{field} is not UTF-8")]
-    NotText {
-        /// The field.
-        field: &'static str,
-    },
-    /// A choice has a value that means nothing.
-    #[error("{field} has the value {value}, which means nothing")]
-    Value {
-        /// The field.
-        field: &'static str,
-        /// The value.
-        value: u8,
-    },
-}
-
 /// Appends a message's frame.
 pub fn encode(message: &Message, out: &mut Vec<u8>) {
     let start = out.len();
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,13 +4,20 @@
 //! more bytes, or one [`FrameError`] that names the field; no input makes it panic or hold more memory than
 //! [`Limits`] allows. `docs/PROTOCOL.md` has the layout.
 
+mod error;
 mod field;
 mod frame;
 pub mod http;
+mod limits;
+mod macros;
 mod message;
+mod values;
 
-pub use frame::{Decoder, FrameError, HEADER, Limits, VERSION, encode};
-pub use message::*;
+pub use error::FrameError;
+pub use frame::{Decoder, encode};
+pub use limits::{HEADER, Limits, MAX_NAME, VERSION};
+pub use message::Message;
+pub use values::{Ending, Listed, Origin, Role, Shape, Standing, Status};
 
 /// A span or an instant in microseconds.
 pub type Micros = u64;
--- /dev/null
+++ b/crates/protocol/src/macros.rs
@@ -0,0 +1,55 @@
+//! Enums and structs of the wire format, each with its encoding.
+
+macro_rules! choice {
+    ($(#[$doc:meta])* $name:ident { $($(#[$vdoc:meta])* $variant:ident = $code:literal => $word:literal,)* }) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum $name { $($(#[$vdoc])* $variant,)* }
+        impl $name {
+            /// All values, in the order of their codes.
+            pub const ALL: &'static [Self] = &[$(Self::$variant),*];
+            /// The value as a word, for logs, headers and records.
+            pub fn word(self) -> &'static str {
+                match self { $(Self::$variant => $word),* }
+            }
+            /// The value of a word.
+            pub fn from_word(word: &str) -> Option<Self> {
+                match word { $($word => Some(Self::$variant),)* _ => None }
+            }
+        }
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str(self.word())
+            }
+        }
+        impl crate::field::Field for $name {
+            fn put(&self, out: &mut Vec<u8>) {
+                out.push(match self { $(Self::$variant => $code),* });
+            }
+            fn take(reader: &mut crate::field::Reader) -> Result<Self, crate::error::FrameError> {
+                match u8::take(reader)? {
+                    $($code => Ok(Self::$variant),)*
+                    value => Err(crate::error::FrameError::Value { field: reader.field, value }),
+                }
+            }
+        }
+    };
+}
+
+macro_rules! record {
+    ($(#[$doc:meta])* $name:ident { $($(#[$fdoc:meta])* $field:ident: $type:ty,)* }) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq)]
+        pub struct $name { $($(#[$fdoc])* pub $field: $type,)* }
+        impl crate::field::Field for $name {
+            fn put(&self, out: &mut Vec<u8>) {
+                $(crate::field::Field::put(&self.$field, out);)*
+            }
+            fn take(reader: &mut crate::field::Reader) -> Result<Self, crate::error::FrameError> {
+                Ok(Self { $($field: { reader.field = stringify!($field); crate::field::Field::take(reader)? }),* })
+            }
+        }
+    };
+}
+
+pub(crate) use {choice, record};
--- /dev/null
+++ b/crates/protocol/src/values.rs
@@ -0,0 +1,115 @@
+//! The enums and structs that messages are made of.
+
+use crate::Micros;
+use crate::error::FrameError;
+use crate::field::{Field, Reader, put_list, take_list};
+use crate::macros::{choice, record};
+
+choice!(
+    /// What the peer that opens a connection is.
+    Role {
+        /// A client of a gateway.
+        Client = 1 => "client",
+        /// A gateway, towards a worker or the worker list.
+        Gateway = 2 => "gateway",
+        /// A worker, towards the worker list.
+        Worker = 3 => "worker",
+    }
+);
+choice!(
+    /// How a call ended for its client.
+    Status {
+        /// It ran; the body is the function's answer.
+        Served = 0 => "served",
+        /// It did not take effect and may be tried again without harm.
+        Refused = 1 => "refused",
+        /// It failed; whether it took effect is not promised.
+        Failed = 2 => "failed",
+        /// Not over yet (answer to an await).
+        Pending = 3 => "pending",
+        /// No such call is known here (answer to an await).
+        Unknown = 4 => "unknown",
+        /// The call is over, but its result is no longer kept (answer to an await).
+        Expired = 5 => "expired",
+    }
+);
+choice!(
+    /// How a worker ended an attempt or an order.
+    Ending {
+        /// Done.
+        Ok = 0 => "ok",
+        /// The function failed; it may have run.
+        Error = 1 => "error",
+        /// Turned away unseen.
+        Full = 2 => "full",
+        /// The function is not loaded here.
+        Miss = 3 => "miss",
+        /// The load that the call waited for failed; the call never ran.
+        LoadFailed = 4 => "load-failed",
+        /// Called off before it ran.
+        Cancelled = 5 => "cancelled",
+    }
+);
+choice!(
+    /// Whether a listed worker may be given work.
+    Standing {
+        /// In service.
+        In = 0 => "in",
+        /// Finishing what it has.
+        Draining = 1 => "draining",
+        /// Withdrawn.
+        Out = 2 => "out",
+    }
+);
+
+record!(
+    /// One worker on the list.
+    Listed {
+        /// Its name, kept when its process restarts.
+        id: String,
+        /// Where it listens, `host:port`.
+        address: String,
+        /// Its zone.
+        zone: String,
+        /// Its kind of machine.
+        kind: String,
+        /// Its cell: workers that share what keys they have seen.
+        cell: u64,
+        /// Whether it may be given work.
+        standing: Standing,
+        /// When its process last started, in microseconds since 1970; 0: long ago.
+        started: Micros,
+    }
+);
+record!(
+    /// Facts about a function that travel with its calls; 0: not told.
+    Shape {
+        /// Memory of one instance, in MB.
+        memory_mb: u32,
+        /// Calls that one instance runs at a time.
+        lanes: u32,
+        /// Usual time of a load, in microseconds.
+        load_time: Micros,
+        /// Usual work of a call on one core, in microseconds.
+        work: Micros,
+    }
+);
+
+record!(
+    /// Which bytes ran, in the worker's own word.
+    Origin {
+        /// The function, as it was asked of the worker: with its version, if it has one.
+        function: String,
+        /// A digest of its bytes, such as `sha256:...`; empty: not told.
+        digest: String,
+    }
+);
+
+impl Field for Vec<Listed> {
+    fn put(&self, out: &mut Vec<u8>) {
+        put_list(self, out);
+    }
+    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
+        take_list(reader)
+    }
+}
