rehearsal: the auditor in modules, one for each rule

Change: the history of each call is put together once (audit/history.rs); each rule, the versions, the tables, the records' files and the text are a module with one job; what was tuples and strings is typed (Answer, LostGateway, AttemptEnding, Location, Repeats, Life).

Result: the 11 tests of the auditor pass. The text of the verdict is the same to the byte, and so is the exit code, on the records of 'rehearse short' and 'rehearse shift' and on three copies of each with lines lost, doubled, cut or changed (which break rules 1 and 2 and the versions' one), judged by the build before and by this one.

--- /dev/null
+++ b/crates/rehearsal/src/audit/answers.rs
@@ -0,0 +1,37 @@
+//! Rule 1: one final answer for each call, before its client's deadline.
+
+use super::history::{Call, History, LostGateway};
+use super::limits::Terms;
+use super::verdict::RuleVerdict;
+
+/// Judges the answers of all calls.
+pub fn judge(history: &History, terms: &Terms) -> RuleVerdict {
+    let mut broken = history.stray_answers.clone();
+    for (trace, call) in &history.calls {
+        if call.answers.len() > 1 {
+            broken.push(format!("{trace}: {} answers", call.answers.len()));
+        }
+        broken.extend(fault(history, terms, call).map(|fault| format!("{trace}: {fault}")));
+    }
+    RuleVerdict { looked_at: history.calls.len(), broken }
+}
+
+/// What is wrong with the first answer of a call, or with its absence.
+fn fault(history: &History, terms: &Terms, call: &Call) -> Option<String> {
+    if let Some(answer) = call.answers.first() {
+        let late = answer.at > call.deadline + terms.answer_slack;
+        return late
+            .then(|| format!("{} {} us after the deadline", answer.status, answer.at - call.deadline));
+    }
+    if let Some(lost) = call.lost {
+        let excused = lost.unreached || was_stopped(history, terms, &call.gateway, lost);
+        return (!excused).then(|| format!("{} closed its connection unasked", call.gateway));
+    }
+    (!call.left).then(|| "no answer".into())
+}
+
+/// A gateway owes nothing for what it held when it was killed; any other loss is its own.
+fn was_stopped(history: &History, terms: &Terms, gateway: &str, lost: LostGateway) -> bool {
+    let mut ends = history.gateway_ends.get(gateway).into_iter().flatten();
+    ends.any(|end| *end <= lost.at + terms.transit)
+}
--- /dev/null
+++ b/crates/rehearsal/src/audit/limits.rs
@@ -0,0 +1,44 @@
+//! What the rules mean in figures.
+
+use std::collections::BTreeMap;
+
+use crate::scene::{ClassSpec, Scene};
+
+/// After a deadline an answer still counts for so long: the way to the client.
+const ANSWER_SLACK: u64 = 8_000;
+/// What a frame's way may take.
+const TRANSIT: u64 = 100_000;
+
+/// What the rules mean in figures. Times are in microseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    /// Effects by class: `safe`, `unsafe`, `keyed GROUP MS`.
+    pub effects: BTreeMap<String, String>,
+    /// Aims by class.
+    pub aims: BTreeMap<String, u64>,
+    /// After a deadline an answer still counts for so long: the way to the client.
+    pub answer_slack: u64,
+    /// Nothing new later than this after a drain was told.
+    pub drain_grace: u64,
+    /// The ration's window (0: no ration), free orders, orders for each call.
+    pub ration: (u64, f64, f64),
+    /// What a frame's way may take.
+    pub transit: u64,
+}
+
+impl Terms {
+    /// The terms of a scene.
+    pub fn of(scene: &Scene) -> Self {
+        let effect = |class: &ClassSpec| (class.name.clone(), class.effect.clone());
+        let aim = |class: &ClassSpec| (class.name.clone(), class.aim_ms * 1_000);
+        let (window_ms, free, per_call) = scene.terms.ration;
+        Self {
+            effects: scene.classes.iter().map(effect).collect(),
+            aims: scene.classes.iter().map(aim).collect(),
+            answer_slack: ANSWER_SLACK,
+            drain_grace: scene.terms.drain_grace_ms * 1_000,
+            ration: (window_ms * 1_000, free, per_call),
+            transit: TRANSIT,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/audit/ration.rs
@@ -0,0 +1,60 @@
+//! Rule 5: load orders within the ration.
+
+use std::collections::BTreeMap;
+
+use cresswheel_standins::{Record, What};
+
+use super::limits::Terms;
+use super::verdict::RuleVerdict;
+
+/// Times of events by gateway, in order.
+type TimesByGateway<'a> = BTreeMap<&'a str, Vec<u64>>;
+
+/// Judges all orders that workers read.
+pub fn judge(records: &[Record], terms: &Terms) -> RuleVerdict {
+    let mut verdict = RuleVerdict::default();
+    let (window, free, per_call) = terms.ration;
+    if window == 0 {
+        return verdict;
+    }
+    let calls = calls(records);
+    let mut orders = TimesByGateway::new();
+    for record in records {
+        match &record.what {
+            // A restarted gateway has a ration of its own.
+            What::Scene { words } => {
+                if let Some(gateway) = words.strip_prefix("start ") {
+                    orders.remove(gateway);
+                }
+            }
+            What::Hold { gateway, count: 1.., .. } => {
+                verdict.looked_at += 1;
+                orders.entry(gateway).or_default().push(record.at);
+                // The transit counts in the gateway's favour.
+                let since = record.at.saturating_sub(window);
+                let given = count_within(&orders, gateway, since + terms.transit, record.at);
+                let called = count_within(&calls, gateway, since.saturating_sub(terms.transit), record.at);
+                if given as f64 > free + per_call * called as f64 {
+                    verdict.broken.push(format!("{gateway} gave {given} orders for {called} calls"));
+                }
+            }
+            _ => {}
+        }
+    }
+    verdict
+}
+
+fn calls(records: &[Record]) -> TimesByGateway<'_> {
+    let mut calls = TimesByGateway::new();
+    for record in records {
+        if let What::Asked { gateway, .. } = &record.what {
+            calls.entry(gateway).or_default().push(record.at);
+        }
+    }
+    calls
+}
+
+fn count_within(times: &TimesByGateway, gateway: &str, from: u64, to: u64) -> usize {
+    let Some(times) = times.get(gateway) else { return 0 };
+    times.partition_point(|at| *at <= to) - times.partition_point(|at| *at < from)
+}
