crowd, rehearsal: one reader of /proc; the measurement of idle connections in modules

Change: rehearsal::process_usage reads CPU of all threads from schedstat, memory, wake-ups and children, for both; measure is a folder (classes, found, judge, processors, report, run, test_bed) with named times and typed outcomes of a class in place of tuples.

'load idle' and 'load' were not run in this commit's making.

--- a/crates/crowd/src/crowd.rs
+++ b/crates/crowd/src/crowd.rs
@@ -65,6 +65,21 @@
     pub last_made: Micros,
 }
 
+impl Status {
+    /// Adds another crowd's status.
+    pub fn add(&mut self, other: &Self) {
+        self.wanted += other.wanted;
+        self.stand += other.stand;
+        self.lost += other.lost;
+        self.open += other.open;
+        self.to_come += other.to_come;
+        self.answered += other.answered;
+        self.pings += other.pings;
+        self.asked_to_leave += other.asked_to_leave;
+        self.last_made = self.last_made.max(other.last_made);
+    }
+}
+
 /// Connections being made at once.
 const AT_ONCE: usize = 128;
 /// Source addresses used in turn.
--- a/crates/crowd/src/plots.rs
+++ b/crates/crowd/src/plots.rs
@@ -86,8 +86,8 @@
     let in_time = |class: &'static str, pick: fn(&Found) -> Option<&Wave>| -> Line {
         let share = |f: &Found| {
             let wave = pick(f)?;
-            let (_, [asked, in_time, ..], _) = wave.classes.iter().find(|(name, ..)| name == class)?;
-            Some((f.connections as f64, *in_time as f64 / (*asked).max(1) as f64 * 100.0))
+            let outcome = wave.classes.iter().find(|outcome| outcome.class == class)?;
+            Some((f.connections as f64, outcome.in_time_percent()))
         };
         (class.into(), all.iter().filter_map(share).collect())
     };
@@ -105,9 +105,9 @@
     if let Some(last) = all.last()
         && let Some(wave) = last.waves.last()
     {
-        let lines = wave.times.iter().map(|(class, times)| {
-            let points = times.iter().enumerate();
-            (class.clone(), points.map(|(n, ms)| (ms.max(0.1), (n + 1) as f64 / 2.0)).collect())
+        let lines = wave.classes.iter().map(|outcome| {
+            let points = outcome.times_ms.iter().enumerate();
+            (outcome.class.clone(), points.map(|(n, ms)| (ms.max(0.1), (n + 1) as f64 / 2.0)).collect())
         });
         let title = format!("Answers after the wake, {} connections", last.connections);
         let plot = Plot {
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod day;
 mod fleet;
 mod load;
+pub mod process_usage;
 mod run;
 mod scene;
 mod split;
--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -9,7 +9,6 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use anyhow::Context;
 use cresswheel_protocol::{Ending, Message, Micros, Role, Shape, Status};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 use hdrhistogram::Histogram;
@@ -17,6 +16,7 @@
 use rand_pcg::rand_core::Rng;
 
 use crate::fleet::Process;
+use crate::process_usage::{cpu_us, resident_bytes};
 use crate::split;
 
 /// What is measured.
@@ -193,26 +193,6 @@
     }
 }
 
-/// Microseconds of CPU that a process has had, from /proc.
-fn cpu(process: &Process) -> anyhow::Result<f64> {
-    let path = format!("/proc/{}/stat", process.id());
-    let text = std::fs::read_to_string(&path).context(path)?;
-    // The name in brackets may hold anything; what follows it does not.
-    let rest = text.rsplit_once(')').context("stat")?.1;
-    let fields: Vec<f64> = rest.split_whitespace().skip(11).take(2).filter_map(|f| f.parse().ok()).collect();
-    // The kernel counts in hundredths of a second on all machines that this runs on.
-    Ok(fields.iter().sum::<f64>() * 10_000.0)
-}
-
-/// Resident bytes of a process, from /proc.
-fn resident(process: &Process) -> anyhow::Result<f64> {
-    let path = format!("/proc/{}/status", process.id());
-    let text = std::fs::read_to_string(&path).context(path)?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).context("VmRSS")?;
-    let kib: f64 = line.trim().trim_end_matches(" kB").trim().parse()?;
-    Ok(kib * 1024.0)
-}
-
 fn median(values: &[f64]) -> f64 {
     let mut values = values.to_vec();
     values.sort_by(f64::total_cmp);
@@ -293,9 +273,9 @@
                 [(relay, &bed.relay), (gateway, &bed.gateway)].into_iter().enumerate()
             {
                 let mut clients = Clients::new(settings, target)?;
-                let before = cpu(process)?;
+                let before = cpu_us(process.id())?;
                 let stretch = clients.stretch(&Pace::Closed(window), seconds)?;
-                let cost = (cpu(process)? - before) / stretch.times.len() as f64;
+                let cost = (cpu_us(process.id())? - before) / stretch.times.len() as f64;
                 let lost = stretch.answered - stretch.served;
                 anyhow::ensure!(lost == 0, "{lost} calls were not served");
                 // The first round warms all up.
@@ -383,10 +363,10 @@
     // What the first calls make it allocate for good is not an open call's.
     (0..settings.open / 10).for_each(|_| clients.ask(0));
     wait(&mut clients, 800)?;
-    let before = resident(&bed.gateway)?;
+    let before = resident_bytes(bed.gateway.id())?;
     (0..settings.open).for_each(|_| clients.ask(0));
     wait(&mut clients, 1_500)?;
-    let each = (resident(&bed.gateway)? - before) / settings.open as f64;
+    let each = (resident_bytes(bed.gateway.id())? - before) / settings.open as f64;
     writeln!(
         report,
         "\nMemory of an open call: {each:.0} bytes ({} open, bodies of {} bytes)",
