standins: the worker model in modules: calls, loads, timers, cold start, one function

Need: worker_model.rs had 440 lines without its tests, with functions of 40 and tuples for waiting calls and orders. Change: one module for each concern; the cold start is a type with its own arrivals; 'usual time of a load' is told in one place.

Result: the 4 tests of the model and the rehearsals' tests pass; random numbers are drawn in the same order as before.

--- /dev/null
+++ b/crates/standins/src/worker_model/loads.rs
@@ -0,0 +1,133 @@
+//! Loads: orders, fetches, room in memory.
+
+use cresswheel_protocol::{Ending, Shape};
+
+use super::function::{AcceptedJob, Function, Order};
+use super::{Effect, Model};
+
+/// Most instances of a function that one order may name.
+const MOST_INSTANCES: u32 = 64;
+
+impl Model {
+    /// An order to hold instances; 0 asks.
+    pub fn hold(
+        &mut self,
+        now: u64,
+        order: u64,
+        name: &str,
+        count: u32,
+        shape: Shape,
+        out: &mut Vec<Effect>,
+    ) {
+        self.pass(now, out);
+        let function = self.functions.entry(name.into()).or_default();
+        if shape.lanes > 0 || function.shape.is_none() {
+            function.shape = Some(shape);
+        }
+        function.idle_since = now;
+        let standing = function.standing;
+        if count == 0 || standing >= count {
+            return out.push(Effect::Held(order, Ending::Ok, standing));
+        }
+        if self.refusing || self.fallen || count > MOST_INSTANCES {
+            return out.push(Effect::Held(order, Ending::Full, standing));
+        }
+        let missing = count - (standing + function.loading).min(count);
+        for _ in 0..missing {
+            if !self.begin_load(name) {
+                return out.push(Effect::Held(order, Ending::Full, standing));
+            }
+        }
+        if let Some(function) = self.functions.get_mut(name) {
+            function.orders.push(Order { number: order, count });
+        }
+        self.start_fetches(out);
+    }
+
+    /// Unloads the idle instances of a function.
+    pub fn drop_idle(&mut self, name: &str) {
+        if let Some(function) = self.functions.get_mut(name) {
+            function.unload_idle();
+        }
+    }
+
+    /// All functions are released anew: idle instances are void.
+    pub fn flush(&mut self) {
+        self.functions.values_mut().for_each(Function::unload_idle);
+    }
+
+    /// A fetch ended.
+    pub fn fetched(&mut self, now: u64, name: &str, there: bool, out: &mut Vec<Effect>) {
+        self.pass(now, out);
+        self.fetching = self.fetching.saturating_sub(1);
+        let fails = self.load_fail > 0.0 && self.lot() < self.load_fail;
+        if !there || fails {
+            self.load_failed(name, out);
+        } else {
+            let start = self.load_time(name) as f64 * (1.0 - self.profile.fetch_share) * self.slowness;
+            self.starts.insert((now + start as u64, name.into()));
+        }
+        self.start_fetches(out);
+    }
+
+    /// Usual time of a load, in microseconds.
+    fn load_time(&self, name: &str) -> u64 {
+        self.functions.get(name).map_or_else(|| Function::default().load_time(), Function::load_time)
+    }
+
+    /// Makes room and queues a load; false: there is no room.
+    pub(super) fn begin_load(&mut self, name: &str) -> bool {
+        let waiting = self.loads_waiting.len();
+        let wanted = self.functions.get(name).map_or(0, Function::memory);
+        if waiting >= self.profile.loads * 2 || wanted > self.profile.memory_mb {
+            return false;
+        }
+        while self.memory() + wanted > self.profile.memory_mb {
+            if !self.unload_longest_idle(name) {
+                return false;
+            }
+        }
+        self.functions.entry(name.into()).or_default().loading += 1;
+        self.loads_waiting.push_back(name.into());
+        true
+    }
+
+    /// Unloads an instance of another function; false: none is idle.
+    fn unload_longest_idle(&mut self, except: &str) -> bool {
+        let idle =
+            self.functions.iter_mut().filter(|(name, function)| *name != except && function.has_idle());
+        match idle.min_by_key(|(_, function)| function.idle_since) {
+            Some((_, function)) => {
+                function.standing -= 1;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Starts waiting fetches while there are few enough.
+    pub(super) fn start_fetches(&mut self, out: &mut Vec<Effect>) {
+        while self.fetching < self.profile.loads
+            && let Some(name) = self.loads_waiting.pop_front()
+        {
+            self.fetching += 1;
+            let time = (self.load_time(&name) as f64 * self.profile.fetch_share) as u64;
+            out.push(Effect::Fetch(name, time));
+        }
+    }
+
+    /// Ends the orders that can't be met any more, and the calls that nothing will serve.
+    fn load_failed(&mut self, name: &str, out: &mut Vec<Effect>) {
+        let Some(function) = self.functions.get_mut(name) else { return };
+        function.loading -= 1;
+        let standing = function.standing;
+        let expected = standing + function.loading;
+        let lost = function.orders.extract_if(.., |order| order.count > expected);
+        out.extend(lost.map(|order| Effect::Held(order.number, Ending::LoadFailed, standing)));
+        if expected == 0 {
+            let waiting = function.waiting.drain(..);
+            let ended = |AcceptedJob { job, crowd }| Effect::Ended(job.number, Ending::LoadFailed, crowd);
+            out.extend(waiting.map(ended));
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/worker_model/timers.rs
@@ -0,0 +1,48 @@
+//! What ends by itself: calls, loads, idle instances.
+
+use cresswheel_protocol::Ending;
+
+use super::function::AcceptedJob;
+use super::{Effect, Model};
+
+impl Model {
+    /// Lets time pass.
+    pub fn pass(&mut self, now: u64, out: &mut Vec<Effect>) {
+        while let Some((at, number)) = self.running.first().filter(|(at, _)| *at <= now).copied() {
+            self.running.pop_first();
+            self.end_call(at, number, out);
+        }
+        while let Some((at, name)) = self.starts.first().filter(|(at, _)| *at <= now).cloned() {
+            self.starts.pop_first();
+            self.end_load(at, &name, out);
+        }
+        let keep_alive = self.profile.keep_alive;
+        for function in self.functions.values_mut() {
+            if function.has_idle() && function.idle_since + keep_alive <= now {
+                function.unload_idle();
+            }
+        }
+    }
+
+    fn end_call(&mut self, at: u64, number: u64, out: &mut Vec<Effect>) {
+        let Some(AcceptedJob { job, crowd }) = self.jobs.remove(&number) else { return };
+        out.push(Effect::Ended(number, Ending::Ok, crowd));
+        if let Some(function) = self.functions.get_mut(&job.function) {
+            function.running -= 1;
+            function.idle_since = at;
+        }
+        self.start_waiting(at, &job.function, out);
+    }
+
+    fn end_load(&mut self, at: u64, name: &str, out: &mut Vec<Effect>) {
+        if let Some(function) = self.functions.get_mut(name) {
+            function.loading -= 1;
+            function.standing += 1;
+            function.idle_since = at;
+            let standing = function.standing;
+            let met = function.orders.extract_if(.., |order| order.count <= standing);
+            out.extend(met.map(|order| Effect::Held(order.number, Ending::Ok, standing)));
+        }
+        self.start_waiting(at, name, out);
+    }
+}
