--- a/crates/cli/tests/versions.rs
+++ b/crates/cli/tests/versions.rs
@@ -13,7 +13,7 @@
 use cresswheel_protocol::{Ending, Message, Origin, Shape};
 use cresswheel_rehearsal::{Client, Process};
 use cresswheel_versions::{
-    Compare, Guard, Hold, Kind, Plan, Question, Record, Reply, Share, Side, Status, Step, Stick, point,
+    Compare, Guard, Hold, Kind, Plan, Question, Record, Reply, Share, Side, Status, Step, point,
 };
 
 const MS: u64 = 1_000;
@@ -157,20 +157,11 @@
 
 fn plan(shares: &[u16]) -> Plan {
     let step = |share: &u16| Step { share: Share::new(*share).unwrap(), hold: 0 };
-    let classes = vec!["check".into(), "post".into()];
     Plan {
-        function: "f".into(),
-        old: "1".into(),
-        new: "2".into(),
-        old_digest: String::new(),
-        new_digest: String::new(),
-        stick: Stick::Account,
-        salt: [11, 12],
         steps: shares.iter().map(step).collect(),
-        guard: Guard { classes, false_alarm: 0.01, worse: 1.5, least: 0, settle: 0, compare: None },
-        lease: 0,
-        preload: 0,
+        guard: Guard::new(vec!["check".into(), "post".into()]),
         keep_old: S,
+        ..Plan::new("f", "1", "2", [11, 12])
     }
 }
 
--- a/crates/versions/examples/guards.rs
+++ b/crates/versions/examples/guards.rs
@@ -150,14 +150,7 @@
     let mut args = std::env::args().skip(1).map(|arg| arg.parse::<u32>().expect("a number"));
     let (gateways, calls) = (args.next().unwrap_or(260) as usize, args.next().unwrap_or(20));
     let runs = args.next().unwrap_or(40);
-    let guard = Guard {
-        classes: vec!["c".into()],
-        false_alarm: 0.01,
-        worse: 1.5,
-        least: 0,
-        settle: 0,
-        compare: None,
-    };
+    let guard = Guard::new(vec!["c".into()]);
     println!(
         "simulated: {gateways} gateways, {calls} calls a second each, {SHARE} to the new version, {SECONDS} s, {runs} runs, \
          false alarm {}",
--- a/crates/versions/src/plan.rs
+++ b/crates/versions/src/plan.rs
@@ -49,6 +49,14 @@
     pub compare: Option<Compare>,
 }
 
+impl Guard {
+    /// A guard over these classes with a false alarm of 1 in 100 and odds of 1.5, which judges from the first answer on
+    /// and compares no answers to the same calls.
+    pub fn new(classes: Vec<String>) -> Self {
+        Self { classes, false_alarm: 0.01, worse: 1.5, least: 0, settle: 0, compare: None }
+    }
+}
+
 /// A plan.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
@@ -79,6 +87,24 @@
 }
 
 impl Plan {
+    /// A plan without steps and times: no digests are checked, versions stick to accounts, nothing is compared.
+    pub fn new(function: &str, old: &str, new: &str, salt: [u64; 2]) -> Self {
+        Self {
+            function: function.into(),
+            old: old.into(),
+            new: new.into(),
+            old_digest: String::new(),
+            new_digest: String::new(),
+            stick: Stick::Account,
+            salt,
+            steps: Vec::new(),
+            guard: Guard::new(Vec::new()),
+            lease: 0,
+            preload: 0,
+            keep_old: 0,
+        }
+    }
+
     /// Whether two records are of one plan: the same versions, and the same callers to each.
     pub fn is_same(&self, other: &Self) -> bool {
         let of = |plan: &Self| (plan.function.clone(), plan.old.clone(), plan.new.clone(), plan.salt);
--- a/crates/versions/tests/common/mod.rs
+++ b/crates/versions/tests/common/mod.rs
@@ -11,20 +11,13 @@
 
 /// 1, 10, 100 percent, ten seconds each.
 pub fn plan() -> Plan {
-    let classes = vec!["estimate".into(), "post".into()];
     Plan {
-        function: "arrears".into(),
-        old: "7".into(),
-        new: "8".into(),
-        old_digest: String::new(),
-        new_digest: String::new(),
-        stick: Stick::Account,
-        salt: [3, 4],
         steps: vec![step(100, 10 * S), step(1_000, 10 * S), step(10_000, 10 * S)],
-        guard: Guard { classes, false_alarm: 0.01, worse: 1.5, least: 50, settle: 2 * S, compare: None },
+        guard: Guard { least: 50, settle: 2 * S, ..Guard::new(vec!["estimate".into(), "post".into()]) },
         lease: 30 * S,
         preload: 5 * S,
         keep_old: 60 * S,
+        ..Plan::new("arrears", "7", "8", [3, 4])
     }
 }
 
--- a/crates/versions/tests/compare.rs
+++ b/crates/versions/tests/compare.rs
@@ -52,14 +52,7 @@
 
 #[test]
 fn a_version_whose_answers_differ_is_found_and_one_that_differs_as_borne_is_not() {
-    let guard = Guard {
-        classes: vec!["c".into()],
-        false_alarm: 0.01,
-        worse: 1.5,
-        least: 0,
-        settle: 0,
-        compare: Some(compare(0.0)),
-    };
+    let guard = Guard { compare: Some(compare(0.0)), ..Guard::new(vec!["c".into()]) };
     let mut judge = Judge::new(&guard, 1);
     judge.compared(1_000, 10);
     assert_eq!(judge.verdict(), None);
