--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -12,12 +12,13 @@
 pub mod day;
 mod fleet;
 mod load;
+pub mod process_usage;
 mod run;
 mod scene;
 mod split;
 mod traffic;
 
-pub use audit::{RULES, RuleVerdict, Terms, Verdict, audit, read_records};
+pub use audit::{ClassTable, RULES, RuleVerdict, Terms, Verdict, audit, read_records};
 pub use catalogue::{SCENES, scene};
 pub use client::Client;
 pub use fleet::{Fleet, Process};
