--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! What the tests share: settings, a small stand-in for the host, and the checker of the five rules.
 #![allow(dead_code)]
 
+pub mod streams;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use cresswheel::*;
