`cresswheel scale`: simulated gateways at the planned size, and lines through their figures

Need: nothing in the project could run a fleet of the planned size, so each figure for 680 gateways was a guess from one.

Each has the real engine, decision module and settings code; sockets, workers (the model of the stand-in worker) and time are simulated from one event queue, so a scenario and a seed give the same messages. It counts messages and bytes by role with the protocol's encoder, processor time by kind of event with the thread's own clock, resident memory, and the time until a change is at the last gateway. The memory is worked out beforehand from a trial with a few gateways, and a size beyond half of the machine's is refused with the figure.

The scenario is a script in the settings language with three more sections: scale, network and function.

Tests: counts and bytes of a small run against independent ones, the longest way of a change against arithmetic, planted lines and parabolas, refusals with one line and exit code 2, no process left behind.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod logs;
 mod peers;
 mod rehearse;
+mod scale;
 mod shifts;
 mod versions;
 
@@ -75,6 +76,12 @@
     /// What is judged is what passed on the sockets of clients and workers, never the gateways' own word. Exits 0
     /// if every rule held, 1 if one broke or the scene could not be played, 2 on a scene with a fault.
     Rehearse(rehearse::RehearseArgs),
+    /// Simulate a fleet at its planned size on this machine: messages, bytes, processor time and memory by role.
+    ///
+    /// Each simulated gateway runs the real engine and decision module; its sockets, the workers and time are
+    /// simulated. docs/SCALE.md tells how to plan a fleet with it. Exits 0 if it ran to its end, 1 if something was
+    /// left undone, 2 on a scenario with a fault or a size that the machine can't bear.
+    Scale(Box<scale::ScaleArgs>),
     /// Run a stand-in worker: it answers calls with its own name after about the work they tell.
     Worker(peers::WorkerArgs),
     /// Run a stand-in worker list.
@@ -126,6 +133,7 @@
         Command::Call(args) => call::run(args),
         Command::Versions(args) => versions::run(args, cli.tied),
         Command::Rehearse(args) => rehearse::run(args),
+        Command::Scale(args) => scale::run(*args, cli.tied),
         Command::Worker(args) => peers::worker(args, cli.tied),
         Command::List(args) => peers::list(args, cli.tied),
         Command::Store(args) => peers::store(args, cli.tied),
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -4,6 +4,7 @@
 
 use crate::Fault;
 use crate::raw::{Place, Raw, Section};
+use crate::scale::Quantity;
 
 pub struct Fields<'a> {
     kind: String,
@@ -142,6 +143,19 @@
         self.read(name, &wanted, number).map_or(absent, |(n, _)| n)
     }
 
+    /// A quantity of a scale scenario, within its range.
+    pub fn quantity(&mut self, quantity: Quantity) -> Option<f64> {
+        let Quantity { name, least, most, is_whole } = quantity;
+        let number = |raw: &Raw| match raw {
+            Raw::Int(n) => Some(*n as f64),
+            Raw::Float(x) if !is_whole => Some(*x),
+            _ => None,
+        };
+        let number = |raw: &Raw| number(raw).filter(|n| (least..=most).contains(n));
+        let kind = if is_whole { "a whole number" } else { "a number" };
+        self.read(name, &format!("{kind} from {least} to {most}"), number).map(|(n, _)| n)
+    }
+
     pub fn address(&mut self, name: &'static str) -> Option<SocketAddr> {
         let address = |raw: &Raw| if let Raw::Text(text) = raw { text.parse().ok() } else { None };
         self.read(name, "an address such as \"127.0.0.1:7100\"", address).map(|(at, _)| at)
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -30,6 +30,11 @@
             faults.push(Fault { place: place.clone(), what });
             continue;
         }
+        if crate::scale::SECTIONS.contains(&kind.as_str()) {
+            let what = format!("{kind}(...) belongs in a scale scenario, not in a gateway's settings");
+            faults.push(Fault { place: place.clone(), what });
+            continue;
+        }
         seen.push((kind.clone(), place));
         let mut fields = Fields::new(section, &mut faults);
         match kind.as_str() {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,6 +8,7 @@
 mod gateway;
 mod plan;
 mod raw;
+mod scale;
 mod script;
 
 use std::path::Path;
@@ -16,6 +17,7 @@
 use cresswheel_versions::Plan;
 
 pub use raw::Place;
+pub use scale::{QUANTITIES, Quantity, ScaleScenario};
 
 /// Something wrong with the settings.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -48,3 +50,9 @@
     let sections = script::run(path).map_err(|fault| Faults(vec![fault]))?;
     gateway::check(path, sections).map_err(in_order)
 }
+
+/// Reads a scenario for a scale run.
+pub fn read_scale(path: &Path) -> Result<ScaleScenario, Faults> {
+    let sections = script::run(path).map_err(|fault| Faults(vec![fault]))?;
+    scale::check(path, sections).map_err(in_order)
+}
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -366,4 +366,22 @@
     ) -> anyhow::Result<NoneType> {
         section(eval, "limits", &f)
     }
+    fn scale<'v>(
+        #[starlark(kwargs)] f: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        section(eval, "scale", &f)
+    }
+    fn network<'v>(
+        #[starlark(kwargs)] f: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        section(eval, "network", &f)
+    }
+    fn function<'v>(
+        #[starlark(kwargs)] f: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        section(eval, "function", &f)
+    }
 }
