A scale run with real gateway processes beside; the memory's trial in a process of its own

Need: figures of simulated gateways lack sockets, descriptors and the process itself; `--real` was read and did nothing yet.

Change: `--real N` starts N `cresswheel gateway` processes with the same settings (written back as a script, checked to read back equal), a list service that tells them all workers of the scenario, and one process at all these workers' addresses. Recorded: processor time without calls and with one gateway's part of them, resident memory, descriptors, answers, time from HUP until new settings are in force. One that ends early is named, exit code 1. All are tied to the run and end with it, also when it is killed.

Observed in a trial: a gateway's memory of 0 MB in small runs, and medians of 0 us. Causes: the trial that works out the memory gave its pages back to the same process, so the run grew into them (`plan` was called in the run's process); `saturating_record` of a histogram that starts with no range takes all values as its first bucket. Now `--plan` runs as a process of its own, and histograms have bounds; the test of counts checks the quantiles.

Tests: two real gateways answer all; a killed one is noticed; a killed run leaves none behind.

--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -3,10 +3,15 @@
 use std::io::Read;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode, Stdio};
+use std::thread::JoinHandle;
 
 use anyhow::Context;
 use clap::{Args, ValueEnum};
-use cresswheel_scale::{BadQuantity, Inputs, Report, Sweep, SweepReport, plan, run as run_scenario, set_all};
+use cresswheel_gateway::GatewaySettings;
+use cresswheel_scale::real::{self, RealInputs, RealReport};
+use cresswheel_scale::{
+    BadQuantity, Estimate, Inputs, Report, Sweep, SweepReport, plan, run as run_scenario, set_all,
+};
 use cresswheel_settings::ScaleScenario;
 
 /// Flags that set quantities; absent: what the scenario says.
@@ -80,6 +85,11 @@
         ]
     }
 
+    /// The flags that are there, as they were typed.
+    fn texts(&self) -> Vec<(&'static str, String)> {
+        self.all().into_iter().filter_map(|(name, text)| Some((name, text.clone()?))).collect()
+    }
+
     /// The flags that are there.
     fn given(&self) -> Result<Vec<(&'static str, f64)>, BadQuantity> {
         let given = self.all().into_iter().filter_map(|(name, text)| Some((name, text.as_ref()?)));
@@ -112,6 +122,12 @@
     /// the figures.
     #[arg(long, value_name = "QUANTITY=VALUES")]
     sweep: Option<String>,
+    /// Work out the memory that a run needs, print it as JSON, and run nothing.
+    #[arg(long, conflicts_with = "sweep")]
+    plan: bool,
+    /// Keep logs and settings of the real processes in FOLDER; absent: in a folder that is removed.
+    #[arg(long, value_name = "FOLDER")]
+    keep: Option<PathBuf>,
     /// What is printed.
     #[arg(long, value_enum, default_value_t = Format::Table)]
     format: Format,
@@ -165,16 +181,20 @@
         Ok(settings) => settings,
         Err(faults) => return Ok(Err(Wrong(faults.to_string()))),
     };
-    let limit = args.most_memory_mb.map(|mb| mb.saturating_mul(1 << 20));
-    let estimate = match plan(&scenario, &settings, limit)? {
-        Ok(estimate) => estimate,
-        Err(refused) => {
-            let place = args.file.display();
-            return Ok(Err(Wrong(format!("cresswheel scale: {place}: {refused}"))));
-        }
+    if args.plan {
+        return print_plan(args, &scenario, &settings);
+    }
+    // The trial is a process of its own, so that what it took and gave back does not blur this one's memory.
+    let Some(json) = child(args, &["--plan"], args.quantities.texts())? else {
+        return Ok(Ok(ExitCode::from(2)));
     };
+    let estimate: Estimate = serde_json::from_str(&json).context("the trial's report")?;
+    let real = (scenario.real > 0).then(|| start_real(args, &scenario, &settings)).transpose()?;
     let inputs = Inputs { scenario: &scenario, settings: &settings, estimate, most_wall_s: args.most_wall_s };
-    let report = run_scenario(inputs)?;
+    let report = run_scenario(inputs);
+    let real = real.map(|real| real.join().map_err(|_| anyhow::anyhow!("the real part panicked")));
+    let mut report = report?;
+    report.real = real.transpose()?.transpose()?;
     let json = serde_json::to_string(&report)?;
     write_out(args.out.as_deref(), &json)?;
     match args.format {
@@ -184,6 +204,45 @@
     Ok(Ok(if report.is_whole() { ExitCode::SUCCESS } else { ExitCode::FAILURE }))
 }
 
+fn print_plan(
+    args: &ScaleArgs,
+    scenario: &ScaleScenario,
+    settings: &GatewaySettings,
+) -> anyhow::Result<Result<ExitCode, Wrong>> {
+    let limit = args.most_memory_mb.map(|mb| mb.saturating_mul(1 << 20));
+    Ok(match plan(scenario, settings, limit)? {
+        Ok(estimate) => {
+            println!("{}", serde_json::to_string(&estimate)?);
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(refused) => Err(Wrong(format!("cresswheel scale: {}: {refused}", args.file.display()))),
+    })
+}
+
+/// Runs the real gateways on a thread of their own.
+fn start_real(
+    args: &ScaleArgs,
+    scenario: &ScaleScenario,
+    settings: &GatewaySettings,
+) -> anyhow::Result<JoinHandle<anyhow::Result<RealReport>>> {
+    let temporary = args.keep.is_none();
+    let usual = || std::env::temp_dir().join(format!("cresswheel-scale-{}", std::process::id()));
+    let inputs = RealInputs {
+        exe: std::env::current_exe().context("this program's own path")?,
+        folder: args.keep.clone().unwrap_or_else(usual),
+        scenario: scenario.clone(),
+        settings: settings.clone(),
+        progress: |line| eprintln!("{line}"),
+    };
+    Ok(std::thread::spawn(move || {
+        let report = real::run(&inputs);
+        if temporary {
+            let _ = std::fs::remove_dir_all(&inputs.folder);
+        }
+        report
+    }))
+}
+
 /// Each run is a process of its own, so that its memory is its own.
 fn sweep_all(args: &ScaleArgs, text: &str) -> anyhow::Result<Result<ExitCode, Wrong>> {
     let wrong = |what: &dyn std::fmt::Display| Wrong(format!("cresswheel scale: --sweep {text}: {what}"));
@@ -221,12 +280,19 @@
 
 /// One run of a sweep; `None`: it was refused, and said why on standard error.
 fn one_of_sweep(args: &ScaleArgs, quantity: &str, value: f64) -> anyhow::Result<Option<Report>> {
+    let mut flags = args.quantities.texts();
+    flags.retain(|(name, _)| *name != quantity);
+    flags.push((quantity, value.to_string()));
+    let json = child(args, &["--format", "json"], flags)?;
+    json.map(|json| serde_json::from_str(&json).context("a run's report")).transpose()
+}
+
+/// Runs this command again as a process of its own; gives what it printed. `None`: it printed nothing, and said why on
+/// standard error.
+fn child(args: &ScaleArgs, more: &[&str], flags: Vec<(&str, String)>) -> anyhow::Result<Option<String>> {
     let mut command = Command::new(std::env::current_exe().context("this program's own path")?);
-    command.arg("scale").arg(&args.file).args(["--format", "json"]);
-    let given = args.quantities.all().into_iter();
-    let given =
-        given.filter_map(|(name, text)| Some((name, text.clone()?))).filter(|(name, _)| *name != quantity);
-    for (name, text) in given.chain([(quantity, value.to_string())]) {
+    command.arg("scale").arg(&args.file).args(more);
+    for (name, text) in flags {
         command.arg(format!("--{}", name.replace('_', "-"))).arg(text);
     }
     if let Some(mb) = args.most_memory_mb {
@@ -237,14 +303,11 @@
     command.env("CRESSWHEEL_TIED", "true").stdin(Stdio::piped()).stdout(Stdio::piped());
     let mut child = command.spawn().context("start a run")?;
     let tie = child.stdin.take();
-    let mut json = String::new();
-    child.stdout.take().context("no standard output")?.read_to_string(&mut json)?;
+    let mut printed = String::new();
+    child.stdout.take().context("no standard output")?.read_to_string(&mut printed)?;
     child.wait()?;
     drop(tie);
-    if json.is_empty() {
-        return Ok(None);
-    }
-    Ok(Some(serde_json::from_str(&json).context("a run's report")?))
+    Ok((!printed.is_empty()).then_some(printed))
 }
 
 fn write_out(file: Option<&Path>, json: &str) -> anyhow::Result<()> {
--- a/crates/cli/tests/scale_run.rs
+++ b/crates/cli/tests/scale_run.rs
@@ -1,7 +1,9 @@
 //! `cresswheel scale` as a command: its output, its refusals, and that it leaves nothing running.
 
+use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
 
 const SETTINGS: &str = r#"
 gateway(name = "g", listen = "127.0.0.1:0", list = ["127.0.0.1:1"])
@@ -177,3 +179,70 @@
     std::fs::write(folder.path("settings.star"), format!("{SETTINGS}limits(open_cals = 3)\n")).unwrap();
     refused(&folder.scale(&[]), &["settings.star:5:", "did you mean open_calls?"]);
 }
+
+/// The process of the first real gateway of a run, once it runs.
+fn real_gateway(run: &mut Child, folder: &Path) -> String {
+    let lines = BufReader::new(run.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let mut seen = Vec::new();
+    for line in lines {
+        seen.push(line);
+        if seen.last().is_some_and(|line| line.contains("real gateways run")) {
+            break;
+        }
+    }
+    let gateway = left_running(folder).into_iter().find(|id| {
+        let line = std::fs::read(format!("/proc/{id}/cmdline")).unwrap_or_default();
+        String::from_utf8_lossy(&line).contains("gateway-0.star")
+    });
+    gateway.unwrap_or_else(|| panic!("no real gateway runs: {seen:?}"))
+}
+
+#[test]
+fn real_gateways_beside_answer_all_calls_and_end() {
+    let folder = Folder::new(SCENARIO);
+    let keep = folder.path("real");
+    let flags = ["--real", "2", "--keep", keep.to_str().unwrap(), "--format", "json"];
+    let report = json(&folder.scale(&flags));
+    let gateways = report["real"]["gateways"].as_array().unwrap();
+    assert_eq!(gateways.len(), 2);
+    for gateway in gateways {
+        let count = |name: &str| gateway[name].as_u64().unwrap();
+        assert!(count("calls") > 0 && count("answered") == count("calls"), "{gateway}");
+        assert_eq!(count("served"), count("calls"), "{gateway}");
+        assert!(count("resident") > 1 << 20 && count("descriptors") > 5, "{gateway}");
+        assert!(gateway["settings_ms"].as_f64().is_some(), "{gateway}");
+    }
+    assert_eq!(left_running(folder.0.path()), Vec::<String>::new());
+}
+
+#[test]
+fn a_killed_real_gateway_is_noticed() {
+    let folder = Folder::new(SCENARIO);
+    let keep = folder.path("real");
+    let mut command = folder.command(&["--real", "1", "--keep", keep.to_str().unwrap(), "--seconds", "8"]);
+    let mut run = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+    let gateway = real_gateway(&mut run, folder.0.path());
+    let killed = Command::new("kill").args(["-KILL", &gateway]).status().unwrap();
+    assert!(killed.success());
+    let output = run.wait_with_output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert_eq!(output.status.code(), Some(1), "{text}");
+    assert!(text.contains(&format!("process {gateway} ENDED EARLY: it ended with a signal")), "{text}");
+    assert_eq!(left_running(folder.0.path()), Vec::<String>::new());
+}
+
+#[test]
+fn a_run_that_is_killed_leaves_no_real_gateway() {
+    let folder = Folder::new(SCENARIO);
+    let keep = folder.path("real");
+    let mut command = folder.command(&["--real", "1", "--keep", keep.to_str().unwrap(), "--seconds", "60"]);
+    let mut run = command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+    real_gateway(&mut run, folder.0.path());
+    run.kill().unwrap();
+    run.wait().unwrap();
+    let end = Instant::now() + Duration::from_secs(30);
+    while !left_running(folder.0.path()).is_empty() && Instant::now() < end {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(left_running(folder.0.path()), Vec::<String>::new());
+}
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -19,6 +19,7 @@
 mod records;
 mod report;
 mod run;
+mod script;
 mod size;
 mod sources;
 mod sweep;
--- a/crates/scale/src/records.rs
+++ b/crates/scale/src/records.rs
@@ -128,11 +128,14 @@
 }
 
 const LONG_NANOS: u64 = 2_000_000;
+/// What took longer counts as this long in the quantiles.
+const LONGEST_NANOS: u64 = 100_000_000_000;
 
 impl CostMeter {
     /// Nothing yet.
     pub fn new() -> Self {
-        let spans = Histogram::new(2).unwrap_or_else(|_| unreachable!("2 digits are allowed"));
+        let spans = Histogram::new_with_bounds(1, LONGEST_NANOS, 2);
+        let spans = spans.unwrap_or_else(|_| unreachable!("these bounds are allowed"));
         Self { spans, total: 0, worst: 0, over: 0 }
     }
 
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::real::RealReport;
+use crate::real::{RealGateway, RealReport};
 use crate::records::{ChangeRecord, Cost, Traffic};
 use crate::size::Estimate;
 
@@ -45,7 +45,7 @@
     pub gateway: GatewayRecord,
     /// The simulated workers.
     pub workers: WorkerRecord,
-    /// The sources of list and settings, from the very start.
+    /// The sources of list and settings, from the first call on.
     pub sources: SourceRecord,
     /// Each change, and when the last gateway had it.
     pub changes: Vec<ChangeRecord>,
@@ -162,7 +162,8 @@
     /// Whether it ran to its end, each call with one answer, and each change at all gateways.
     pub fn is_whole(&self) -> bool {
         let answered = self.unanswered == 0 && self.stray_answers == 0;
-        self.ended_early.is_none() && answered && self.unfinished_changes() == 0
+        let real = self.real.as_ref().is_none_or(RealReport::is_whole);
+        self.ended_early.is_none() && answered && real && self.unfinished_changes() == 0
     }
 
     /// Resident memory of one simulated gateway, in bytes.
@@ -193,6 +194,15 @@
             ("gateway connections".to_owned(), self.gateway.connections),
             ("whole list at the last gateway, us".to_owned(), self.whole_list_last_us as f64),
         ]);
+        if let Some(real) = self.real.as_ref().filter(|real| !real.gateways.is_empty()) {
+            let mean = |of: fn(&RealGateway) -> f64| {
+                real.gateways.iter().map(of).sum::<f64>() / real.gateways.len() as f64
+            };
+            figures.insert("real gateway memory, bytes".into(), mean(|gateway| gateway.resident as f64));
+            figures
+                .insert("real gateway idle, share of a core".into(), mean(|gateway| gateway.idle_core_share));
+            figures.insert("real gateway descriptors".into(), mean(|gateway| gateway.descriptors as f64));
+        }
         for (kind, cost) in self.gateway.costs.iter().filter(|(_, cost)| cost.events > 0) {
             figures.insert(format!("{kind}, mean ns"), cost.mean_ns);
         }
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -275,7 +275,7 @@
             made: 0,
             answers: BTreeMap::new(),
             stray_answers: 0,
-            answer_times: Histogram::new(2)?,
+            answer_times: Histogram::new_with_bounds(1, DRAIN, 2)?,
             meters: Kind::ALL.into_iter().map(|kind| (kind, CostMeter::new())).collect(),
             gateway_sent: Messages::default(),
             gateway_received: Messages::default(),
@@ -322,6 +322,7 @@
         self.until = Some(self.now + seconds);
         self.gateway_sent = Messages::default();
         self.gateway_received = Messages::default();
+        self.sources.begin();
         let first = self.calls.gap();
         self.queue.push(self.now + first, Event::Arrival);
         let changes =
--- a/crates/scale/src/sources.rs
+++ b/crates/scale/src/sources.rs
@@ -55,12 +55,19 @@
         &mut self.all[self.care[gateway]]
     }
 
+    /// What was sent until now is reported; counts begin anew.
+    pub fn begin(&mut self) {
+        for source in &mut self.all {
+            (source.sent, source.received) = Default::default();
+        }
+    }
+
     /// All sources.
     pub fn all(&self) -> &[Source] {
         &self.all
     }
 
-    /// Sends so many bytes to a gateway; gives when they are there. `hears` says when the source has them itself.
+    /// Sends so many bytes to a gateway; gives when they are there.
     pub fn deliver(
         &mut self,
         now: Micros,
--- a/crates/scale/tests/counts.rs
+++ b/crates/scale/tests/counts.rs
@@ -82,6 +82,14 @@
     assert_eq!(of(&workers.sent, "Ran").messages, of(&gateway.received, "Ran").messages);
     assert_eq!(of(&gateway.sent, "Hold").messages, gateway.orders);
     assert_eq!(gateway.costs["call"].events, report.calls);
+    for cost in gateway.costs.values().filter(|cost| cost.events > 0) {
+        assert!(0 < cost.median_ns && cost.median_ns <= cost.p99_ns, "{cost:?}");
+        // Quantiles are told to two digits.
+        assert!(cost.p99_ns as f64 <= cost.worst_ns as f64 * 1.02, "{cost:?}");
+    }
+    // Work of 5 ms in the mean, and ways of a quarter to 35 ms.
+    assert!((1_000..200_000).contains(&report.answer_median_us), "{report}");
+    assert!(report.answer_p99_us >= report.answer_median_us, "{report}");
     // A change a second from the first half second on, and one in two seconds from the first second on.
     let changes = |what: &str| report.changes.iter().filter(|change| change.what == what).count();
     assert_eq!((changes("list"), changes("settings")), (10, 5));
@@ -165,6 +173,30 @@
     assert!(refused.to_string().contains(" MB of memory"), "{refused}");
 }
 
+#[test]
+fn a_real_gateway_gets_the_settings_that_the_simulated_ones_have() {
+    let folder = Folder::new();
+    let more = r#"
+call_class(name = "k", aim = ms(900), give_up = s(4), effect = keyed(group = "zone", memory = s(3)), worth = 2.5)
+call_class(name = "u", aim = s(1), give_up = s(6), effect = "unsafe", late_worth = 0.3)
+tenant(name = "north", quota_per_s = 40)
+tenant(name = "south")
+cold_start(from_share = 0.15, warm_up = s(18), multiple = 1.5, window = s(2))
+ration(window = s(10), free = 4, per_call = 0.3)
+"#;
+    let fleet = r#"fleet(gateways = 7, keep_alive = s(9.9), when_absent = "miss", may_cancel = False, tells_crowd = False,
+    must_follow = True, ask_within = s(3), most_instances = 2, max_attempts = 3, retry_after = True,
+    max_retry_after = s(2), over_quota_worth = 0.5, kind_memory = {"std": mb(16000)}, may_duplicate = True)"#;
+    let text = SETTINGS.replace("fleet(gateways = 1, keep_alive = s(10), when_absent = \"load\")", fleet);
+    folder.write("settings.star", &format!("{text}{more}"));
+    let settings = cresswheel_settings::read(&folder.path("settings.star")).unwrap();
+    let list = "127.0.0.1:7".parse().unwrap();
+    folder.write("real.star", &cresswheel_scale::real::script(&settings, list, 123));
+    let real = cresswheel_settings::read(&folder.path("real.star")).unwrap();
+    assert_eq!(real.engine.module, settings.engine.module);
+    assert_eq!((real.list, real.engine.admission.open_calls), (vec![list], 123));
+}
+
 #[test]
 fn a_run_that_may_take_no_time_ends_early_and_says_so() {
     let folder = Folder::new();
