Names: 'lot' is 'uniform', one function for workers, model and clients

Change: cresswheel_standins::uniform draws a number from 0 up to 1; three copies of it are gone. The order of draws and their values are the same.

--- a/crates/crowd/src/crowd.rs
+++ b/crates/crowd/src/crowd.rs
@@ -290,10 +290,10 @@
     }
 
     fn call(&mut self, connection: Connection) {
-        let mut lot = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+        let mut drawn = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
         let picked = self.settings.mix.iter().find(|mix| {
-            lot -= mix.share;
-            lot <= 0.0
+            drawn -= mix.share;
+            drawn <= 0.0
         });
         let Some(mix) = picked.or(self.settings.mix.last()) else { return };
         let (class, time_left) = (mix.class.clone(), mix.give_up_ms * 1_000);
--- a/crates/rehearsal/src/traffic.rs
+++ b/crates/rehearsal/src/traffic.rs
@@ -8,7 +8,7 @@
 use std::sync::mpsc::Receiver;
 
 use cresswheel_protocol::{Message, Micros, Role, Shape, Status};
-use cresswheel_standins::{Recorder, What};
+use cresswheel_standins::{Recorder, What, uniform};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
@@ -132,8 +132,9 @@
         })
     }
 
-    fn lot(&mut self) -> f64 {
-        f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
+    /// A random number from 0 up to 1.
+    fn uniform(&mut self) -> f64 {
+        uniform(&mut self.rng)
     }
 
     /// Calls for the scene's length, then waits for what is open. Events for clients come over `events`.
@@ -186,8 +187,8 @@
         let curve = &self.scene.traffic.curve;
         let factor = curve.iter().rev().find(|(from, _)| *from <= into).map_or(1.0, |(_, factor)| *factor);
         let rate = (self.scene.traffic.rate * factor).max(1e-3);
-        let lot = self.lot();
-        (-(1.0 - lot).ln() / rate * 1e6) as Micros
+        let drawn = self.uniform();
+        (-(1.0 - drawn).ln() / rate * 1e6) as Micros
     }
 
     fn event(&mut self, event: &Event) {
@@ -198,8 +199,8 @@
             Event::Wake { share, ms } => {
                 let all: Vec<Connection> = self.crowd.keys().copied().collect();
                 for connection in all {
-                    if self.lot() < *share {
-                        let after = (self.lot() * (ms * MS) as f64) as Micros;
+                    if self.uniform() < *share {
+                        let after = (self.uniform() * (ms * MS) as f64) as Micros;
                         self.due.insert((now + after, Due::Wake(connection)));
                     }
                 }
@@ -295,15 +296,15 @@
 
     /// What is called next.
     fn draw(&mut self, at: Micros) -> (usize, usize, bool) {
-        let lot = self.lot();
-        let class = self.class_shares.iter().position(|sum| lot < *sum).unwrap_or(0);
-        let hot = at < self.hot.2 && self.lot() < self.hot.0;
+        let drawn = self.uniform();
+        let class = self.class_shares.iter().position(|sum| drawn < *sum).unwrap_or(0);
+        let hot = at < self.hot.2 && self.uniform() < self.hot.0;
         let function = if hot {
             self.rng.next_u32() as usize % self.hot.1.max(1)
         } else {
-            let lot = self.lot();
+            let drawn = self.uniform();
             let ranks = &self.ranks[&self.scene.classes[class].functions];
-            ranks.iter().position(|sum| lot < *sum).unwrap_or(0)
+            ranks.iter().position(|sum| drawn < *sum).unwrap_or(0)
         };
         (class, function, hot)
     }
@@ -332,13 +333,13 @@
         self.traces += 1;
         let trace = format!("{}-{}", self.scene.seed, self.traces);
         let spec = self.scene.classes[class].clone();
-        let short = now < self.give_up.2 && self.lot() < self.give_up.0;
+        let short = now < self.give_up.2 && self.uniform() < self.give_up.0;
         let part = self.scene.traffic.try_share * if short { self.give_up.1 } else { 1.0 };
         let time = (spec.give_up_ms as f64 * part) as Micros * MS;
-        let deferred = self.lot() < self.scene.traffic.deferred;
-        let hasty = !deferred && self.lot() < self.scene.traffic.hasty;
-        let leaves = hasty.then(|| (self.lot() * time as f64) as Micros);
-        let heavy = now < self.heavy.3 && class == self.heavy.0 && self.lot() < self.heavy.1;
+        let deferred = self.uniform() < self.scene.traffic.deferred;
+        let hasty = !deferred && self.uniform() < self.scene.traffic.hasty;
+        let leaves = hasty.then(|| (self.uniform() * time as f64) as Micros);
+        let heavy = now < self.heavy.3 && class == self.heavy.0 && self.uniform() < self.heavy.1;
         let work = spec.work_ms * if heavy { self.heavy.2 } else { 1.0 };
         let open = Open {
             trace: trace.clone(),
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -9,10 +9,10 @@
 use cresswheel_protocol::{Ending, Listed, Message, Micros, Origin, Role, Standing};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 use rand_pcg::Pcg32;
-use rand_pcg::rand_core::Rng;
 use sha2::{Digest, Sha256};
 
 use crate::control::Faults;
+use crate::random::uniform;
 use crate::records::{Recorder, What};
 use crate::worker_model::{Effect, Job, Model, Profile};
 
@@ -326,8 +326,9 @@
         }
     }
 
-    fn lot(&mut self) -> f64 {
-        f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
+    /// A random number from 0 up to 1.
+    fn uniform(&mut self) -> f64 {
+        uniform(&mut self.rng)
     }
 
     fn carry_out(&mut self) {
@@ -368,7 +369,7 @@
         };
         let bad = self.faults.version_share(now, &function);
         let ending =
-            if ending == Ending::Ok && bad > 0.0 && self.lot() < bad { Ending::Error } else { ending };
+            if ending == Ending::Ok && bad > 0.0 && self.uniform() < bad { Ending::Error } else { ending };
         // One that holds other bytes under the name says whose they are.
         let image = self.faults.swapped(now, &function).unwrap_or(&function).to_owned();
         let (lose, reset, twice) = (
@@ -378,8 +379,8 @@
         );
         // Draws only where a fault is in force: without one the run is not disturbed.
         let lose = lose.max(self.faults.class_share(now, &class));
-        let lost = self.cut_off(now, connection) || (lose > 0.0 && self.lot() < lose);
-        let breaks = !lost && reset > 0.0 && self.lot() < reset;
+        let lost = self.cut_off(now, connection) || (lose > 0.0 && self.uniform() < lose);
+        let breaks = !lost && reset > 0.0 && self.uniform() < reset;
         let word = ending.word().into();
         let ran = What::Ran { trace, ending: word, lost: lost || breaks, image: image.clone() };
         self.recorder.write(now, ran);
@@ -393,7 +394,7 @@
         let origin = Some(Origin { function, digest: digest(&image) });
         let answer = Message::Ran { attempt, ending, crowd, body, origin };
         self.hub.send(connection, &answer, None);
-        if twice > 0.0 && self.lot() < twice {
+        if twice > 0.0 && self.uniform() < twice {
             self.hub.send(connection, &answer, None);
         }
         if self.faults.get(now, "stray").is_some() {
--- a/crates/standins/src/worker_model/calls.rs
+++ b/crates/standins/src/worker_model/calls.rs
@@ -31,7 +31,7 @@
         if self.refusing || self.fallen {
             return Some(Ending::Full);
         }
-        if self.fail > 0.0 && self.lot() < self.fail {
+        if self.fail > 0.0 && self.uniform() < self.fail {
             return Some(Ending::Error);
         }
         if !is_present && !self.profile.load_on_call {
@@ -79,7 +79,7 @@
 
     /// How long a call takes that starts now: exponential work, shared cores, what is left of the capacity.
     fn draw_duration(&mut self, now: u64, work: u64) -> u64 {
-        let drawn = -(1.0 - self.lot()).ln();
+        let drawn = -(1.0 - self.uniform()).ln();
         let shared = ((self.running.len() + 1) as f64 / f64::from(self.profile.cores)).max(1.0);
         let pace = self.profile.speed * self.capacity(now) / self.slowness;
         let took = work as f64 * drawn * shared / pace.max(1e-3);
--- a/crates/standins/src/worker_model/loads.rs
+++ b/crates/standins/src/worker_model/loads.rs
@@ -60,7 +60,7 @@
     pub fn fetched(&mut self, now: u64, name: &str, there: bool, out: &mut Vec<Effect>) {
         self.pass(now, out);
         self.fetching = self.fetching.saturating_sub(1);
-        let fails = self.load_fail > 0.0 && self.lot() < self.load_fail;
+        let fails = self.load_fail > 0.0 && self.uniform() < self.load_fail;
         if !there || fails {
             self.load_failed(name, out);
         } else {
--- a/crates/standins/src/worker_model/mod.rs
+++ b/crates/standins/src/worker_model/mod.rs
@@ -12,8 +12,8 @@
 
 use cresswheel_protocol::{Ending, Shape};
 use rand_pcg::Pcg32;
-use rand_pcg::rand_core::Rng;
 
+use crate::random::uniform;
 use cold_start::ColdStart;
 use function::{AcceptedJob, Function};
 pub use profile::Profile;
@@ -98,8 +98,8 @@
     }
 
     /// A random number from 0 up to 1.
-    fn lot(&mut self) -> f64 {
-        f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
+    fn uniform(&mut self) -> f64 {
+        uniform(&mut self.rng)
     }
 
     /// The share of its capacity that it has at a time.
