--- a/crates/crowd/src/measure/judge.rs
+++ b/crates/crowd/src/measure/judge.rs
@@ -43,10 +43,10 @@
 fn rules_text(verdict: &Verdict) -> anyhow::Result<String> {
     let mut text = String::new();
     for (number, rule) in verdict.rules.iter().enumerate() {
-        let word = if rule.broken.is_empty() { "held" } else { "BROKEN" };
-        writeln!(text, "rule {}: {word} on {} ({})", number + 1, rule.looked_at, RULES[number])?;
-        for broken in rule.broken.iter().take(SHOWN) {
-            writeln!(text, "    {broken}")?;
+        let word = if rule.violations.is_empty() { "held" } else { "BROKEN" };
+        writeln!(text, "rule {}: {word} on {} ({})", number + 1, rule.checked, RULES[number])?;
+        for violation in rule.violations.iter().take(SHOWN) {
+            writeln!(text, "    {violation}")?;
         }
     }
     Ok(text)
--- a/crates/rehearsal/src/audit/answers.rs
+++ b/crates/rehearsal/src/audit/answers.rs
@@ -6,14 +6,14 @@
 
 /// Judges the answers of all calls.
 pub fn judge(history: &History, terms: &Terms) -> RuleVerdict {
-    let mut broken = history.stray_answers.clone();
+    let mut violations = history.stray_answers.clone();
     for (trace, call) in &history.calls {
         if call.answers.len() > 1 {
-            broken.push(format!("{trace}: {} answers", call.answers.len()));
+            violations.push(format!("{trace}: {} answers", call.answers.len()));
         }
-        broken.extend(fault(history, terms, call).map(|fault| format!("{trace}: {fault}")));
+        violations.extend(fault(history, terms, call).map(|fault| format!("{trace}: {fault}")));
     }
-    RuleVerdict { looked_at: history.calls.len(), broken }
+    RuleVerdict { checked: history.calls.len(), violations }
 }
 
 /// What is wrong with the first answer of a call, or with its absence.
--- a/crates/rehearsal/src/audit/cold_starts.rs
+++ b/crates/rehearsal/src/audit/cold_starts.rs
@@ -58,7 +58,7 @@
         match &record.what {
             What::Started { started, .. } => {
                 lives.extend(new_life(&record.what).map(|life| (worker, life)));
-                verdict.looked_at += usize::from(*started > 0);
+                verdict.checked += usize::from(*started > 0);
             }
             What::Run { work, .. } => {
                 let Some(life) = lives.get_mut(worker) else { continue };
@@ -66,11 +66,11 @@
                     continue;
                 }
                 if let Some(times) = life.send(record.at, *work) {
-                    verdict.broken.push(format!("{worker} was sent {times:.2} times what it bears"));
+                    verdict.violations.push(format!("{worker} was sent {times:.2} times what it bears"));
                 }
             }
             What::Fell { .. } if lives.get(worker).is_none_or(|life| !life.overloaded) => {
-                verdict.broken.push(format!("{worker} fell over"));
+                verdict.violations.push(format!("{worker} fell over"));
             }
             _ => {}
         }
--- a/crates/rehearsal/src/audit/drains.rs
+++ b/crates/rehearsal/src/audit/drains.rs
@@ -57,13 +57,15 @@
                 }
             }
             What::Run { gateway, .. } | What::Hold { gateway, count: 1.., .. } => {
-                verdict.looked_at += 1;
+                verdict.checked += 1;
                 let worker = &record.by;
                 let since = membership.barred_since.get(&(gateway.as_str(), worker.as_str()));
                 let allowed = terms.drain_grace + terms.transit;
                 if let Some(since) = since.filter(|since| record.at > *since + allowed) {
                     let late_ms = (record.at - since) / 1_000;
-                    verdict.broken.push(format!("{gateway} sent to {worker} {late_ms} ms after it was told"));
+                    verdict
+                        .violations
+                        .push(format!("{gateway} sent to {worker} {late_ms} ms after it was told"));
                 }
             }
             _ => {}
--- a/crates/rehearsal/src/audit/effects.rs
+++ b/crates/rehearsal/src/audit/effects.rs
@@ -56,10 +56,12 @@
         let class = call.map_or("", |call| call.class.as_str());
         let effect = terms.effects.get(class).map_or("unsafe", String::as_str);
         let Some(repeats) = Repeats::of(effect) else { continue };
-        verdict.looked_at += 1;
+        verdict.checked += 1;
         let refused = call.is_some_and(|call| call.answers.iter().any(|answer| answer.status == "refused"));
         let judged = Judged { attempts, repeats, refused, locations: &locations, transit: terms.transit };
-        verdict.broken.extend(judged.faults().into_iter().map(|fault| format!("{trace}: {class} {fault}")));
+        verdict
+            .violations
+            .extend(judged.faults().into_iter().map(|fault| format!("{trace}: {class} {fault}")));
     }
     verdict
 }
--- a/crates/rehearsal/src/audit/ration.rs
+++ b/crates/rehearsal/src/audit/ration.rs
@@ -28,14 +28,14 @@
                 }
             }
             What::Hold { gateway, count: 1.., .. } => {
-                verdict.looked_at += 1;
+                verdict.checked += 1;
                 orders.entry(gateway).or_default().push(record.at);
                 // The transit counts in the gateway's favour.
                 let since = record.at.saturating_sub(window);
                 let given = count_within(&orders, gateway, since + terms.transit, record.at);
                 let called = count_within(&calls, gateway, since.saturating_sub(terms.transit), record.at);
                 if given as f64 > free + per_call * called as f64 {
-                    verdict.broken.push(format!("{gateway} gave {given} orders for {called} calls"));
+                    verdict.violations.push(format!("{gateway} gave {given} orders for {called} calls"));
                 }
             }
             _ => {}
--- a/crates/rehearsal/src/audit/report.rs
+++ b/crates/rehearsal/src/audit/report.rs
@@ -15,7 +15,7 @@
         for (rule, verdict) in RULES.iter().zip(&self.rules) {
             write_rule(f, rule, verdict)?;
         }
-        if self.versions.looked_at > 0 {
+        if self.versions.checked > 0 {
             write_rule(f, VERSIONS, &self.versions)?;
         }
         for line in self.unreadable.iter().take(SHOWN) {
@@ -27,13 +27,13 @@
 }
 
 fn write_rule(f: &mut fmt::Formatter<'_>, rule: &str, verdict: &RuleVerdict) -> fmt::Result {
-    let word = if verdict.broken.is_empty() { "held" } else { "BROKEN" };
-    writeln!(f, "{word:6}  {rule} ({} looked at)", verdict.looked_at)?;
-    for broken in verdict.broken.iter().take(SHOWN) {
-        writeln!(f, "        {broken}")?;
+    let word = if verdict.violations.is_empty() { "held" } else { "BROKEN" };
+    writeln!(f, "{word:6}  {rule} ({} looked at)", verdict.checked)?;
+    for violation in verdict.violations.iter().take(SHOWN) {
+        writeln!(f, "        {violation}")?;
     }
-    if verdict.broken.len() > SHOWN {
-        writeln!(f, "        and {} more", verdict.broken.len() - SHOWN)?;
+    if verdict.violations.len() > SHOWN {
+        writeln!(f, "        and {} more", verdict.violations.len() - SHOWN)?;
     }
     Ok(())
 }
--- a/crates/rehearsal/src/audit/verdict.rs
+++ b/crates/rehearsal/src/audit/verdict.rs
@@ -5,10 +5,10 @@
 /// One rule's verdict.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RuleVerdict {
-    /// Things that were looked at.
-    pub looked_at: usize,
-    /// What broke it.
-    pub broken: Vec<String>,
+    /// Things that were checked.
+    pub checked: usize,
+    /// What violated it, each in words.
+    pub violations: Vec<String>,
 }
 
 /// What became of a class's calls.
@@ -65,6 +65,6 @@
     /// Whether all rules held and all records were there.
     pub fn held(&self) -> bool {
         let rules = self.rules.iter().chain([&self.versions]);
-        self.unreadable.is_empty() && rules.into_iter().all(|rule| rule.broken.is_empty())
+        self.unreadable.is_empty() && rules.into_iter().all(|rule| rule.violations.is_empty())
     }
 }
--- a/crates/rehearsal/src/audit/versions.rs
+++ b/crates/rehearsal/src/audit/versions.rs
@@ -48,16 +48,16 @@
         if !names.iter().any(|name| is_versioned(name)) {
             continue;
         }
-        verdict.looked_at += 1;
+        verdict.checked += 1;
         if names.len() > 1 {
-            verdict.broken.push(format!("{trace} went to workers as {names:?}"));
+            verdict.violations.push(format!("{trace} went to workers as {names:?}"));
         }
     }
     for record in records {
         let What::Answered { trace, status, function, digest, .. } = &record.what else { continue };
         if status == "served" && is_versioned(function) {
             *served.entry(function.clone()).or_default() += 1;
-            verdict.broken.extend(answer_faults(&runs, trace, function, digest));
+            verdict.violations.extend(answer_faults(&runs, trace, function, digest));
         }
     }
     (verdict, served)
--- a/crates/rehearsal/tests/auditor.rs
+++ b/crates/rehearsal/tests/auditor.rs
@@ -101,15 +101,15 @@
         let verdict = self.verdict();
         for (number, found) in verdict.rules.iter().enumerate() {
             assert_eq!(
-                !found.broken.is_empty(),
+                !found.violations.is_empty(),
                 number + 1 == rule,
                 "rule {}: {:?}",
                 number + 1,
-                found.broken
+                found.violations
             );
         }
-        let broken = &verdict.rules[rule - 1].broken;
-        assert!(broken.iter().any(|b| b.contains(why)), "{broken:?}");
+        let violations = &verdict.rules[rule - 1].violations;
+        assert!(violations.iter().any(|violation| violation.contains(why)), "{violations:?}");
     }
 
     fn holds(&self) {
@@ -132,7 +132,7 @@
     let verdict = story.verdict();
     assert_eq!((verdict.classes["check"].in_time, verdict.classes["check"].left), (2, 1));
     assert_eq!(verdict.classes["post"].failed, 1);
-    let looked = verdict.rules.each_ref().map(|rule| rule.looked_at);
+    let looked = verdict.rules.each_ref().map(|rule| rule.checked);
     assert_eq!(looked, [4, 1, 5, 0, 2]);
 }
 
@@ -303,7 +303,7 @@
 #[test]
 fn a_call_that_crosses_versions_or_whose_answer_names_another() {
     let digest = cresswheel_standins::digest;
-    let broken = |story: &Story| audit(&story.0, &terms()).versions.broken;
+    let broken = |story: &Story| audit(&story.0, &terms()).versions.violations;
     assert_eq!(broken(&versioned("f@2", "f@2", &digest("f@2"))), Vec::<String>::new());
     let lied = broken(&versioned("f@1", "f@2", &digest("f@2")));
     assert!(lied[0].contains("and other bytes ran"), "{lied:?}");
