Names: a verdict 'is_passed'; what workers' instances cost is a type

Change: Verdict::held and Outcome::held are is_passed, Found::held is passed; Verdict::held, a pair, is 'instances' with memory_gb_s and load_orders. The printed words stay.

--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -65,14 +65,14 @@
     let outcome = rehearse(&exe, &folder, &wanted, &mut |line| println!("{line}"))?;
     println!("\n{}", outcome.verdict);
     outcome.bad_ends.iter().for_each(|end| println!("{end}"));
-    if temporary && outcome.held() {
+    if temporary && outcome.is_passed() {
         std::fs::remove_dir_all(&folder).with_context(|| folder.display().to_string())?;
     } else {
         println!("records, logs and settings: {}", folder.display());
     }
-    let word = if outcome.held() { "all rules held" } else { "NOT all is well" };
+    let word = if outcome.is_passed() { "all rules held" } else { "NOT all is well" };
     println!("{word}, {:.0} s", outcome.took.as_secs_f64());
-    Ok(if outcome.held() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if outcome.is_passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 fn find(args: &RehearseArgs) -> anyhow::Result<Scene> {
@@ -100,7 +100,7 @@
     let (records, unreadable) = read_records(&folder.join("records"))?;
     let verdict = Verdict { unreadable, ..audit(&records, &Terms::of(&scene)) };
     println!("{verdict}");
-    Ok(if verdict.held() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if verdict.is_passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 #[derive(Args)]
@@ -206,14 +206,14 @@
         cresswheel_crowd::plots::draw_all(&plots, &found)?;
         println!("plots: {}", plots.display());
     }
-    let held = found.iter().all(|found| found.held);
-    if temporary && held {
+    let passed = found.iter().all(|found| found.passed);
+    if temporary && passed {
         std::fs::remove_dir_all(&folder).with_context(|| folder.display().to_string())?;
     } else {
         println!("records, logs and settings: {}", folder.display());
     }
-    println!("{}", if held { "all rules held" } else { "NOT all is well" });
-    Ok(if held { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    println!("{}", if passed { "all rules held" } else { "NOT all is well" });
+    Ok(if passed { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 pub fn load(args: LoadArgs) -> anyhow::Result<ExitCode> {
--- a/crates/crowd/src/measure/found.rs
+++ b/crates/crowd/src/measure/found.rs
@@ -34,7 +34,7 @@
     /// What the auditor said.
     pub verdict: String,
     /// Whether all rules held.
-    pub held: bool,
+    pub passed: bool,
 }
 
 /// What became of the calls of one wake.
--- a/crates/crowd/src/measure/judge.rs
+++ b/crates/crowd/src/measure/judge.rs
@@ -19,7 +19,7 @@
     let terms = terms();
     let (records, unreadable) = read_records(&folder.join("records"))?;
     let verdict = Verdict { unreadable, ..audit(&records, &terms) };
-    found.held = verdict.held();
+    found.passed = verdict.is_passed();
     found.verdict = rules_text(&verdict)?;
     let first = before + 1;
     found.waves = (0..settings.waves).map(|number| wave(&records, &terms, first + number)).collect();
--- a/crates/rehearsal/src/audit/mod.rs
+++ b/crates/rehearsal/src/audit/mod.rs
@@ -21,7 +21,7 @@
 use history::{Call, History};
 pub use limits::Terms;
 pub use records::read_records;
-pub use verdict::{ClassTable, RuleVerdict, Verdict};
+pub use verdict::{ClassTable, InstanceCost, RuleVerdict, Verdict};
 
 /// The rules by number.
 pub const RULES: [&str; 5] = [
@@ -48,7 +48,7 @@
         unreadable: Vec::new(),
         versions,
         served,
-        held: tables::memory_and_orders(records),
+        instances: tables::instance_cost(records),
         deferred_lost: history.calls.values().filter(|call| is_deferred_lost(call)).count(),
     }
 }
--- a/crates/rehearsal/src/audit/report.rs
+++ b/crates/rehearsal/src/audit/report.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use super::RULES;
-use super::verdict::{ClassTable, RuleVerdict, Verdict};
+use super::verdict::{ClassTable, InstanceCost, RuleVerdict, Verdict};
 
 /// What is judged of functions with versions.
 const VERSIONS: &str = "one version for each call, and the answer names it";
@@ -72,8 +72,11 @@
     }
 
     fn write_totals(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (memory, orders) = self.held;
-        writeln!(f, "workers held {memory:.1} GB seconds of instances, gateways gave {orders} load orders")?;
+        let InstanceCost { memory_gb_s, load_orders } = self.instances;
+        writeln!(
+            f,
+            "workers held {memory_gb_s:.1} GB seconds of instances, gateways gave {load_orders} load orders"
+        )?;
         if !self.served.is_empty() {
             let served: Vec<String> =
                 self.served.iter().map(|(name, count)| format!("{name} {count}")).collect();
--- a/crates/rehearsal/src/audit/tables.rs
+++ b/crates/rehearsal/src/audit/tables.rs
@@ -6,7 +6,7 @@
 
 use super::history::{Answer, Call, History};
 use super::limits::Terms;
-use super::verdict::ClassTable;
+use super::verdict::{ClassTable, InstanceCost};
 
 /// A table for each class.
 pub fn by_class(history: &History, terms: &Terms) -> BTreeMap<String, ClassTable> {
@@ -57,17 +57,17 @@
     }
 }
 
-/// Memory that workers held, added up over time, in GB seconds; load orders for instances.
-pub fn memory_and_orders(records: &[Record]) -> (f64, usize) {
+/// What the workers' instances cost.
+pub fn instance_cost(records: &[Record]) -> InstanceCost {
     let mut usage: BTreeMap<&str, Usage> = BTreeMap::new();
-    let (mut mb_us, mut orders) = (0.0, 0);
+    let (mut mb_us, mut load_orders) = (0.0, 0);
     for record in records {
         let mb = match record.what {
             What::Memory { mb } => mb,
             // A restarted process begins with nothing.
             What::Started { .. } => 0,
             What::Hold { count: 1.., .. } => {
-                orders += 1;
+                load_orders += 1;
                 continue;
             }
             _ => continue,
@@ -77,5 +77,5 @@
     }
     let end = records.last().map_or(0, |record| record.at);
     mb_us += usage.into_values().map(|last| last.until(end)).sum::<f64>();
-    (mb_us / 1e9, orders)
+    InstanceCost { memory_gb_s: mb_us / 1e9, load_orders }
 }
--- a/crates/rehearsal/src/audit/verdict.rs
+++ b/crates/rehearsal/src/audit/verdict.rs
@@ -42,6 +42,15 @@
     }
 }
 
+/// What workers' instances cost in a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct InstanceCost {
+    /// Memory that they used, added up over time, in GB seconds.
+    pub memory_gb_s: f64,
+    /// Load orders that workers got.
+    pub load_orders: usize,
+}
+
 /// The verdict on a run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Verdict {
@@ -55,15 +64,15 @@
     pub versions: RuleVerdict,
     /// Calls served by version, as their answers say.
     pub served: BTreeMap<String, usize>,
-    /// Memory that workers held, added up over time, in GB seconds; load orders for instances.
-    pub held: (f64, usize),
+    /// What the workers' instances cost.
+    pub instances: InstanceCost,
     /// Deferred calls that were accepted and lost with a killed gateway: a broken promise that this version makes.
     pub deferred_lost: usize,
 }
 
 impl Verdict {
     /// Whether all rules held and all records were there.
-    pub fn held(&self) -> bool {
+    pub fn is_passed(&self) -> bool {
         let rules = self.rules.iter().chain([&self.versions]);
         self.unreadable.is_empty() && rules.into_iter().all(|rule| rule.violations.is_empty())
     }
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -24,8 +24,8 @@
 
 impl Outcome {
     /// Whether all rules held and all gateways ended as they should.
-    pub fn held(&self) -> bool {
-        self.verdict.held() && self.bad_ends.is_empty()
+    pub fn is_passed(&self) -> bool {
+        self.verdict.is_passed() && self.bad_ends.is_empty()
     }
 }
 
--- a/crates/rehearsal/tests/auditor.rs
+++ b/crates/rehearsal/tests/auditor.rs
@@ -114,7 +114,7 @@
 
     fn holds(&self) {
         let verdict = self.verdict();
-        assert!(verdict.held(), "{verdict}");
+        assert!(verdict.is_passed(), "{verdict}");
     }
 }
 
@@ -321,5 +321,5 @@
 fn missing_records_are_no_proof() {
     let mut verdict = Story::new().verdict();
     verdict.unreadable.push("w1.jsonl:3: cut".into());
-    assert!(!verdict.held());
+    assert!(!verdict.is_passed());
 }
