--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -7,7 +7,7 @@
 use clap::{Args, Subcommand};
 use cresswheel_crowd::measure;
 use cresswheel_rehearsal::{
-    LoadSettings, SCENES, Scene, Terms, Verdict, audit, day, read_records, rehearse, scene,
+    AuditLimits, LoadSettings, SCENES, Scene, Verdict, audit, day, read_records, rehearse, scene,
 };
 
 #[derive(Args)]
@@ -98,7 +98,7 @@
     let text = text.with_context(|| folder.join("scene.json").display().to_string())?;
     let scene: Scene = serde_json::from_str(&text).context("scene.json")?;
     let (records, unreadable) = read_records(&folder.join("records"))?;
-    let verdict = Verdict { unreadable, ..audit(&records, &Terms::of(&scene)) };
+    let verdict = Verdict { unreadable, ..audit(&records, &AuditLimits::of(&scene)) };
     println!("{verdict}");
     Ok(if verdict.is_passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
--- a/crates/crowd/src/measure/judge.rs
+++ b/crates/crowd/src/measure/judge.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 use std::path::Path;
 
-use cresswheel_rehearsal::{ClassTable, RULES, Terms, Verdict, audit, read_records};
+use cresswheel_rehearsal::{AuditLimits, ClassTable, RULES, Verdict, audit, read_records};
 use cresswheel_standins::{Record, What};
 
 use super::classes::{CLASSES, Class};
@@ -16,21 +16,21 @@
 
 /// Judges all records in the folder. The waves that count come after so many others.
 pub fn judge(folder: &Path, found: &mut Found, before: usize, settings: &IdleSettings) -> anyhow::Result<()> {
-    let terms = terms();
+    let limits = limits();
     let (records, unreadable) = read_records(&folder.join("records"))?;
-    let verdict = Verdict { unreadable, ..audit(&records, &terms) };
+    let verdict = Verdict { unreadable, ..audit(&records, &limits) };
     found.passed = verdict.is_passed();
     found.verdict = rules_text(&verdict)?;
     let first = before + 1;
-    found.waves = (0..settings.waves).map(|number| wave(&records, &terms, first + number)).collect();
-    found.all = wave(&records, &terms, first + settings.waves);
+    found.waves = (0..settings.waves).map(|number| wave(&records, &limits, first + number)).collect();
+    found.all = wave(&records, &limits, first + settings.waves);
     Ok(())
 }
 
-fn terms() -> Terms {
+fn limits() -> AuditLimits {
     let effect = |class: &Class| (class.name.to_owned(), class.effect.to_owned());
     let aim = |class: &Class| (class.name.to_owned(), class.aim_ms * 1_000);
-    Terms {
+    AuditLimits {
         effects: CLASSES.iter().map(effect).collect(),
         aims: CLASSES.iter().map(aim).collect(),
         answer_slack: 8_000,
@@ -53,11 +53,11 @@
 }
 
 /// The wave of this number, by the traces of its calls.
-fn wave(records: &[Record], terms: &Terms, number: usize) -> Wave {
+fn wave(records: &[Record], limits: &AuditLimits, number: usize) -> Wave {
     let prefix = format!("w{number}-");
     let is_of_wave = |record: &&Record| client_trace(record).is_some_and(|trace| trace.starts_with(&prefix));
     let records: Vec<Record> = records.iter().filter(is_of_wave).cloned().collect();
-    let tables = audit(&records, terms).classes;
+    let tables = audit(&records, limits).classes;
     let classes: Vec<_> = tables.into_iter().map(|(class, table)| outcome(class, table)).collect();
     Wave { asked: classes.iter().map(|class| class.asked).sum(), classes }
 }
--- a/crates/rehearsal/src/audit/drains.rs
+++ b/crates/rehearsal/src/audit/drains.rs
@@ -4,7 +4,7 @@
 
 use cresswheel_standins::{Record, What};
 
-use super::limits::Terms;
+use super::limits::AuditLimits;
 use super::verdict::RuleVerdict;
 
 /// What the worker list told each gateway.
@@ -43,7 +43,7 @@
 }
 
 /// Judges all attempts and orders that workers read.
-pub fn judge(records: &[Record], terms: &Terms) -> RuleVerdict {
+pub fn judge(records: &[Record], limits: &AuditLimits) -> RuleVerdict {
     let mut verdict = RuleVerdict::default();
     let mut membership = Membership::default();
     for record in records {
@@ -60,7 +60,7 @@
                 verdict.checked += 1;
                 let worker = &record.by;
                 let since = membership.barred_since.get(&(gateway.as_str(), worker.as_str()));
-                let allowed = terms.drain_grace + terms.transit;
+                let allowed = limits.drain_grace + limits.transit;
                 if let Some(since) = since.filter(|since| record.at > *since + allowed) {
                     let late_ms = (record.at - since) / 1_000;
                     verdict
--- a/crates/rehearsal/src/audit/effects.rs
+++ b/crates/rehearsal/src/audit/effects.rs
@@ -5,7 +5,7 @@
 use cresswheel_standins::{Record, What};
 
 use super::history::{Attempt, History};
-use super::limits::Terms;
+use super::limits::AuditLimits;
 use super::verdict::RuleVerdict;
 
 /// Which workers drop repeats of a call by its key.
@@ -48,17 +48,17 @@
 }
 
 /// Judges the attempts of all calls that are not safe to repeat.
-pub fn judge(history: &History, records: &[Record], terms: &Terms) -> RuleVerdict {
+pub fn judge(history: &History, records: &[Record], limits: &AuditLimits) -> RuleVerdict {
     let locations = locations(records);
     let mut verdict = RuleVerdict::default();
     for (trace, attempts) in &history.attempts {
         let call = history.calls.get(trace);
         let class = call.map_or("", |call| call.class.as_str());
-        let effect = terms.effects.get(class).map_or("unsafe", String::as_str);
+        let effect = limits.effects.get(class).map_or("unsafe", String::as_str);
         let Some(repeats) = Repeats::of(effect) else { continue };
         verdict.checked += 1;
         let refused = call.is_some_and(|call| call.answers.iter().any(|answer| answer.status == "refused"));
-        let judged = Judged { attempts, repeats, refused, locations: &locations, transit: terms.transit };
+        let judged = Judged { attempts, repeats, refused, locations: &locations, transit: limits.transit };
         verdict
             .violations
             .extend(judged.faults().into_iter().map(|fault| format!("{trace}: {class} {fault}")));
--- a/crates/rehearsal/src/audit/limits.rs
+++ b/crates/rehearsal/src/audit/limits.rs
@@ -1,4 +1,4 @@
-//! What the rules mean in figures.
+//! The limits by which the rules are judged.
 
 use std::collections::BTreeMap;
 
@@ -9,9 +9,9 @@
 /// What a frame's way may take.
 const TRANSIT: u64 = 100_000;
 
-/// What the rules mean in figures. Times are in microseconds.
+/// The limits by which the rules are judged. Times are in microseconds.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Terms {
+pub struct AuditLimits {
     /// Effects by class: `safe`, `unsafe`, `keyed GROUP MS`.
     pub effects: BTreeMap<String, String>,
     /// Aims by class.
@@ -26,8 +26,8 @@
     pub transit: u64,
 }
 
-impl Terms {
-    /// The terms of a scene.
+impl AuditLimits {
+    /// The limits that a scene sets.
     pub fn of(scene: &Scene) -> Self {
         let effect = |class: &ClassSpec| (class.name.clone(), class.effect.clone());
         let aim = |class: &ClassSpec| (class.name.clone(), class.aim_ms * 1_000);
--- a/crates/rehearsal/src/audit/mod.rs
+++ b/crates/rehearsal/src/audit/mod.rs
@@ -19,7 +19,7 @@
 use cresswheel_standins::Record;
 
 use history::{Call, History};
-pub use limits::Terms;
+pub use limits::AuditLimits;
 pub use records::read_records;
 pub use verdict::{ClassTable, InstanceCost, RuleVerdict, Verdict};
 
@@ -33,18 +33,18 @@
 ];
 
 /// Judges records, which must be in the order of time.
-pub fn audit(records: &[Record], terms: &Terms) -> Verdict {
+pub fn audit(records: &[Record], limits: &AuditLimits) -> Verdict {
     let history = History::of(records);
     let (versions, served) = versions::judge(records);
     Verdict {
         rules: [
-            answers::judge(&history, terms),
-            effects::judge(&history, records, terms),
-            drains::judge(records, terms),
+            answers::judge(&history, limits),
+            effects::judge(&history, records, limits),
+            drains::judge(records, limits),
             cold_starts::judge(records),
-            ration::judge(records, terms),
+            ration::judge(records, limits),
         ],
-        classes: tables::by_class(&history, terms),
+        classes: tables::by_class(&history, limits),
         unreadable: Vec::new(),
         versions,
         served,
--- a/crates/rehearsal/src/audit/ration.rs
+++ b/crates/rehearsal/src/audit/ration.rs
@@ -4,16 +4,16 @@
 
 use cresswheel_standins::{Record, What};
 
-use super::limits::Terms;
+use super::limits::AuditLimits;
 use super::verdict::RuleVerdict;
 
 /// Times of events by gateway, in order.
 type TimesByGateway<'a> = BTreeMap<&'a str, Vec<u64>>;
 
 /// Judges all orders that workers read.
-pub fn judge(records: &[Record], terms: &Terms) -> RuleVerdict {
+pub fn judge(records: &[Record], limits: &AuditLimits) -> RuleVerdict {
     let mut verdict = RuleVerdict::default();
-    let (window, free, per_call) = terms.ration;
+    let (window, free, per_call) = limits.ration;
     if window == 0 {
         return verdict;
     }
@@ -32,8 +32,8 @@
                 orders.entry(gateway).or_default().push(record.at);
                 // The transit counts in the gateway's favour.
                 let since = record.at.saturating_sub(window);
-                let given = count_within(&orders, gateway, since + terms.transit, record.at);
-                let called = count_within(&calls, gateway, since.saturating_sub(terms.transit), record.at);
+                let given = count_within(&orders, gateway, since + limits.transit, record.at);
+                let called = count_within(&calls, gateway, since.saturating_sub(limits.transit), record.at);
                 if given as f64 > free + per_call * called as f64 {
                     verdict.violations.push(format!("{gateway} gave {given} orders for {called} calls"));
                 }
--- a/crates/rehearsal/src/audit/tables.rs
+++ b/crates/rehearsal/src/audit/tables.rs
@@ -5,15 +5,15 @@
 use cresswheel_standins::{Record, What};
 
 use super::history::{Answer, Call, History};
-use super::limits::Terms;
+use super::limits::AuditLimits;
 use super::verdict::{ClassTable, InstanceCost};
 
 /// A table for each class.
-pub fn by_class(history: &History, terms: &Terms) -> BTreeMap<String, ClassTable> {
+pub fn by_class(history: &History, limits: &AuditLimits) -> BTreeMap<String, ClassTable> {
     let mut tables: BTreeMap<String, ClassTable> = BTreeMap::new();
     for call in history.calls.values() {
         let table = tables.entry(call.class.clone()).or_default();
-        let aim = terms.aims.get(&call.class).copied().unwrap_or(u64::MAX);
+        let aim = limits.aims.get(&call.class).copied().unwrap_or(u64::MAX);
         add_call(table, call, aim);
     }
     tables.values_mut().for_each(|table| table.took.sort());
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -18,7 +18,7 @@
 mod split;
 mod traffic;
 
-pub use audit::{ClassTable, InstanceCost, RULES, RuleVerdict, Terms, Verdict, audit, read_records};
+pub use audit::{AuditLimits, ClassTable, InstanceCost, RULES, RuleVerdict, Verdict, audit, read_records};
 pub use catalogue::{SCENES, scene};
 pub use client::Client;
 pub use fleet::{Fleet, Process};
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -7,7 +7,7 @@
 use cresswheel_standins::{Recorder, What};
 use cresswheel_transport::Clock;
 
-use crate::audit::{Terms, Verdict, audit, read_records};
+use crate::audit::{AuditLimits, Verdict, audit, read_records};
 use crate::fleet::Fleet;
 use crate::scene::{Event, Scene};
 use crate::traffic::Clients;
@@ -78,7 +78,7 @@
     drop(director);
     drop(fleet);
     let (found, unreadable) = read_records(&records)?;
-    let verdict = Verdict { unreadable, ..audit(&found, &Terms::of(scene)) };
+    let verdict = Verdict { unreadable, ..audit(&found, &AuditLimits::of(scene)) };
     Ok(Outcome { verdict, bad_ends, took: began.elapsed() })
 }
 
--- a/crates/rehearsal/tests/auditor.rs
+++ b/crates/rehearsal/tests/auditor.rs
@@ -1,15 +1,15 @@
 //! The auditor finds a planted violation of each rule, and finds nothing in a sound run.
 
-use cresswheel_rehearsal::{Terms, Verdict, audit};
+use cresswheel_rehearsal::{AuditLimits, Verdict, audit};
 use cresswheel_standins::{Record, What};
 
 const MS: u64 = 1_000;
 const S: u64 = 1_000_000;
 
-fn terms() -> Terms {
+fn limits() -> AuditLimits {
     let effects = [("check", "safe"), ("post", "unsafe"), ("note", "keyed zone 2000")];
     let effects = effects.map(|(class, effect)| (class.to_owned(), effect.to_owned()));
-    Terms {
+    AuditLimits {
         effects: effects.into_iter().collect(),
         aims: [("check".to_owned(), 600 * MS)].into_iter().collect(),
         answer_slack: 8 * MS,
@@ -93,7 +93,7 @@
     }
 
     fn verdict(&self) -> Verdict {
-        audit(&self.0, &terms())
+        audit(&self.0, &limits())
     }
 
     /// The story breaks this rule and no other, for this reason.
@@ -303,7 +303,7 @@
 #[test]
 fn a_call_that_crosses_versions_or_whose_answer_names_another() {
     let digest = cresswheel_standins::digest;
-    let broken = |story: &Story| audit(&story.0, &terms()).versions.violations;
+    let broken = |story: &Story| audit(&story.0, &limits()).versions.violations;
     assert_eq!(broken(&versioned("f@2", "f@2", &digest("f@2"))), Vec::<String>::new());
     let lied = broken(&versioned("f@1", "f@2", &digest("f@2")));
     assert!(lied[0].contains("and other bytes ran"), "{lied:?}");
