Names: what a record tells, 'What', is RecordedEvent

Change: the type's name; the field 'what' and the words of its variants stay, since record files have them.

--- a/crates/cli/src/shifts.rs
+++ b/crates/cli/src/shifts.rs
@@ -10,7 +10,7 @@
 use clap::Args;
 use cresswheel_protocol::{Message, Shape};
 use cresswheel_rehearsal::{Client, Process, read_records};
-use cresswheel_standins::What;
+use cresswheel_standins::RecordedEvent;
 use cresswheel_versions::{Guard, promised_calls};
 
 use crate::versions::now;
@@ -84,7 +84,8 @@
         let routed = format!("{FUNCTION}@{version}");
         let (records, unreadable) = read_records(&self.folder.join("records"))?;
         ensure!(unreadable.is_empty(), "{unreadable:?}");
-        let of = |what: &What| matches!(what, What::Run { function, .. } if *function == routed);
+        let of =
+            |what: &RecordedEvent| matches!(what, RecordedEvent::Run { function, .. } if *function == routed);
         Ok(records.iter().filter(|r| r.at >= since && of(&r.what)).map(|r| r.at).collect())
     }
 }
--- a/crates/crowd/src/crowd.rs
+++ b/crates/crowd/src/crowd.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 
 use cresswheel_protocol::{Message, Micros, Role, Shape, Status as Ending};
-use cresswheel_standins::{Recorder, What};
+use cresswheel_standins::{RecordedEvent, Recorder};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
@@ -204,7 +204,7 @@
                 let gone = self.open.extract_if(|_, open| open.connection == connection);
                 for (_, open) in gone {
                     let trace = open.trace;
-                    self.recorder.write(now, What::GatewayGone { trace, unreached: false });
+                    self.recorder.write(now, RecordedEvent::GatewayGone { trace, unreached: false });
                 }
             }
             _ => {}
@@ -237,7 +237,7 @@
                 let status = status.word().to_owned();
                 debug_assert!(Ending::from_word(&status).is_some());
                 let now = self.hub.clock().now();
-                self.recorder.write(now, What::answered(open.trace, status, reason, None));
+                self.recorder.write(now, RecordedEvent::answered(open.trace, status, reason, None));
             }
             _ => {}
         }
@@ -304,8 +304,13 @@
         let now = self.hub.clock().now();
         let deadline = now + time_left;
         let gateway = "gateway-0".to_owned();
-        let asked =
-            What::Asked { trace: trace.clone(), gateway, class: class.clone(), deferred: false, deadline };
+        let asked = RecordedEvent::Asked {
+            trace: trace.clone(),
+            gateway,
+            class: class.clone(),
+            deferred: false,
+            deadline,
+        };
         self.recorder.write(now, asked);
         let message = Message::Call {
             number,
@@ -321,7 +326,7 @@
             account: None,
         };
         if !self.hub.send(connection, &message, None) {
-            return self.recorder.write(now, What::GatewayGone { trace, unreached: true });
+            return self.recorder.write(now, RecordedEvent::GatewayGone { trace, unreached: true });
         }
         self.open.insert(number, Open { trace, connection, deadline });
     }
--- a/crates/crowd/src/measure/judge.rs
+++ b/crates/crowd/src/measure/judge.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use cresswheel_rehearsal::{AuditLimits, ClassTable, RULES, Verdict, audit, read_records};
-use cresswheel_standins::{Record, What};
+use cresswheel_standins::{Record, RecordedEvent};
 
 use super::classes::{CLASSES, Class};
 use super::{ClassOutcome, Found, IdleSettings, Wave};
@@ -65,9 +65,9 @@
 /// The trace of a call in a client's record.
 fn client_trace(record: &Record) -> Option<&str> {
     match &record.what {
-        What::Asked { trace, .. } | What::Answered { trace, .. } | What::GatewayGone { trace, .. } => {
-            Some(trace)
-        }
+        RecordedEvent::Asked { trace, .. }
+        | RecordedEvent::Answered { trace, .. }
+        | RecordedEvent::GatewayGone { trace, .. } => Some(trace),
         _ => None,
     }
 }
--- a/crates/rehearsal/src/audit/cold_starts.rs
+++ b/crates/rehearsal/src/audit/cold_starts.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cresswheel_standins::{Record, What};
+use cresswheel_standins::{Record, RecordedEvent};
 
 use super::verdict::RuleVerdict;
 
@@ -56,11 +56,11 @@
     for record in records {
         let worker = record.by.as_str();
         match &record.what {
-            What::Started { started, .. } => {
+            RecordedEvent::Started { started, .. } => {
                 lives.extend(new_life(&record.what).map(|life| (worker, life)));
                 verdict.checked += usize::from(*started > 0);
             }
-            What::Run { work, .. } => {
+            RecordedEvent::Run { work, .. } => {
                 let Some(life) = lives.get_mut(worker) else { continue };
                 if !life.is_cold(record.at) {
                     continue;
@@ -69,7 +69,7 @@
                     verdict.violations.push(format!("{worker} was sent {times:.2} times what it bears"));
                 }
             }
-            What::Fell { .. } if lives.get(worker).is_none_or(|life| !life.overloaded) => {
+            RecordedEvent::Fell { .. } if lives.get(worker).is_none_or(|life| !life.overloaded) => {
                 verdict.violations.push(format!("{worker} fell over"));
             }
             _ => {}
@@ -78,8 +78,9 @@
     verdict
 }
 
-fn new_life(what: &What) -> Option<Life> {
-    let What::Started { started, power, fall_multiple, fall_window, cold_from, warm_up, .. } = what else {
+fn new_life(what: &RecordedEvent) -> Option<Life> {
+    let RecordedEvent::Started { started, power, fall_multiple, fall_window, cold_from, warm_up, .. } = what
+    else {
         return None;
     };
     Some(Life {
--- a/crates/rehearsal/src/audit/drains.rs
+++ b/crates/rehearsal/src/audit/drains.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cresswheel_standins::{Record, What};
+use cresswheel_standins::{Record, RecordedEvent};
 
 use super::limits::AuditLimits;
 use super::verdict::RuleVerdict;
@@ -48,15 +48,15 @@
     let mut membership = Membership::default();
     for record in records {
         match &record.what {
-            What::Told { gateway, whole, workers } => {
+            RecordedEvent::Told { gateway, whole, workers } => {
                 membership.update(record.at, gateway, *whole, workers);
             }
-            What::Scene { words } => {
+            RecordedEvent::Scene { words } => {
                 if let Some(gateway) = words.strip_prefix("start ") {
                     membership.forget(gateway);
                 }
             }
-            What::Run { gateway, .. } | What::Hold { gateway, count: 1.., .. } => {
+            RecordedEvent::Run { gateway, .. } | RecordedEvent::Hold { gateway, count: 1.., .. } => {
                 verdict.checked += 1;
                 let worker = &record.by;
                 let since = membership.barred_since.get(&(gateway.as_str(), worker.as_str()));
--- a/crates/rehearsal/src/audit/effects.rs
+++ b/crates/rehearsal/src/audit/effects.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cresswheel_standins::{Record, What};
+use cresswheel_standins::{Record, RecordedEvent};
 
 use super::history::{Attempt, History};
 use super::limits::AuditLimits;
@@ -68,7 +68,7 @@
 
 fn locations(records: &[Record]) -> BTreeMap<String, Location> {
     let location = |record: &Record| match &record.what {
-        What::Started { zone, cell, .. } => {
+        RecordedEvent::Started { zone, cell, .. } => {
             Some((record.by.clone(), Location { zone: zone.clone(), cell: *cell }))
         }
         _ => None,
--- a/crates/rehearsal/src/audit/history.rs
+++ b/crates/rehearsal/src/audit/history.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cresswheel_standins::{Record, What};
+use cresswheel_standins::{Record, RecordedEvent};
 
 /// A call as its client saw it.
 #[derive(Default)]
@@ -79,7 +79,7 @@
         for record in records {
             history.add_client_record(record);
             history.add_worker_record(record);
-            if let What::Scene { words } = &record.what {
+            if let RecordedEvent::Scene { words } = &record.what {
                 let ended = words.strip_prefix("kill ").or(words.strip_prefix("stop "));
                 if let Some(gateway) = ended {
                     history.gateway_ends.entry(gateway).or_default().push(record.at);
@@ -92,13 +92,14 @@
     fn add_client_record(&mut self, record: &'a Record) {
         let at = record.at;
         match &record.what {
-            What::Asked { trace, gateway, class, deadline, .. } => {
+            RecordedEvent::Asked { trace, gateway, class, deadline, .. } => {
                 let call = self.calls.entry(trace).or_default();
                 (call.gateway, call.class) = (gateway.clone(), class.clone());
                 (call.asked, call.deadline) = (at, *deadline);
             }
-            What::Accepted { trace } => self.calls.entry(trace).or_default().accepted = true,
-            What::Answered { trace, status, reason, .. } => match self.calls.get_mut(trace.as_str()) {
+            RecordedEvent::Accepted { trace } => self.calls.entry(trace).or_default().accepted = true,
+            RecordedEvent::Answered { trace, status, reason, .. } => match self.calls.get_mut(trace.as_str())
+            {
                 Some(call) => {
                     call.answers.push(Answer { at, status: status.clone(), reason: reason.clone() });
                 }
@@ -107,8 +108,8 @@
                     self.stray_answers.push(stray);
                 }
             },
-            What::GaveUp { trace } => self.calls.entry(trace).or_default().left = true,
-            What::GatewayGone { trace, unreached } => {
+            RecordedEvent::GaveUp { trace } => self.calls.entry(trace).or_default().left = true,
+            RecordedEvent::GatewayGone { trace, unreached } => {
                 let lost = LostGateway { at, unreached: *unreached };
                 self.calls.entry(trace).or_default().lost = Some(lost);
             }
@@ -118,17 +119,17 @@
 
     fn add_worker_record(&mut self, record: &'a Record) {
         match &record.what {
-            What::Run { trace, .. } => {
+            RecordedEvent::Run { trace, .. } => {
                 let worker = record.by.clone();
                 let attempt = Attempt { at: record.at, worker, began: false, ending: None };
                 self.attempts.entry(trace).or_default().push(attempt);
             }
-            What::Began { trace, .. } => {
+            RecordedEvent::Began { trace, .. } => {
                 if let Some(attempt) = self.last_open(trace, &record.by) {
                     attempt.began = true;
                 }
             }
-            What::Ran { trace, ending, lost, .. } => {
+            RecordedEvent::Ran { trace, ending, lost, .. } => {
                 if let Some(attempt) = self.last_open(trace, &record.by) {
                     attempt.ending = Some(AttemptEnding { word: ending.clone(), sent: !lost });
                 }
--- a/crates/rehearsal/src/audit/ration.rs
+++ b/crates/rehearsal/src/audit/ration.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cresswheel_standins::{Record, What};
+use cresswheel_standins::{Record, RecordedEvent};
 
 use super::limits::AuditLimits;
 use super::verdict::RuleVerdict;
@@ -22,12 +22,12 @@
     for record in records {
         match &record.what {
             // A restarted gateway has a ration of its own.
-            What::Scene { words } => {
+            RecordedEvent::Scene { words } => {
                 if let Some(gateway) = words.strip_prefix("start ") {
                     orders.remove(gateway);
                 }
             }
-            What::Hold { gateway, count: 1.., .. } => {
+            RecordedEvent::Hold { gateway, count: 1.., .. } => {
                 verdict.checked += 1;
                 orders.entry(gateway).or_default().push(record.at);
                 // The transit counts in the gateway's favour.
@@ -47,7 +47,7 @@
 fn calls(records: &[Record]) -> TimesByGateway<'_> {
     let mut calls = TimesByGateway::new();
     for record in records {
-        if let What::Asked { gateway, .. } = &record.what {
+        if let RecordedEvent::Asked { gateway, .. } = &record.what {
             calls.entry(gateway).or_default().push(record.at);
         }
     }
--- a/crates/rehearsal/src/audit/tables.rs
+++ b/crates/rehearsal/src/audit/tables.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cresswheel_standins::{Record, What};
+use cresswheel_standins::{Record, RecordedEvent};
 
 use super::history::{Answer, Call, History};
 use super::limits::AuditLimits;
@@ -63,10 +63,10 @@
     let (mut mb_us, mut load_orders) = (0.0, 0);
     for record in records {
         let mb = match record.what {
-            What::Memory { mb } => mb,
+            RecordedEvent::Memory { mb } => mb,
             // A restarted process begins with nothing.
-            What::Started { .. } => 0,
-            What::Hold { count: 1.., .. } => {
+            RecordedEvent::Started { .. } => 0,
+            RecordedEvent::Hold { count: 1.., .. } => {
                 load_orders += 1;
                 continue;
             }
--- a/crates/rehearsal/src/audit/versions.rs
+++ b/crates/rehearsal/src/audit/versions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cresswheel_standins::{Record, What, digest};
+use cresswheel_standins::{Record, RecordedEvent, digest};
 
 use super::verdict::RuleVerdict;
 
@@ -21,10 +21,10 @@
         let mut runs = Self::default();
         for record in records {
             match &record.what {
-                What::Run { trace, function, .. } => {
+                RecordedEvent::Run { trace, function, .. } => {
                     runs.requested.entry(trace).or_default().insert(function);
                 }
-                What::Ran { trace, ending, image, .. } if ending == "ok" => {
+                RecordedEvent::Ran { trace, ending, image, .. } if ending == "ok" => {
                     runs.completed.entry(trace).or_default().insert(image);
                 }
                 _ => {}
@@ -54,7 +54,7 @@
         }
     }
     for record in records {
-        let What::Answered { trace, status, function, digest, .. } = &record.what else { continue };
+        let RecordedEvent::Answered { trace, status, function, digest, .. } = &record.what else { continue };
         if status == "served" && is_versioned(function) {
             *served.entry(function.clone()).or_default() += 1;
             verdict.violations.extend(answer_faults(&runs, trace, function, digest));
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -4,7 +4,7 @@
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
-use cresswheel_standins::{Recorder, What};
+use cresswheel_standins::{RecordedEvent, Recorder};
 use cresswheel_transport::Clock;
 
 use crate::audit::{AuditLimits, Verdict, audit, read_records};
@@ -117,7 +117,7 @@
 
 impl Director {
     fn note(&mut self, words: String) {
-        self.recorder.write(self.clock.now(), What::Scene { words });
+        self.recorder.write(self.clock.now(), RecordedEvent::Scene { words });
         self.recorder.flush();
     }
 
--- a/crates/rehearsal/src/traffic.rs
+++ b/crates/rehearsal/src/traffic.rs
@@ -8,7 +8,7 @@
 use std::sync::mpsc::Receiver;
 
 use cresswheel_protocol::{Message, Micros, Role, Shape, Status};
-use cresswheel_standins::{Recorder, What, uniform};
+use cresswheel_standins::{RecordedEvent, Recorder, uniform};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
@@ -276,7 +276,7 @@
         for number in lost {
             let Some(open) = self.open.remove(&number) else { continue };
             let unreached = unsent.contains(&number);
-            self.recorder.write(now, What::GatewayGone { trace: open.trace.clone(), unreached });
+            self.recorder.write(now, RecordedEvent::GatewayGone { trace: open.trace.clone(), unreached });
             // What the gateway held is the client's to repeat, where a repeat does no harm.
             self.repeat(open, unreached);
         }
@@ -351,7 +351,7 @@
             connection: connection.unwrap_or_default(),
             tries_left,
         };
-        let asked = What::Asked {
+        let asked = RecordedEvent::Asked {
             trace: trace.clone(),
             gateway: self.doors[door].name.clone(),
             class: spec.name.clone(),
@@ -382,7 +382,8 @@
         };
         let sent = connection.is_some_and(|connection| self.hub.send(connection, &message, Some(number)));
         if !sent {
-            self.recorder.write(now, What::GatewayGone { trace: open.trace.clone(), unreached: true });
+            self.recorder
+                .write(now, RecordedEvent::GatewayGone { trace: open.trace.clone(), unreached: true });
             return self.repeat(open, true);
         }
         self.due.extend(leaves.map(|after| (now + after, Due::Leave(number))));
@@ -395,7 +396,7 @@
         match message {
             Message::Accepted { number, id } => {
                 let Some(open) = self.open.get_mut(&number) else { return };
-                self.recorder.write(now, What::Accepted { trace: open.trace.clone() });
+                self.recorder.write(now, RecordedEvent::Accepted { trace: open.trace.clone() });
                 open.id = Some(id.clone());
                 let wait = open.deadline.saturating_sub(now);
                 // The call's own number is free again: the answer to it was 'accepted'.
@@ -409,7 +410,7 @@
                     // An answer to nothing: the auditor is to see it.
                     let trace = format!("number {number}");
                     let status = status.word().to_owned();
-                    return self.recorder.write(now, What::answered(trace, status, reason, origin));
+                    return self.recorder.write(now, RecordedEvent::answered(trace, status, reason, origin));
                 };
                 if status == Status::Pending && now < open.deadline + GRACE / 2 {
                     // The await ended with the deadline; the result is due now.
@@ -419,7 +420,7 @@
                     return;
                 }
                 let word = status.word().to_owned();
-                self.recorder.write(now, What::answered(open.trace.clone(), word, reason, origin));
+                self.recorder.write(now, RecordedEvent::answered(open.trace.clone(), word, reason, origin));
                 match status {
                     Status::Refused => self.repeat(open, true),
                     Status::Failed => self.repeat(open, false),
@@ -436,7 +437,7 @@
             match due {
                 Due::Leave(number) => {
                     if let Some(open) = self.open.remove(&number) {
-                        self.recorder.write(now, What::GaveUp { trace: open.trace });
+                        self.recorder.write(now, RecordedEvent::GaveUp { trace: open.trace });
                         self.left.insert(number);
                         self.hub.send(open.connection, &Message::Cancel { number }, None);
                     }
--- a/crates/rehearsal/tests/auditor.rs
+++ b/crates/rehearsal/tests/auditor.rs
@@ -1,7 +1,7 @@
 //! The auditor finds a planted violation of each rule, and finds nothing in a sound run.
 
 use cresswheel_rehearsal::{AuditLimits, Verdict, audit};
-use cresswheel_standins::{Record, What};
+use cresswheel_standins::{Record, RecordedEvent};
 
 const MS: u64 = 1_000;
 const S: u64 = 1_000_000;
@@ -32,13 +32,13 @@
         story
     }
 
-    fn add(&mut self, at: u64, by: &str, what: What) -> &mut Self {
+    fn add(&mut self, at: u64, by: &str, what: RecordedEvent) -> &mut Self {
         self.0.push(Record { at, by: by.into(), what });
         self
     }
 
     fn starts(&mut self, at: u64, worker: &str, zone: &str, started: u64) {
-        let what = What::Started {
+        let what = RecordedEvent::Started {
             started,
             zone: zone.into(),
             cell: 1,
@@ -53,43 +53,48 @@
 
     fn asked(&mut self, at: u64, trace: &str, class: &str) -> &mut Self {
         let (gateway, class, deadline) = ("g".into(), class.into(), at + 3 * S);
-        self.add(at, "c", What::Asked { trace: trace.into(), gateway, class, deferred: false, deadline })
+        self.add(
+            at,
+            "c",
+            RecordedEvent::Asked { trace: trace.into(), gateway, class, deferred: false, deadline },
+        )
     }
 
     fn answered(&mut self, at: u64, trace: &str, status: &str) -> &mut Self {
         let (status, reason) = (status.into(), String::new());
-        self.add(at, "c", What::answered(trace.into(), status, reason, None))
+        self.add(at, "c", RecordedEvent::answered(trace.into(), status, reason, None))
     }
 
     fn run(&mut self, at: u64, worker: &str, trace: &str) -> &mut Self {
         let (gateway, class, function) = ("g".into(), String::new(), "f".into());
-        let what = What::Run { gateway, trace: trace.into(), attempt: 1, class, function, work: 100 * MS };
+        let what =
+            RecordedEvent::Run { gateway, trace: trace.into(), attempt: 1, class, function, work: 100 * MS };
         self.add(at, worker, what)
     }
 
     fn began(&mut self, at: u64, worker: &str, trace: &str) -> &mut Self {
-        self.add(at, worker, What::Began { trace: trace.into(), class: String::new() })
+        self.add(at, worker, RecordedEvent::Began { trace: trace.into(), class: String::new() })
     }
 
     fn ran(&mut self, at: u64, worker: &str, trace: &str, ending: &str, lost: bool) -> &mut Self {
         self.add(
             at,
             worker,
-            What::Ran { trace: trace.into(), ending: ending.into(), lost, image: String::new() },
+            RecordedEvent::Ran { trace: trace.into(), ending: ending.into(), lost, image: String::new() },
         )
     }
 
     fn hold(&mut self, at: u64, worker: &str) -> &mut Self {
-        self.add(at, worker, What::Hold { gateway: "g".into(), function: "f".into(), count: 1 })
+        self.add(at, worker, RecordedEvent::Hold { gateway: "g".into(), function: "f".into(), count: 1 })
     }
 
     fn told(&mut self, at: u64, whole: bool, workers: &[(&str, &str)]) -> &mut Self {
         let workers = workers.iter().map(|(w, s)| ((*w).into(), (*s).into())).collect();
-        self.add(at, "list", What::Told { gateway: "g".into(), whole, workers })
+        self.add(at, "list", RecordedEvent::Told { gateway: "g".into(), whole, workers })
     }
 
     fn scene(&mut self, at: u64, words: &str) -> &mut Self {
-        self.add(at, "scene", What::Scene { words: words.into() })
+        self.add(at, "scene", RecordedEvent::Scene { words: words.into() })
     }
 
     fn verdict(&self) -> Verdict {
@@ -126,7 +131,7 @@
     story.answered(S + 100 * MS, "1", "served");
     story.asked(S, "2", "post").run(S, "w1", "2").ran(S, "w1", "2", "full", false);
     story.run(S + MS, "w2", "2").began(S + MS, "w2", "2").answered(3 * S, "2", "failed");
-    story.asked(S, "3", "check").add(2 * S, "c", What::GaveUp { trace: "3".into() });
+    story.asked(S, "3", "check").add(2 * S, "c", RecordedEvent::GaveUp { trace: "3".into() });
     story.hold(S, "w1").hold(S, "w2");
     story.holds();
     let verdict = story.verdict();
@@ -157,7 +162,7 @@
 
 #[test]
 fn rule_one_a_gateway_that_was_not_killed_owes_its_calls() {
-    let gone = |unreached| What::GatewayGone { trace: "1".into(), unreached };
+    let gone = |unreached| RecordedEvent::GatewayGone { trace: "1".into(), unreached };
     let mut story = Story::new();
     story.asked(S, "1", "check").add(2 * S, "c", gone(false));
     story.breaks(1, "closed its connection unasked");
@@ -267,7 +272,7 @@
     push(34, 20 * S).breaks(4, "w1 was sent 1.0");
     push(100, 10 * S).holds();
     let mut fell = Story::new();
-    fell.add(S, "w1", What::Fell { sent: 2, bearable: 1 });
+    fell.add(S, "w1", RecordedEvent::Fell { sent: 2, bearable: 1 });
     fell.breaks(4, "w1 fell over");
 }
 
@@ -290,13 +295,24 @@
     let mut story = Story::new();
     story.asked(S, "v", "post");
     let (gateway, class) = ("g".into(), "post".into());
-    let run = What::Run { gateway, trace: "v".into(), attempt: 1, class, function: "f@2".into(), work: MS };
+    let run = RecordedEvent::Run {
+        gateway,
+        trace: "v".into(),
+        attempt: 1,
+        class,
+        function: "f@2".into(),
+        work: MS,
+    };
     story.add(S + MS, "w1", run).began(S + MS, "w1", "v");
     let (ending, image) = ("ok".into(), image.into());
-    story.add(S + 2 * MS, "w1", What::Ran { trace: "v".into(), ending, lost: false, image });
+    story.add(S + 2 * MS, "w1", RecordedEvent::Ran { trace: "v".into(), ending, lost: false, image });
     let (function, digest) = (told.into(), digest.into());
     let (status, reason) = ("served".into(), String::new());
-    story.add(S + 3 * MS, "c", What::Answered { trace: "v".into(), status, reason, function, digest });
+    story.add(
+        S + 3 * MS,
+        "c",
+        RecordedEvent::Answered { trace: "v".into(), status, reason, function, digest },
+    );
     story
 }
 
--- a/crates/standins/src/echo.rs
+++ b/crates/standins/src/echo.rs
@@ -9,7 +9,7 @@
 use cresswheel_protocol::{Ending, Message, Role, Status};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 
-use crate::records::{Recorder, What};
+use crate::records::{RecordedEvent, Recorder};
 
 /// A worker that answers every call at once, or never.
 pub struct Echo {
@@ -43,7 +43,7 @@
                     Message::Run { attempt, body, trace, class, function, .. } if !self.silent => {
                         let at = self.hub.clock().now();
                         let (gateway, ending) = (String::new(), Ending::Ok.word().into());
-                        let run = What::Run {
+                        let run = RecordedEvent::Run {
                             gateway,
                             trace: trace.clone(),
                             attempt,
@@ -52,9 +52,11 @@
                             work: 0,
                         };
                         self.recorder.write(at, run);
-                        self.recorder.write(at, What::Began { trace: trace.clone(), class });
-                        self.recorder
-                            .write(at, What::Ran { trace, ending, lost: false, image: String::new() });
+                        self.recorder.write(at, RecordedEvent::Began { trace: trace.clone(), class });
+                        self.recorder.write(
+                            at,
+                            RecordedEvent::Ran { trace, ending, lost: false, image: String::new() },
+                        );
                         let ran = Message::Ran { attempt, ending: Ending::Ok, crowd: 0, body, origin: None };
                         self.hub.send(connection, &ran, None);
                     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -18,7 +18,7 @@
 pub use link::Link;
 pub use list::WorkerList;
 pub use random::uniform;
-pub use records::{Record, Recorder, What};
+pub use records::{Record, RecordedEvent, Recorder};
 pub use store::Store;
 pub use worker::{Worker, WorkerSettings, digest};
 pub use worker_model::{Effect, Job, Model, Profile};
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -8,7 +8,7 @@
 use cresswheel_protocol::{Listed, Message, Micros, Standing};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 
-use crate::records::{Recorder, What};
+use crate::records::{RecordedEvent, Recorder};
 
 /// A worker list process.
 pub struct WorkerList {
@@ -180,7 +180,7 @@
         let now = self.hub.clock().now();
         let gateway = self.followers.get(&follower).cloned().unwrap_or_default();
         let said = workers.iter().map(|w| (w.id.clone(), w.standing.word().to_owned())).collect();
-        self.recorder.write(now, What::Told { gateway, whole, workers: said });
+        self.recorder.write(now, RecordedEvent::Told { gateway, whole, workers: said });
         let version = self.version;
         self.hub.send(follower, &Message::List { whole, version, workers }, None);
     }
--- a/crates/standins/src/records.rs
+++ b/crates/standins/src/records.rs
@@ -15,13 +15,13 @@
     /// Who saw it.
     pub by: String,
     /// What it was.
-    pub what: What,
+    pub what: RecordedEvent,
 }
 
 /// What passed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum What {
+pub enum RecordedEvent {
     /// A worker process began.
     Started {
         /// When, as the list tells it.
@@ -157,7 +157,7 @@
     },
 }
 
-impl What {
+impl RecordedEvent {
     /// A client got a final answer, and was told that this ran.
     pub fn answered(trace: String, status: String, reason: String, origin: Option<Origin>) -> Self {
         let (function, digest) = origin.map(|o| (o.function, o.digest)).unwrap_or_default();
@@ -185,7 +185,7 @@
     }
 
     /// Takes a record down.
-    pub fn write(&mut self, at: u64, what: What) {
+    pub fn write(&mut self, at: u64, what: RecordedEvent) {
         let Some(out) = &mut self.out else { return };
         let record = Record { at, by: self.by.clone(), what };
         let written = serde_json::to_writer(&mut *out, &record).map_err(io::Error::from);
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -13,7 +13,7 @@
 
 use crate::control::Faults;
 use crate::random::uniform;
-use crate::records::{Recorder, What};
+use crate::records::{RecordedEvent, Recorder};
 use crate::worker_model::{Effect, Job, Model, Profile};
 
 /// What a worker process is told.
@@ -99,7 +99,7 @@
         let mut recorder = Recorder::new(settings.records.as_deref(), &settings.id)?;
         let started = if settings.warm { 0 } else { now };
         let p = &settings.profile;
-        let began = What::Started {
+        let began = RecordedEvent::Started {
             started,
             zone: settings.zone.clone(),
             cell: settings.cell,
@@ -150,7 +150,7 @@
             let due = [self.model.next(), fetch, self.list_retry, fault];
             let mb = self.model.memory();
             if std::mem::replace(&mut self.memory, mb) != mb {
-                self.recorder.write(now, What::Memory { mb });
+                self.recorder.write(now, RecordedEvent::Memory { mb });
             }
             // Records are with the kernel before an answer is: a kill can't take them.
             self.recorder.flush();
@@ -250,8 +250,10 @@
             Message::Run { attempt, trace, class, function, time_left, shape, .. } => {
                 let work = Model::work(&shape);
                 let (gateway, t, c, f) = (name, trace.clone(), class.clone(), function.clone());
-                self.recorder
-                    .write(now, What::Run { gateway, trace: t, attempt, class: c, function: f, work });
+                self.recorder.write(
+                    now,
+                    RecordedEvent::Run { gateway, trace: t, attempt, class: c, function: f, work },
+                );
                 if hangs {
                     return true;
                 }
@@ -269,7 +271,7 @@
             }
             Message::Hold { order, function, count, shape } => {
                 let f = function.clone();
-                self.recorder.write(now, What::Hold { gateway: name, function: f, count });
+                self.recorder.write(now, RecordedEvent::Hold { gateway: name, function: f, count });
                 if hangs {
                     return true;
                 }
@@ -292,7 +294,7 @@
 
     fn control(&mut self, connection: Connection, words: &str) -> bool {
         let now = self.hub.clock().now();
-        self.recorder.write(now, What::Scene { words: words.into() });
+        self.recorder.write(now, RecordedEvent::Scene { words: words.into() });
         let mut wrong = String::new();
         match words {
             "stop" => return false,
@@ -338,7 +340,7 @@
                 Effect::Began(number) => {
                     if let Some(out) = self.jobs.get(&number) {
                         let (trace, class) = (out.trace.clone(), out.class.clone());
-                        self.recorder.write(now, What::Began { trace, class });
+                        self.recorder.write(now, RecordedEvent::Began { trace, class });
                     }
                 }
                 Effect::Ended(number, ending, crowd) => self.ended(now, number, ending, crowd),
@@ -352,7 +354,7 @@
                 Effect::Fetch(name, time) => self.fetch(now, name, time),
                 Effect::Fell(sent, bearable) => {
                     tracing::warn!(sent, bearable, "pushed over");
-                    self.recorder.write(now, What::Fell { sent, bearable });
+                    self.recorder.write(now, RecordedEvent::Fell { sent, bearable });
                 }
             }
         }
@@ -382,7 +384,7 @@
         let lost = self.cut_off(now, connection) || (lose > 0.0 && self.uniform() < lose);
         let breaks = !lost && reset > 0.0 && self.uniform() < reset;
         let word = ending.word().into();
-        let ran = What::Ran { trace, ending: word, lost: lost || breaks, image: image.clone() };
+        let ran = RecordedEvent::Ran { trace, ending: word, lost: lost || breaks, image: image.clone() };
         self.recorder.write(now, ran);
         if breaks {
             return self.hub.close(connection, "reset on purpose");
