--- a/crates/crowd/src/measure/run.rs
+++ b/crates/crowd/src/measure/run.rs
@@ -6,7 +6,7 @@
 
 use cresswheel_rehearsal::process_usage::kernel_slab_bytes;
 
-use super::test_bed::Bed;
+use super::test_bed::TestBed;
 use super::{Found, IdleSettings, judge};
 
 /// Connections of each crowd that warm up the processes and the functions.
@@ -32,7 +32,7 @@
     settings: &IdleSettings,
     progress: &mut dyn FnMut(&str),
 ) -> anyhow::Result<Found> {
-    let bed = Bed::start(exe, folder, size, settings)?;
+    let bed = TestBed::start(exe, folder, size, settings)?;
     progress(&format!("{size} connections: {} crowds, gateway on one core", bed.crowds()));
     let found = Found { connections: size, ..Found::default() };
     let mut run = Run { bed, settings, found, progress };
@@ -54,7 +54,7 @@
 }
 
 struct Run<'a> {
-    bed: Bed,
+    bed: TestBed,
     settings: &'a IdleSettings,
     found: Found,
     progress: &'a mut dyn FnMut(&str),
--- a/crates/crowd/src/measure/test_bed.rs
+++ b/crates/crowd/src/measure/test_bed.rs
@@ -17,8 +17,8 @@
 const WORKERS: usize = 4;
 /// Connections of one crowd: a process may have 20,000 descriptors here.
 const CROWD: usize = 17_000;
-/// Crowds must do within this what they are told.
-const PATIENCE: Duration = Duration::from_secs(120);
+/// A command must be carried out within this.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(120);
 /// How often crowds are asked whether they have done it.
 const POLL: Duration = Duration::from_millis(20);
 /// The default of `ping_after`: at the rate that it makes, pings are looked at.
@@ -37,7 +37,7 @@
 }
 
 /// The processes of one measurement.
-pub struct Bed {
+pub struct TestBed {
     _echo: Process,
     gateway: Process,
     crowds: Vec<CrowdProcess>,
@@ -85,7 +85,7 @@
     }
 }
 
-impl Bed {
+impl TestBed {
     /// Starts all processes for a number of connections: the gateway on a core of its own, the others elsewhere.
     pub fn start(exe: &Path, folder: &Path, size: usize, settings: &IdleSettings) -> anyhow::Result<Self> {
         let processors = Processors::available()?;
@@ -119,7 +119,9 @@
             crowd.control.send(&Message::Control { words })?;
         }
         for crowd in &mut self.crowds {
-            let Message::Controlled { wrong } = crowd.control.receive_within(PATIENCE)? else { continue };
+            let Message::Controlled { wrong } = crowd.control.receive_within(CONTROL_TIMEOUT)? else {
+                continue;
+            };
             anyhow::ensure!(wrong.is_empty(), wrong);
         }
         Ok(())
@@ -130,7 +132,7 @@
         let mut all = Status::default();
         for crowd in &mut self.crowds {
             crowd.control.send(&Message::Page { number: 0, path: "status".into() })?;
-            let Message::Counts { json } = crowd.control.receive_within(PATIENCE)? else { continue };
+            let Message::Counts { json } = crowd.control.receive_within(CONTROL_TIMEOUT)? else { continue };
             all.add(&serde_json::from_slice(&json)?);
         }
         Ok(all)
@@ -138,13 +140,13 @@
 
     /// Polls the crowds until something is so.
     pub fn until(&mut self, what: &str, so: impl Fn(&Status) -> bool) -> anyhow::Result<Status> {
-        let end = Instant::now() + PATIENCE;
+        let end = Instant::now() + CONTROL_TIMEOUT;
         loop {
             let status = self.status()?;
             if so(&status) {
                 return Ok(status);
             }
-            anyhow::ensure!(Instant::now() < end, "{what}: not within {PATIENCE:?}: {status:?}");
+            anyhow::ensure!(Instant::now() < end, "{what}: not within {CONTROL_TIMEOUT:?}: {status:?}");
             std::thread::sleep(POLL);
         }
     }
--- a/crates/rehearsal/src/client.rs
+++ b/crates/rehearsal/src/client.rs
@@ -13,13 +13,13 @@
 }
 
 /// No answer takes longer: the longest await is ten minutes.
-const PATIENCE: Duration = Duration::from_secs(620);
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(620);
 
 impl Client {
     /// Connects and says hello.
     pub fn connect(to: SocketAddr, name: &str) -> io::Result<Self> {
         let socket = TcpStream::connect_timeout(&to, Duration::from_secs(5))?;
-        socket.set_read_timeout(Some(PATIENCE))?;
+        socket.set_read_timeout(Some(RECEIVE_TIMEOUT))?;
         socket.set_nodelay(true)?;
         let mut client = Self { socket, decoder: Decoder::new(Limits::default()) };
         client.send(&Message::Hello { role: Role::Client, name: name.into(), zone: String::new() })?;
