Names: a crowd's connections are 'connecting' and 'established', its calls 'scheduled'

Change: making, standing, stand, begun, to_come, told and AT_ONCE have the terms of the field; comments say settings, commands and state. Commands' words stay.

--- a/crates/crowd/src/crowd.rs
+++ b/crates/crowd/src/crowd.rs
@@ -12,10 +12,10 @@
 use rand_pcg::rand_core::Rng;
 use serde::{Deserialize, Serialize};
 
-/// What a crowd is told at its start.
+/// Settings of a crowd.
 #[derive(Clone, Debug)]
 pub struct CrowdSettings {
-    /// Where it is told what to do.
+    /// Where it listens for commands.
     pub control: SocketAddr,
     /// Its gateway.
     pub to: SocketAddr,
@@ -42,19 +42,19 @@
     pub give_up_ms: u64,
 }
 
-/// How it stands with a crowd.
+/// The state of a crowd.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
     /// Connections asked for.
     pub wanted: usize,
-    /// Connections that stand.
-    pub stand: usize,
+    /// Connections that are established.
+    pub established: usize,
     /// Connections that could not be made, or ended.
     pub lost: usize,
     /// Calls without their answer whose time is not over.
     pub open: usize,
     /// Calls that are still to be sent.
-    pub to_come: usize,
+    pub scheduled: usize,
     /// Calls answered.
     pub answered: u64,
     /// Pings answered.
@@ -69,10 +69,10 @@
     /// Adds another crowd's status.
     pub fn add(&mut self, other: &Self) {
         self.wanted += other.wanted;
-        self.stand += other.stand;
+        self.established += other.established;
         self.lost += other.lost;
         self.open += other.open;
-        self.to_come += other.to_come;
+        self.scheduled += other.scheduled;
         self.answered += other.answered;
         self.pings += other.pings;
         self.asked_to_leave += other.asked_to_leave;
@@ -80,8 +80,8 @@
     }
 }
 
-/// Connections being made at once.
-const AT_ONCE: usize = 128;
+/// Connection attempts under way at once.
+const MAX_CONNECTING: usize = 128;
 /// Source addresses used in turn.
 const ADDRESSES: usize = 250;
 /// Functions called, the same by all crowds.
@@ -104,11 +104,11 @@
     recorder: Recorder,
     rng: Pcg32,
     status: Status,
-    standing: Vec<Connection>,
-    making: usize,
-    begun: usize,
-    /// Calls to come, the soonest last.
-    to_come: Vec<(Micros, Connection)>,
+    established: Vec<Connection>,
+    connecting: usize,
+    started: usize,
+    /// Calls that are scheduled, the soonest last.
+    scheduled: Vec<(Micros, Connection)>,
     open: HashMap<u64, Open>,
     mute: bool,
     wave: u32,
@@ -117,7 +117,7 @@
 }
 
 impl Crowd {
-    /// Listens for what it is to do.
+    /// Listens for commands.
     pub fn start(settings: CrowdSettings) -> io::Result<Self> {
         let mut hub = Hub::new(HubLimits::default())?;
         let (_, control) = hub.listen(settings.control, Wire::Frames)?;
@@ -127,10 +127,10 @@
             hub,
             control,
             status: Status::default(),
-            standing: Vec::new(),
-            making: 0,
-            begun: 0,
-            to_come: Vec::new(),
+            established: Vec::new(),
+            connecting: 0,
+            started: 0,
+            scheduled: Vec::new(),
             open: HashMap::new(),
             mute: false,
             wave: 0,
@@ -140,23 +140,23 @@
         })
     }
 
-    /// Where it is told what to do.
+    /// Where it listens for commands.
     pub fn address(&self) -> SocketAddr {
         self.control
     }
 
-    /// Does as it is told until it is told to stop.
+    /// Serves until a command stops it.
     pub fn run(&mut self) -> io::Result<()> {
         while !self.stopped {
-            self.make();
+            self.open_connections();
             let now = self.hub.clock().now();
-            while let Some((_, connection)) = self.to_come.last().filter(|(at, _)| *at <= now).copied() {
-                self.to_come.pop();
+            while let Some((_, connection)) = self.scheduled.last().filter(|(at, _)| *at <= now).copied() {
+                self.scheduled.pop();
                 self.call(connection);
             }
             self.open.retain(|_, open| open.deadline + GRACE > now);
             self.recorder.flush();
-            let soon = self.to_come.last().map(|(at, _)| *at);
+            let soon = self.scheduled.last().map(|(at, _)| *at);
             let over = (!self.open.is_empty()).then_some(now + 50_000);
             self.hub.wait(soon.into_iter().chain(over).min())?;
             while let Some(notice) = self.hub.take_notice() {
@@ -166,13 +166,13 @@
         Ok(())
     }
 
-    fn make(&mut self) {
-        while self.making < AT_ONCE && self.begun < self.status.wanted {
+    fn open_connections(&mut self) {
+        while self.connecting < MAX_CONNECTING && self.started < self.status.wanted {
             let (x, y) = self.settings.from;
-            let last = (self.begun % ADDRESSES) as u8 + 1;
+            let last = (self.started % ADDRESSES) as u8 + 1;
             let from = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, x, y, last)), 0);
-            self.begun += 1;
-            self.making += 1;
+            self.started += 1;
+            self.connecting += 1;
             let connection =
                 self.hub.connect_from(Some(from), self.settings.to, Wire::Frames, CONNECT_WITHIN);
             let hello = Message::Hello { role: Role::Client, name: String::new(), zone: String::new() };
@@ -183,9 +183,9 @@
     fn notice(&mut self, notice: Notice) {
         match notice {
             Notice::Connected(connection) => {
-                self.making -= 1;
-                self.standing.push(connection);
-                self.status.stand += 1;
+                self.connecting -= 1;
+                self.established.push(connection);
+                self.status.established += 1;
                 self.status.last_made = self.hub.clock().now();
                 if self.mute {
                     self.hub.pause(connection, true);
@@ -195,11 +195,11 @@
             Notice::Closed { connection, guest: false, never_stood, .. } => {
                 self.status.lost += 1;
                 if never_stood {
-                    self.making -= 1;
+                    self.connecting -= 1;
                     return;
                 }
-                self.status.stand -= 1;
-                self.standing.retain(|other| *other != connection);
+                self.status.established -= 1;
+                self.established.retain(|other| *other != connection);
                 let now = self.hub.clock().now();
                 let gone = self.open.extract_if(|_, open| open.connection == connection);
                 for (_, open) in gone {
@@ -214,12 +214,12 @@
     fn message(&mut self, connection: Connection, message: Message) {
         match message {
             Message::Control { words } => {
-                let wrong = self.told(&words).err().unwrap_or_default();
+                let wrong = self.run_command(&words).err().unwrap_or_default();
                 self.hub.send(connection, &Message::Controlled { wrong }, None);
             }
             Message::Page { .. } => {
                 let status =
-                    Status { open: self.open.len(), to_come: self.to_come.len(), ..self.status.clone() };
+                    Status { open: self.open.len(), scheduled: self.scheduled.len(), ..self.status.clone() };
                 let json = serde_json::to_vec(&status).unwrap_or_default();
                 self.hub.send(connection, &Message::Counts { json }, None);
             }
@@ -243,8 +243,8 @@
         }
     }
 
-    /// `open COUNT`, `wake SHARE MS`, `mute`, `half COUNT`, `leave`, `stop`.
-    fn told(&mut self, words: &str) -> Result<(), String> {
+    /// Runs a control command: `open COUNT`, `wake SHARE MS`, `mute`, `half COUNT`, `leave`, `stop`.
+    fn run_command(&mut self, words: &str) -> Result<(), String> {
         let parts: Vec<&str> = words.split(' ').collect();
         let number = |at: usize| -> Result<f64, String> {
             let part = parts.get(at).ok_or(format!("{words}: a number is missing"))?;
@@ -256,16 +256,16 @@
             // Clients that read no more, and answer nothing: gone without a word.
             "mute" => {
                 self.mute = true;
-                self.standing.iter().for_each(|connection| self.hub.pause(*connection, true));
+                self.established.iter().for_each(|connection| self.hub.pause(*connection, true));
             }
             "half" => {
                 let count = number(1)? as usize;
-                for connection in self.standing.iter().take(count) {
+                for connection in self.established.iter().take(count) {
                     self.hub.send_bytes(*connection, &[0, 0, 1, 0, 1, 10, 7]);
                 }
             }
             "leave" => {
-                let all = std::mem::take(&mut self.standing);
+                let all = std::mem::take(&mut self.established);
                 all.iter().for_each(|connection| self.hub.close(*connection, "left"));
             }
             "stop" => self.stopped = true,
@@ -278,15 +278,15 @@
     fn wake(&mut self, share: f64, ms: f64) {
         self.wave += 1;
         let now = self.hub.clock().now();
-        let count = (self.standing.len() as f64 * share.clamp(0.0, 1.0)).round() as usize;
+        let count = (self.established.len() as f64 * share.clamp(0.0, 1.0)).round() as usize;
         // The first of a shuffle are a fair draw.
         for at in 0..count {
-            let other = at + self.rng.next_u32() as usize % (self.standing.len() - at);
-            self.standing.swap(at, other);
+            let other = at + self.rng.next_u32() as usize % (self.established.len() - at);
+            self.established.swap(at, other);
             let after = (f64::from(self.rng.next_u32()) / f64::from(u32::MAX) * ms * 1e3) as Micros;
-            self.to_come.push((now + after, self.standing[at]));
+            self.scheduled.push((now + after, self.established[at]));
         }
-        self.to_come.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+        self.scheduled.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
     }
 
     fn call(&mut self, connection: Connection) {
--- a/crates/crowd/src/measure/run.rs
+++ b/crates/crowd/src/measure/run.rs
@@ -64,10 +64,10 @@
     /// A first few connections warm up the processes and the functions.
     fn warm_up(&mut self) -> anyhow::Result<()> {
         self.bed.command(|_| format!("open {FIRST}"))?;
-        self.bed.until("the first connections", |status| status.stand == status.wanted)?;
+        self.bed.until("the first connections", |status| status.established == status.wanted)?;
         for _ in 0..WARM_UP_WAVES {
             self.bed.command(|_| "wake 1 300".into())?;
-            self.bed.until("the first calls", |status| status.open + status.to_come == 0)?;
+            self.bed.until("the first calls", |status| status.open + status.scheduled == 0)?;
         }
         sleep(SETTLE_FIRST);
         Ok(())
@@ -78,7 +78,7 @@
         let (slab, cpu, began) = (kernel_slab_bytes()?, self.bed.cpu_us()?, Instant::now());
         self.bed.command(|size| format!("open {size}"))?;
         let status =
-            self.bed.until("all connections", |status| status.stand + status.lost >= status.wanted)?;
+            self.bed.until("all connections", |status| status.established + status.lost >= status.wanted)?;
         let took = began.elapsed().as_secs_f64();
         anyhow::ensure!(status.lost == 0, "connections were lost: {status:?}");
         let size = self.found.connections;
@@ -124,7 +124,7 @@
 
     fn wake_once(&mut self, share: f64, within_ms: u64) -> anyhow::Result<()> {
         self.bed.command(|_| format!("wake {share} {within_ms}"))?;
-        self.bed.until("the wave's answers", |status| status.open + status.to_come == 0)?;
+        self.bed.until("the wave's answers", |status| status.open + status.scheduled == 0)?;
         sleep(AFTER_WAVE);
         Ok(())
     }
@@ -141,7 +141,7 @@
         self.found.pinged_cpu = (self.bed.cpu_us()? - cpu) / 1e6 / took;
         let status = self.bed.status()?;
         self.found.pings_per_s = (status.pings - pings) as f64 / took;
-        anyhow::ensure!(status.stand == status.wanted, "connections were lost: {status:?}");
+        anyhow::ensure!(status.established == status.wanted, "connections were lost: {status:?}");
         (self.progress)(&format!(
             "  pinged: {:.2}% of a core at {:.0} pings/s",
             self.found.pinged_cpu * 100.0,
