--- a/crates/rehearsal/src/traffic.rs
+++ b/crates/rehearsal/src/traffic.rs
@@ -25,15 +25,16 @@
 /// Accounts that calls are about, in turn.
 const ACCOUNTS: u64 = 9_973;
 
-struct Door {
+/// A gateway, and the clients' connection to it.
+struct GatewayConnection {
     at: SocketAddr,
     name: String,
     zone: String,
     connection: Option<Connection>,
-    stands: bool,
+    is_established: bool,
     retry_at: Micros,
     /// Clients think that it lives until then.
-    believed: Micros,
+    believed_up_until: Micros,
 }
 
 struct Open {
@@ -64,9 +65,9 @@
     hub: Hub,
     recorder: Recorder,
     rng: Pcg32,
-    doors: Vec<Door>,
+    gateways: Vec<GatewayConnection>,
     /// Connections that are idle, and whose.
-    crowd: BTreeMap<Connection, usize>,
+    idle: BTreeMap<Connection, usize>,
     open: BTreeMap<u64, Open>,
     /// Calls that hasty clients left: an answer to one may have been on its way.
     left: BTreeSet<u64>,
@@ -98,14 +99,14 @@
     pub fn new(scene: &Scene, gateways: &[SocketAddr], records: &Path) -> anyhow::Result<Self> {
         let hub = Hub::new(HubLimits::default())?;
         let start = hub.clock().now();
-        let door = |(n, at): (usize, &SocketAddr)| Door {
+        let gateway = |(n, at): (usize, &SocketAddr)| GatewayConnection {
             at: *at,
             name: Fleet::gateway_name(n),
             zone: scene.gateways[n].zone.clone(),
             connection: None,
-            stands: false,
+            is_established: false,
             retry_at: start,
-            believed: Micros::MAX,
+            believed_up_until: Micros::MAX,
         };
         let ranks = |class: &crate::ClassSpec| {
             let zipf = scene.traffic.zipf;
@@ -114,8 +115,8 @@
         Ok(Self {
             recorder: Recorder::new(Some(records), "clients")?,
             rng: Pcg32::new(scene.seed, 0xc11e),
-            doors: gateways.iter().enumerate().map(door).collect(),
-            crowd: BTreeMap::new(),
+            gateways: gateways.iter().enumerate().map(gateway).collect(),
+            idle: BTreeMap::new(),
             open: BTreeMap::new(),
             left: BTreeSet::new(),
             due: BTreeSet::new(),
@@ -141,14 +142,14 @@
     pub fn run(mut self, events: &Receiver<Event>) -> anyhow::Result<()> {
         // All connections first: a call before them would only tell of the start.
         let settled = self.hub.clock().now() + 2_000 * MS;
-        while self.doors.iter().any(|d| !d.stands) && self.hub.clock().now() < settled {
+        while self.gateways.iter().any(|d| !d.is_established) && self.hub.clock().now() < settled {
             self.connect();
             self.step(Some(settled))?;
         }
-        for door in 0..self.doors.len() {
+        for gateway in 0..self.gateways.len() {
             for _ in 0..self.scene.traffic.crowd {
-                let connection = self.greet(door);
-                self.crowd.insert(connection, door);
+                let connection = self.open_connection(gateway);
+                self.idle.insert(connection, gateway);
             }
         }
         self.start = self.hub.clock().now();
@@ -161,7 +162,7 @@
             }
             let now = self.hub.clock().now();
             while arrival <= now && arrival < end {
-                self.arrive(arrival);
+                self.call_next(arrival);
                 arrival += self.gap(arrival);
             }
             self.connect();
@@ -174,7 +175,7 @@
                 return Ok(());
             }
             let due = self.due.first().map(|(at, _)| *at);
-            let again = self.doors.iter().filter(|d| d.connection.is_none()).map(|d| d.retry_at).min();
+            let again = self.gateways.iter().filter(|d| d.connection.is_none()).map(|d| d.retry_at).min();
             let next = (arrival < end).then_some(arrival);
             // Events come over a channel that wakes nobody: look every few milliseconds.
             let until = [due, again, next, Some(now + 20 * MS)].into_iter().flatten().min();
@@ -197,7 +198,7 @@
             Event::Hot { share, functions, ms } => self.hot = (*share, *functions, now + ms * MS),
             Event::Heavy { class, share, times, ms } => self.heavy = (*class, *share, *times, now + ms * MS),
             Event::Wake { share, ms } => {
-                let all: Vec<Connection> = self.crowd.keys().copied().collect();
+                let all: Vec<Connection> = self.idle.keys().copied().collect();
                 for connection in all {
                     if self.uniform() < *share {
                         let after = (self.uniform() * (ms * MS) as f64) as Micros;
@@ -210,19 +211,19 @@
         }
     }
 
-    fn greet(&mut self, door: usize) -> Connection {
-        let door = &self.doors[door];
-        let connection = self.hub.connect(door.at, Wire::Frames, CONNECT_WITHIN);
-        let hello = Message::Hello { role: Role::Client, name: "clients".into(), zone: door.zone.clone() };
+    fn open_connection(&mut self, gateway: usize) -> Connection {
+        let gateway = &self.gateways[gateway];
+        let connection = self.hub.connect(gateway.at, Wire::Frames, CONNECT_WITHIN);
+        let hello = Message::Hello { role: Role::Client, name: "clients".into(), zone: gateway.zone.clone() };
         self.hub.send(connection, &hello, None);
         connection
     }
 
     fn connect(&mut self) {
         let now = self.hub.clock().now();
-        for door in 0..self.doors.len() {
-            if self.doors[door].connection.is_none() && self.doors[door].retry_at <= now {
-                self.doors[door].connection = Some(self.greet(door));
+        for gateway in 0..self.gateways.len() {
+            if self.gateways[gateway].connection.is_none() && self.gateways[gateway].retry_at <= now {
+                self.gateways[gateway].connection = Some(self.open_connection(gateway));
             }
         }
     }
@@ -232,9 +233,10 @@
         while let Some(notice) = self.hub.take_notice() {
             match notice {
                 Notice::Connected(connection) => {
-                    if let Some(door) = self.doors.iter_mut().find(|d| d.connection == Some(connection)) {
-                        door.stands = true;
-                        door.believed = Micros::MAX;
+                    if let Some(gateway) = self.gateways.iter_mut().find(|d| d.connection == Some(connection))
+                    {
+                        gateway.is_established = true;
+                        gateway.believed_up_until = Micros::MAX;
                     }
                 }
                 Notice::Closed { connection, unsent, .. } => self.closed(connection, &unsent),
@@ -243,10 +245,10 @@
                 }
                 // One that is asked to leave does so, if it waits for nothing.
                 Notice::Message(connection, Message::GoingAway { .. })
-                    if self.crowd.contains_key(&connection)
+                    if self.idle.contains_key(&connection)
                         && !self.open.values().any(|open| open.connection == connection) =>
                 {
-                    self.crowd.remove(&connection);
+                    self.idle.remove(&connection);
                     self.hub.close(connection, "asked to leave");
                 }
                 Notice::Message(_, message) => self.message(message),
@@ -259,14 +261,14 @@
     fn closed(&mut self, connection: Connection, unsent: &[u64]) {
         let now = self.hub.clock().now();
         self.lose_calls(connection, unsent);
-        self.crowd.remove(&connection);
-        let Some(at) = self.doors.iter().position(|d| d.connection == Some(connection)) else { return };
+        self.idle.remove(&connection);
+        let Some(at) = self.gateways.iter().position(|d| d.connection == Some(connection)) else { return };
         let notice = self.scene.traffic.front_notice_ms * MS;
-        let door = &mut self.doors[at];
-        if door.stands {
-            door.believed = now + notice;
+        let gateway = &mut self.gateways[at];
+        if gateway.is_established {
+            gateway.believed_up_until = now + notice;
         }
-        (door.connection, door.stands, door.retry_at) = (None, false, now + RETRY_CONNECT);
+        (gateway.connection, gateway.is_established, gateway.retry_at) = (None, false, now + RETRY_CONNECT);
     }
 
     fn lose_calls(&mut self, connection: Connection, unsent: &[u64]) {
@@ -289,13 +291,13 @@
         }
     }
 
-    fn arrive(&mut self, at: Micros) {
-        let (class, function, hot) = self.draw(at);
+    fn call_next(&mut self, at: Micros) {
+        let (class, function, hot) = self.draw_call(at);
         self.call(class, function, hot, self.scene.traffic.retries);
     }
 
     /// What is called next.
-    fn draw(&mut self, at: Micros) -> (usize, usize, bool) {
+    fn draw_call(&mut self, at: Micros) -> (usize, usize, bool) {
         let drawn = self.uniform();
         let class = self.class_shares.iter().position(|sum| drawn < *sum).unwrap_or(0);
         let hot = at < self.hot.2 && self.uniform() < self.hot.0;
@@ -311,20 +313,25 @@
 
     fn call(&mut self, class: usize, function: usize, hot: bool, tries_left: u32) {
         let now = self.hub.clock().now();
-        let believed: Vec<usize> =
-            self.doors.iter().enumerate().filter(|(_, d)| now < d.believed).map(|(n, _)| n).collect();
+        let candidates: Vec<usize> = self
+            .gateways
+            .iter()
+            .enumerate()
+            .filter(|(_, d)| now < d.believed_up_until)
+            .map(|(n, _)| n)
+            .collect();
         let pick = self.rng.next_u32() as usize;
-        let door = match believed.len() {
-            0 => pick % self.doors.len(),
-            count => believed[pick % count],
+        let gateway = match candidates.len() {
+            0 => pick % self.gateways.len(),
+            count => candidates[pick % count],
         };
-        self.call_on(door, self.doors[door].connection, (class, function, hot), tries_left);
+        self.call_on(gateway, self.gateways[gateway].connection, (class, function, hot), tries_left);
     }
 
-    /// A call on this connection, which is one to that door.
+    /// Sends a call on this connection, which is one to that gateway.
     fn call_on(
         &mut self,
-        door: usize,
+        gateway: usize,
         connection: Option<Connection>,
         (class, function, hot): (usize, usize, bool),
         tries_left: u32,
@@ -353,7 +360,7 @@
         };
         let asked = RecordedEvent::Asked {
             trace: trace.clone(),
-            gateway: self.doors[door].name.clone(),
+            gateway: self.gateways[gateway].name.clone(),
             class: spec.name.clone(),
             deferred,
             deadline: open.deadline,
@@ -443,9 +450,9 @@
                     }
                 }
                 Due::Wake(connection) => {
-                    if let Some(door) = self.crowd.get(&connection).copied() {
-                        let what = self.draw(now);
-                        self.call_on(door, Some(connection), what, self.scene.traffic.retries);
+                    if let Some(gateway) = self.idle.get(&connection).copied() {
+                        let what = self.draw_call(now);
+                        self.call_on(gateway, Some(connection), what, self.scene.traffic.retries);
                     }
                 }
                 // Nothing came: the auditor sees a call without an answer.
