Names: instances of the worker model are 'loaded' and 'busy', calls 'in flight'; effects are applied

Change: standing, at_work, held, crowd, carry_out and Out in the stand-in worker. Words of the wire and of records stay.

--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -41,7 +41,8 @@
     pub records: Option<PathBuf>,
 }
 
-struct Out {
+/// A call of a gateway that the model has.
+struct PendingAttempt {
     connection: Connection,
     attempt: u64,
     trace: String,
@@ -75,7 +76,7 @@
     store: Option<Connection>,
     fetches: BTreeMap<u64, String>,
     local_fetches: BTreeSet<(Micros, u64)>,
-    jobs: HashMap<u64, Out>,
+    jobs: HashMap<u64, PendingAttempt>,
     orders: HashMap<u64, (Connection, u64)>,
     next: u64,
     /// As it was last taken down, in MB.
@@ -185,7 +186,7 @@
         let mut effects = std::mem::take(&mut self.effects);
         self.model.pass(now, &mut effects);
         self.effects = effects;
-        self.carry_out();
+        self.apply_effects();
     }
 
     fn register(&mut self) {
@@ -258,13 +259,14 @@
                     return true;
                 }
                 self.next += 1;
-                let out = Out { connection, attempt, trace, class, function: function.clone() };
+                let out = PendingAttempt { connection, attempt, trace, class, function: function.clone() };
                 self.jobs.insert(self.next, out);
                 let job = Job { number: self.next, function, shape, deadline: now.saturating_add(time_left) };
                 self.model.run(now, job, &mut self.effects);
             }
             Message::CancelRun { attempt } => {
-                let here = |(_, o): &(&u64, &Out)| o.connection == connection && o.attempt == attempt;
+                let here =
+                    |(_, o): &(&u64, &PendingAttempt)| o.connection == connection && o.attempt == attempt;
                 if let Some(number) = self.jobs.iter().find(here).map(|(number, _)| *number) {
                     self.model.cancel(number, &mut self.effects);
                 }
@@ -281,14 +283,14 @@
             }
             Message::Drop { function } => self.model.drop_idle(&function),
             Message::Probe { number } if !hangs => {
-                let (held, queued) = self.model.held();
+                let (held, queued) = self.model.in_flight();
                 self.hub.send(connection, &Message::Probed { number, held, queued }, None);
             }
             Message::Fetched { number, there } => self.fetched(number, there),
             Message::Control { words } => return self.control(connection, &words),
             _ => {}
         }
-        self.carry_out();
+        self.apply_effects();
         true
     }
 
@@ -324,7 +326,7 @@
     fn fetched(&mut self, fetch: u64, there: bool) {
         if let Some(name) = self.fetches.remove(&fetch) {
             self.model.fetched(self.hub.clock().now(), &name, there, &mut self.effects);
-            self.carry_out();
+            self.apply_effects();
         }
     }
 
@@ -333,7 +335,7 @@
         uniform(&mut self.rng)
     }
 
-    fn carry_out(&mut self) {
+    fn apply_effects(&mut self) {
         for effect in std::mem::take(&mut self.effects) {
             let now = self.hub.clock().now();
             match effect {
@@ -366,7 +368,8 @@
     }
 
     fn ended(&mut self, now: Micros, number: u64, ending: Ending, crowd: u32) {
-        let Some(Out { connection, attempt, trace, class, function }) = self.jobs.remove(&number) else {
+        let Some(PendingAttempt { connection, attempt, trace, class, function }) = self.jobs.remove(&number)
+        else {
             return;
         };
         let bad = self.faults.version_share(now, &function);
--- a/crates/standins/src/worker_model/calls.rs
+++ b/crates/standins/src/worker_model/calls.rs
@@ -13,13 +13,13 @@
         self.add_work(now, Self::work(&job.shape), out);
         let function = self.functions.entry(job.function.clone()).or_default();
         function.shape = Some(job.shape.clone());
-        let crowd = function.held();
+        let in_flight = function.in_flight();
         if let Some(ending) = self.refusal(&job.function) {
-            return out.push(Effect::Ended(job.number, ending, crowd));
+            return out.push(Effect::Ended(job.number, ending, in_flight));
         }
         let name = job.function.clone();
         if let Some(function) = self.functions.get_mut(&name) {
-            function.waiting.push_back(AcceptedJob { job, crowd });
+            function.waiting.push_back(AcceptedJob { job, in_flight });
         }
         self.start_waiting(now, &name, out);
         self.start_fetches(out);
@@ -27,7 +27,7 @@
 
     /// How a call of this function ends at once, if it is not taken. Queues the load of an absent function.
     fn refusal(&mut self, name: &str) -> Option<Ending> {
-        let is_present = self.functions.get(name).is_some_and(|f| f.standing + f.loading > 0);
+        let is_present = self.functions.get(name).is_some_and(|f| f.loaded + f.loading > 0);
         if self.refusing || self.fallen {
             return Some(Ending::Full);
         }
@@ -40,7 +40,7 @@
         if !is_present && !self.begin_load(name) {
             return Some(Ending::Full);
         }
-        let (_, waiting) = self.held();
+        let (_, waiting) = self.in_flight();
         (waiting as usize >= self.profile.queue).then_some(Ending::Full)
     }
 
@@ -48,9 +48,9 @@
     pub fn cancel(&mut self, number: u64, out: &mut Vec<Effect>) {
         for function in self.functions.values_mut() {
             if let Some(at) = function.waiting.iter().position(|waiting| waiting.job.number == number)
-                && let Some(AcceptedJob { job, crowd }) = function.waiting.remove(at)
+                && let Some(AcceptedJob { job, in_flight }) = function.waiting.remove(at)
             {
-                out.push(Effect::Ended(job.number, Ending::Cancelled, crowd));
+                out.push(Effect::Ended(job.number, Ending::Cancelled, in_flight));
             }
         }
     }
@@ -59,14 +59,14 @@
     pub(super) fn start_waiting(&mut self, now: u64, name: &str, out: &mut Vec<Effect>) {
         loop {
             let Some(function) = self.functions.get_mut(name) else { return };
-            if function.running >= function.standing * function.lanes() {
+            if function.running >= function.loaded * function.lanes() {
                 return;
             }
             let Some(accepted) = function.waiting.pop_front() else { return };
             let number = accepted.job.number;
             if accepted.job.deadline <= now {
                 // Nobody waits: answered as not run.
-                out.push(Effect::Ended(number, Ending::Full, accepted.crowd));
+                out.push(Effect::Ended(number, Ending::Full, accepted.in_flight));
                 continue;
             }
             function.running += 1;
--- a/crates/standins/src/worker_model/function.rs
+++ b/crates/standins/src/worker_model/function.rs
@@ -13,8 +13,8 @@
 #[derive(Debug)]
 pub struct AcceptedJob {
     pub job: Job,
-    /// Calls of its function that were held when it came.
-    pub crowd: u32,
+    /// Calls of its function that were in flight when it came.
+    pub in_flight: u32,
 }
 
 /// An order that waits for its instances.
@@ -30,7 +30,7 @@
 pub struct Function {
     pub shape: Option<Shape>,
     /// Instances that are loaded.
-    pub standing: u32,
+    pub loaded: u32,
     /// Fetches and starts under way.
     pub loading: u32,
     pub running: u32,
@@ -52,12 +52,12 @@
     }
 
     /// Instances that run calls.
-    pub fn at_work(&self) -> u32 {
+    pub fn busy_instances(&self) -> u32 {
         self.running.div_ceil(self.lanes())
     }
 
     /// Calls that run or wait.
-    pub fn held(&self) -> u32 {
+    pub fn in_flight(&self) -> u32 {
         self.running + self.waiting.len() as u32
     }
 
@@ -69,11 +69,11 @@
 
     /// Whether an instance could be unloaded.
     pub fn has_idle(&self) -> bool {
-        self.standing > self.at_work()
+        self.loaded > self.busy_instances()
     }
 
     /// Unloads all idle instances.
     pub fn unload_idle(&mut self) {
-        self.standing = self.standing.min(self.at_work());
+        self.loaded = self.loaded.min(self.busy_instances());
     }
 }
--- a/crates/standins/src/worker_model/loads.rs
+++ b/crates/standins/src/worker_model/loads.rs
@@ -25,17 +25,17 @@
             function.shape = Some(shape);
         }
         function.idle_since = now;
-        let standing = function.standing;
-        if count == 0 || standing >= count {
-            return out.push(Effect::Held(order, Ending::Ok, standing));
+        let loaded = function.loaded;
+        if count == 0 || loaded >= count {
+            return out.push(Effect::Held(order, Ending::Ok, loaded));
         }
         if self.refusing || self.fallen || count > MOST_INSTANCES {
-            return out.push(Effect::Held(order, Ending::Full, standing));
+            return out.push(Effect::Held(order, Ending::Full, loaded));
         }
-        let missing = count - (standing + function.loading).min(count);
+        let missing = count - (loaded + function.loading).min(count);
         for _ in 0..missing {
             if !self.begin_load(name) {
-                return out.push(Effect::Held(order, Ending::Full, standing));
+                return out.push(Effect::Held(order, Ending::Full, loaded));
             }
         }
         if let Some(function) = self.functions.get_mut(name) {
@@ -98,7 +98,7 @@
             self.functions.iter_mut().filter(|(name, function)| *name != except && function.has_idle());
         match idle.min_by_key(|(_, function)| function.idle_since) {
             Some((_, function)) => {
-                function.standing -= 1;
+                function.loaded -= 1;
                 true
             }
             None => false,
@@ -120,13 +120,14 @@
     fn load_failed(&mut self, name: &str, out: &mut Vec<Effect>) {
         let Some(function) = self.functions.get_mut(name) else { return };
         function.loading -= 1;
-        let standing = function.standing;
-        let expected = standing + function.loading;
+        let loaded = function.loaded;
+        let expected = loaded + function.loading;
         let lost = function.orders.extract_if(.., |order| order.count > expected);
-        out.extend(lost.map(|order| Effect::Held(order.number, Ending::LoadFailed, standing)));
+        out.extend(lost.map(|order| Effect::Held(order.number, Ending::LoadFailed, loaded)));
         if expected == 0 {
             let waiting = function.waiting.drain(..);
-            let ended = |AcceptedJob { job, crowd }| Effect::Ended(job.number, Ending::LoadFailed, crowd);
+            let ended =
+                |AcceptedJob { job, in_flight }| Effect::Ended(job.number, Ending::LoadFailed, in_flight);
             out.extend(waiting.map(ended));
         }
     }
--- a/crates/standins/src/worker_model/mod.rs
+++ b/crates/standins/src/worker_model/mod.rs
@@ -36,9 +36,9 @@
 pub enum Effect {
     /// A call began to run.
     Began(u64),
-    /// A call ended, with the calls of its function held when it came.
+    /// A call ended, with the calls of its function in flight when it came.
     Ended(u64, Ending, u32),
-    /// An order ended, with the instances that stand.
+    /// An order ended, with the instances that are loaded.
     Held(u64, Ending, u32),
     /// A load begins: fetch the function's image, for so long if nothing is in the way.
     Fetch(String, u64),
@@ -112,15 +112,15 @@
         if shape.work > 0 { shape.work } else { USUAL_WORK }
     }
 
-    /// Calls held, and those among them that wait.
-    pub fn held(&self) -> (u32, u32) {
+    /// Calls in flight, and those among them that wait.
+    pub fn in_flight(&self) -> (u32, u32) {
         let waiting: usize = self.functions.values().map(|f| f.waiting.len()).sum();
         ((self.running.len() + waiting) as u32, waiting as u32)
     }
 
     /// Memory in use, in MB.
     pub fn memory(&self) -> u32 {
-        self.functions.values().map(|f| (f.standing + f.loading) * f.memory()).sum()
+        self.functions.values().map(|f| (f.loaded + f.loading) * f.memory()).sum()
     }
 
     /// When [`Model::pass`] is wanted next.
--- a/crates/standins/src/worker_model/timers.rs
+++ b/crates/standins/src/worker_model/timers.rs
@@ -25,8 +25,8 @@
     }
 
     fn end_call(&mut self, at: u64, number: u64, out: &mut Vec<Effect>) {
-        let Some(AcceptedJob { job, crowd }) = self.jobs.remove(&number) else { return };
-        out.push(Effect::Ended(number, Ending::Ok, crowd));
+        let Some(AcceptedJob { job, in_flight }) = self.jobs.remove(&number) else { return };
+        out.push(Effect::Ended(number, Ending::Ok, in_flight));
         if let Some(function) = self.functions.get_mut(&job.function) {
             function.running -= 1;
             function.idle_since = at;
@@ -37,11 +37,11 @@
     fn end_load(&mut self, at: u64, name: &str, out: &mut Vec<Effect>) {
         if let Some(function) = self.functions.get_mut(name) {
             function.loading -= 1;
-            function.standing += 1;
+            function.loaded += 1;
             function.idle_since = at;
-            let standing = function.standing;
-            let met = function.orders.extract_if(.., |order| order.count <= standing);
-            out.extend(met.map(|order| Effect::Held(order.number, Ending::Ok, standing)));
+            let loaded = function.loaded;
+            let met = function.orders.extract_if(.., |order| order.count <= loaded);
+            out.extend(met.map(|order| Effect::Held(order.number, Ending::Ok, loaded)));
         }
         self.start_waiting(at, name, out);
     }
