Names: fields of the wire are encoded and decoded, its macros say what they define

Change: put and take of the crate-private Field are encode and decode; choice!, record! and messages! are wire_enum!, wire_struct! and wire_messages!.

--- a/crates/protocol/src/field.rs
+++ b/crates/protocol/src/field.rs
@@ -36,17 +36,17 @@
 
 /// A type that can stand in a frame.
 pub trait Field: Sized {
-    fn put(&self, out: &mut Vec<u8>);
-    fn take(reader: &mut Reader) -> Result<Self, FrameError>;
+    fn encode(&self, out: &mut Vec<u8>);
+    fn decode(reader: &mut Reader) -> Result<Self, FrameError>;
 }
 
 macro_rules! number {
     ($($type:ty),*) => {$(
         impl Field for $type {
-            fn put(&self, out: &mut Vec<u8>) {
+            fn encode(&self, out: &mut Vec<u8>) {
                 out.extend_from_slice(&self.to_be_bytes());
             }
-            fn take(reader: &mut Reader) -> Result<Self, FrameError> {
+            fn decode(reader: &mut Reader) -> Result<Self, FrameError> {
                 Ok(Self::from_be_bytes(reader.array()?))
             }
         }
@@ -55,11 +55,11 @@
 number!(u8, u16, u32, u64);
 
 impl Field for bool {
-    fn put(&self, out: &mut Vec<u8>) {
+    fn encode(&self, out: &mut Vec<u8>) {
         out.push(u8::from(*self));
     }
-    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
-        match u8::take(reader)? {
+    fn decode(reader: &mut Reader) -> Result<Self, FrameError> {
+        match u8::decode(reader)? {
             0 => Ok(false),
             1 => Ok(true),
             value => Err(FrameError::Value { field: reader.field, value }),
@@ -70,16 +70,16 @@
 /// A name: UTF-8, at most [`MAX_NAME`] bytes, its length before it as 16 bits. A longer one is cut at the
 /// border of a character when written.
 impl Field for String {
-    fn put(&self, out: &mut Vec<u8>) {
+    fn encode(&self, out: &mut Vec<u8>) {
         let mut end = self.len().min(MAX_NAME);
         while !self.is_char_boundary(end) {
             end -= 1;
         }
-        (end as u16).put(out);
+        (end as u16).encode(out);
         out.extend_from_slice(&self.as_bytes()[..end]);
     }
-    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
-        let length = usize::from(u16::take(reader)?);
+    fn decode(reader: &mut Reader) -> Result<Self, FrameError> {
+        let length = usize::from(u16::decode(reader)?);
         if length > MAX_NAME {
             return Err(FrameError::Long { field: reader.field, length, most: MAX_NAME });
         }
@@ -90,38 +90,38 @@
 
 /// A field that was added to the end of a message later: peers of before neither send nor miss it.
 impl<T: Field> Field for Option<T> {
-    fn put(&self, out: &mut Vec<u8>) {
-        self.iter().for_each(|field| field.put(out));
+    fn encode(&self, out: &mut Vec<u8>) {
+        self.iter().for_each(|field| field.encode(out));
     }
-    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
-        if reader.is_empty() { Ok(None) } else { T::take(reader).map(Some) }
+    fn decode(reader: &mut Reader) -> Result<Self, FrameError> {
+        if reader.is_empty() { Ok(None) } else { T::decode(reader).map(Some) }
     }
 }
 
 /// A body: its length before it as 32 bits; the frame's own bound bounds it.
 impl Field for Vec<u8> {
-    fn put(&self, out: &mut Vec<u8>) {
-        (self.len() as u32).put(out);
+    fn encode(&self, out: &mut Vec<u8>) {
+        (self.len() as u32).encode(out);
         out.extend_from_slice(self);
     }
-    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
-        let length = u32::take(reader)? as usize;
+    fn decode(reader: &mut Reader) -> Result<Self, FrameError> {
+        let length = u32::decode(reader)? as usize;
         Ok(reader.take(length)?.to_vec())
     }
 }
 
 /// A list of records: their number before them as 32 bits. Memory grows with the bytes that are there, never
 /// with the number that is announced.
-pub fn put_list<T: Field>(items: &[T], out: &mut Vec<u8>) {
-    (items.len() as u32).put(out);
-    items.iter().for_each(|item| item.put(out));
+pub fn encode_list<T: Field>(items: &[T], out: &mut Vec<u8>) {
+    (items.len() as u32).encode(out);
+    items.iter().for_each(|item| item.encode(out));
 }
 
-pub fn take_list<T: Field>(reader: &mut Reader) -> Result<Vec<T>, FrameError> {
-    let count = u32::take(reader)?;
+pub fn decode_list<T: Field>(reader: &mut Reader) -> Result<Vec<T>, FrameError> {
+    let count = u32::decode(reader)?;
     let mut items = Vec::new();
     for _ in 0..count {
-        items.push(T::take(reader)?);
+        items.push(T::decode(reader)?);
     }
     Ok(items)
 }
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -9,7 +9,7 @@
 pub fn encode(message: &Message, out: &mut Vec<u8>) {
     let start = out.len();
     out.extend_from_slice(&[0, 0, 0, 0, VERSION, message.code()]);
-    message.put(out);
+    message.encode(out);
     let length = (out.len() - start - 4) as u32;
     out[start..start + 4].copy_from_slice(&length.to_be_bytes());
 }
@@ -92,7 +92,7 @@
                 return Err(FrameError::TooLong { length: length + 4, most: self.limits.frame });
             }
             let Some(payload) = rest.get(HEADER..length + 4) else { return Ok(None) };
-            let message = Message::take(code, &mut Reader::new(payload))?;
+            let message = Message::decode(code, &mut Reader::new(payload))?;
             self.used += length + 4;
             if message.is_some() {
                 return Ok(message);
--- a/crates/protocol/src/macros.rs
+++ b/crates/protocol/src/macros.rs
@@ -1,6 +1,6 @@
 //! Enums and structs of the wire format, each with its encoding.
 
-macro_rules! choice {
+macro_rules! wire_enum {
     ($(#[$doc:meta])* $name:ident { $($(#[$vdoc:meta])* $variant:ident = $code:literal => $word:literal,)* }) => {
         $(#[$doc])*
         #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -23,11 +23,11 @@
             }
         }
         impl crate::field::Field for $name {
-            fn put(&self, out: &mut Vec<u8>) {
+            fn encode(&self, out: &mut Vec<u8>) {
                 out.push(match self { $(Self::$variant => $code),* });
             }
-            fn take(reader: &mut crate::field::Reader) -> Result<Self, crate::error::FrameError> {
-                match u8::take(reader)? {
+            fn decode(reader: &mut crate::field::Reader) -> Result<Self, crate::error::FrameError> {
+                match u8::decode(reader)? {
                     $($code => Ok(Self::$variant),)*
                     value => Err(crate::error::FrameError::Value { field: reader.field, value }),
                 }
@@ -36,20 +36,20 @@
     };
 }
 
-macro_rules! record {
+macro_rules! wire_struct {
     ($(#[$doc:meta])* $name:ident { $($(#[$fdoc:meta])* $field:ident: $type:ty,)* }) => {
         $(#[$doc])*
         #[derive(Clone, Debug, PartialEq, Eq)]
         pub struct $name { $($(#[$fdoc])* pub $field: $type,)* }
         impl crate::field::Field for $name {
-            fn put(&self, out: &mut Vec<u8>) {
-                $(crate::field::Field::put(&self.$field, out);)*
+            fn encode(&self, out: &mut Vec<u8>) {
+                $(crate::field::Field::encode(&self.$field, out);)*
             }
-            fn take(reader: &mut crate::field::Reader) -> Result<Self, crate::error::FrameError> {
-                Ok(Self { $($field: { reader.field = stringify!($field); crate::field::Field::take(reader)? }),* })
+            fn decode(reader: &mut crate::field::Reader) -> Result<Self, crate::error::FrameError> {
+                Ok(Self { $($field: { reader.field = stringify!($field); crate::field::Field::decode(reader)? }),* })
             }
         }
     };
 }
 
-pub(crate) use {choice, record};
+pub(crate) use {wire_enum, wire_struct};
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -5,7 +5,7 @@
 use crate::field::{Field, Reader};
 use crate::values::{Ending, Listed, Origin, Role, Shape, Status};
 
-macro_rules! messages {
+macro_rules! wire_messages {
     ($($(#[$doc:meta])* $code:literal $name:ident { $($(#[$fdoc:meta])* $field:ident: $type:ty,)* })*) => {
         /// A message, one to a frame.
         #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,14 +21,14 @@
             pub fn kind(&self) -> &'static str {
                 match self { $(Self::$name { .. } => stringify!($name)),* }
             }
-            pub(crate) fn put(&self, out: &mut Vec<u8>) {
-                match self { $(Self::$name { $($field),* } => { $($field.put(out);)* }),* }
+            pub(crate) fn encode(&self, out: &mut Vec<u8>) {
+                match self { $(Self::$name { $($field),* } => { $($field.encode(out);)* }),* }
             }
             /// `None`: a kind that this version does not know. Bytes after the last field are passed over.
-            pub(crate) fn take(code: u8, reader: &mut Reader) -> Result<Option<Self>, FrameError> {
+            pub(crate) fn decode(code: u8, reader: &mut Reader) -> Result<Option<Self>, FrameError> {
                 Ok(Some(match code {
                     $($code => Self::$name {
-                        $($field: { reader.field = stringify!($field); Field::take(reader)? }),*
+                        $($field: { reader.field = stringify!($field); Field::decode(reader)? }),*
                     },)*
                     _ => return Ok(None),
                 }))
@@ -37,7 +37,7 @@
     };
 }
 
-messages! {
+wire_messages! {
     /// Opens a connection, from the side that connected.
     1 Hello {
         /// What the sender is.
--- a/crates/protocol/src/values.rs
+++ b/crates/protocol/src/values.rs
@@ -2,10 +2,10 @@
 
 use crate::Micros;
 use crate::error::FrameError;
-use crate::field::{Field, Reader, put_list, take_list};
-use crate::macros::{choice, record};
+use crate::field::{Field, Reader, decode_list, encode_list};
+use crate::macros::{wire_enum, wire_struct};
 
-choice!(
+wire_enum!(
     /// What the peer that opens a connection is.
     Role {
         /// A client of a gateway.
@@ -16,7 +16,7 @@
         Worker = 3 => "worker",
     }
 );
-choice!(
+wire_enum!(
     /// How a call ended for its client.
     Status {
         /// It ran; the body is the function's answer.
@@ -33,7 +33,7 @@
         Expired = 5 => "expired",
     }
 );
-choice!(
+wire_enum!(
     /// How a worker ended an attempt or an order.
     Ending {
         /// Done.
@@ -50,7 +50,7 @@
         Cancelled = 5 => "cancelled",
     }
 );
-choice!(
+wire_enum!(
     /// Whether a listed worker may be given work.
     Standing {
         /// In service.
@@ -62,7 +62,7 @@
     }
 );
 
-record!(
+wire_struct!(
     /// One worker on the list.
     Listed {
         /// Its name, kept when its process restarts.
@@ -81,7 +81,7 @@
         started: Micros,
     }
 );
-record!(
+wire_struct!(
     /// Facts about a function that travel with its calls; 0: not told.
     Shape {
         /// Memory of one instance, in MB.
@@ -95,7 +95,7 @@
     }
 );
 
-record!(
+wire_struct!(
     /// Which bytes ran, in the worker's own word.
     Origin {
         /// The function, as it was asked of the worker: with its version, if it has one.
@@ -106,10 +106,10 @@
 );
 
 impl Field for Vec<Listed> {
-    fn put(&self, out: &mut Vec<u8>) {
-        put_list(self, out);
+    fn encode(&self, out: &mut Vec<u8>) {
+        encode_list(self, out);
     }
-    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
-        take_list(reader)
+    fn decode(reader: &mut Reader) -> Result<Self, FrameError> {
+        decode_list(reader)
     }
 }
