Comments of protocol, stand-ins, rehearsal and crowd in ordinary technical English

Need: doc comments used the house's own wording ('bytes are no frame', 'is to be had', 'taken down', 'pushed over'). No line of code differs.

--- a/crates/crowd/src/crowd.rs
+++ b/crates/crowd/src/crowd.rs
@@ -86,7 +86,7 @@
 const ADDRESSES: usize = 250;
 /// Functions called, the same by all crowds.
 const FUNCTIONS: u32 = 16;
-/// After its deadline a call is waited for so long yet, to see what comes late.
+/// How long after its deadline a call is still waited for, to detect late answers.
 const GRACE: Micros = 500_000;
 const CONNECT_WITHIN: Micros = 20_000_000;
 
@@ -253,7 +253,7 @@
         match parts[0] {
             "open" => self.status.wanted = number(1)? as usize,
             "wake" => self.wake(number(1)?, number(2)?),
-            // Clients that read no more, and answer nothing: gone without a word.
+            // Clients that stop reading and answering, as after a network failure.
             "mute" => {
                 self.mute = true;
                 self.established.iter().for_each(|connection| self.hub.pause(*connection, true));
--- a/crates/crowd/src/lib.rs
+++ b/crates/crowd/src/lib.rs
@@ -1,8 +1,8 @@
 //! Crowds of idle connections: what each costs a gateway, and what happens when many wake at once.
 //!
-//! [`Crowd`] is a process that opens connections, keeps them idle and wakes them on command; [`measure`] runs
-//! several beside a gateway that is held to one core, reads what the operating system says of it, and has the
-//! rehearsals' auditor judge every call from records of clients and worker; [`plots`] draws what was found.
+//! [`Crowd`] is a process that opens connections, keeps them idle and makes calls on them on command; [`measure`] runs
+//! several beside a gateway that is pinned to one core, reads its CPU and memory from the operating system, and has the
+//! rehearsals' auditor judge every call from the records of clients and worker; [`plots`] draws the results.
 
 mod crowd;
 pub mod measure;
--- a/crates/crowd/src/measure/found.rs
+++ b/crates/crowd/src/measure/found.rs
@@ -5,7 +5,7 @@
 /// What was found with one number of connections.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Found {
-    /// Connections that stood.
+    /// Connections that were established.
     pub connections: usize,
     /// Processes that held them, the gateway included.
     pub processes: usize,
@@ -31,7 +31,7 @@
     pub all: Wave,
     /// Bytes of the gateway's processes for each connection after all that.
     pub after_bytes: f64,
-    /// What the auditor said.
+    /// The auditor's verdict.
     pub verdict: String,
     /// Whether all rules held.
     pub passed: bool,
--- a/crates/crowd/src/measure/mod.rs
+++ b/crates/crowd/src/measure/mod.rs
@@ -26,13 +26,13 @@
     pub within_ms: u64,
     /// Waves of that share, one after the other.
     pub waves: usize,
-    /// Seconds of idleness that are looked at.
+    /// Seconds of the idle time that is measured.
     pub idle_s: u64,
     /// Processes that hold connections; none given: as many as the gateway wants.
     pub holders: Option<usize>,
-    /// Of all random draws.
+    /// Seed of all random draws.
     pub seed: u64,
-    /// Look at what pings cost, which takes half a minute more.
+    /// Measure the cost of pings, which takes half a minute more.
     pub pings: bool,
     /// Wake all at last, within this many milliseconds.
     pub all_within_ms: u64,
--- a/crates/crowd/src/measure/run.rs
+++ b/crates/crowd/src/measure/run.rs
@@ -13,15 +13,15 @@
 const FIRST: usize = 200;
 /// Waves of calls on them: all functions are called in these.
 const WARM_UP_WAVES: usize = 12;
-/// Memory settles for so long after the first calls.
+/// Time for memory to settle after the first calls.
 const SETTLE_FIRST: Duration = Duration::from_millis(1_500);
-/// Memory settles for so long after all connections came.
+/// Time for memory to settle after all connections were opened.
 const SETTLE_OPENED: Duration = Duration::from_millis(2_500);
 /// Pause after a wave.
 const AFTER_WAVE: Duration = Duration::from_millis(300);
-/// Memory settles for so long after the last wave.
+/// Time for memory to settle after the last wave.
 const SETTLE_WAVES: Duration = Duration::from_millis(1_000);
-/// The first pings are due so many seconds after the idleness that is looked at.
+/// Seconds from the end of the idle time that is measured until the first pings are due.
 const FIRST_PINGS_S: u64 = 32;
 
 /// Measures with one number of connections.
--- a/crates/crowd/src/measure/test_bed.rs
+++ b/crates/crowd/src/measure/test_bed.rs
@@ -21,14 +21,14 @@
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(120);
 /// How often crowds are asked whether they have done it.
 const POLL: Duration = Duration::from_millis(20);
-/// The default of `ping_after`: at the rate that it makes, pings are looked at.
+/// The default of `ping_after`: the cost of pings is measured at the rate that follows from it.
 const PING_EVERY_S: usize = 600;
-/// Pings begin so many seconds after the idleness that is looked at.
+/// Seconds from the end of the idle time that is measured until pings begin.
 const PINGS_BEGIN_S: u64 = 30;
 /// The first crowd's connections come from 127.16.0.0/16, the next one's from 127.17.0.0/16.
 const FIRST_SOURCE: usize = 16;
 
-/// A process with clients, and how it is told what to do.
+/// A process with clients, and the connection for its commands.
 struct CrowdProcess {
     _process: Process,
     control: Client,
@@ -197,7 +197,7 @@
     for number in 0..WORKERS {
         writeln!(script, "worker(id = \"w{number}\", address = \"{worker}\")")?;
     }
-    // Pings are spread over ten minutes: their cost is looked at apart from idleness.
+    // Pings are spread over ten minutes: their cost is measured apart from that of idleness.
     writeln!(
         script,
         "limits(connections = {}, worker_streams = 100000, ping_after = s({}), ping_wait = s(60), \
--- a/crates/protocol/src/error.rs
+++ b/crates/protocol/src/error.rs
@@ -2,7 +2,7 @@
 
 use crate::limits::VERSION;
 
-/// Why bytes are no frame. The connection they came on is of no further use.
+/// Why bytes are not a valid frame. The connection that they came on cannot be used any further.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum FrameError {
     /// The header announces more than the bound.
@@ -13,10 +13,10 @@
         /// The bound.
         most: usize,
     },
-    /// The header announces less than a header's own version and kind.
+    /// The announced length does not even cover the header's version and kind.
     #[error("frame of {0} bytes, shorter than its header")]
     NoHeader(usize),
-    /// The other side speaks another version.
+    /// The peer uses another protocol version.
     #[error("protocol version {0}, this side speaks {VERSION}")]
     Version(u8),
     /// The payload ends inside a field.
@@ -41,7 +41,7 @@
         /// The field.
         field: &'static str,
     },
-    /// A choice has a value that means nothing.
+    /// An enum has an unknown value.
     #[error("{field} has the value {value}, which means nothing")]
     Value {
         /// The field.
--- a/crates/protocol/src/field.rs
+++ b/crates/protocol/src/field.rs
@@ -3,7 +3,7 @@
 use crate::error::FrameError;
 use crate::limits::MAX_NAME;
 
-/// What remains of a frame's payload.
+/// The part of a frame's payload that has not been read.
 pub struct Reader<'a> {
     rest: &'a [u8],
     /// The field being read, for errors.
@@ -15,7 +15,7 @@
         Self { rest: payload, field: "" }
     }
 
-    /// Whether all was read.
+    /// Whether the whole payload was read.
     pub fn is_empty(&self) -> bool {
         self.rest.is_empty()
     }
@@ -34,7 +34,7 @@
     }
 }
 
-/// A type that can stand in a frame.
+/// A type that can be a field of a frame.
 pub trait Field: Sized {
     fn encode(&self, out: &mut Vec<u8>);
     fn decode(reader: &mut Reader) -> Result<Self, FrameError>;
@@ -67,8 +67,8 @@
     }
 }
 
-/// A name: UTF-8, at most [`MAX_NAME`] bytes, its length before it as 16 bits. A longer one is cut at the
-/// border of a character when written.
+/// A name: its length as 16 bits, then at most [`MAX_NAME`] bytes of UTF-8. A longer name is truncated at a character
+/// boundary when it is written.
 impl Field for String {
     fn encode(&self, out: &mut Vec<u8>) {
         let mut end = self.len().min(MAX_NAME);
@@ -88,7 +88,7 @@
     }
 }
 
-/// A field that was added to the end of a message later: peers of before neither send nor miss it.
+/// A field added to the end of a message in a later build: older peers neither send nor expect it.
 impl<T: Field> Field for Option<T> {
     fn encode(&self, out: &mut Vec<u8>) {
         self.iter().for_each(|field| field.encode(out));
@@ -98,7 +98,7 @@
     }
 }
 
-/// A body: its length before it as 32 bits; the frame's own bound bounds it.
+/// A body: its length as 32 bits, then its bytes; bounded by the length of the frame.
 impl Field for Vec<u8> {
     fn encode(&self, out: &mut Vec<u8>) {
         (self.len() as u32).encode(out);
@@ -110,8 +110,8 @@
     }
 }
 
-/// A list of records: their number before them as 32 bits. Memory grows with the bytes that are there, never
-/// with the number that is announced.
+/// A list: the number of items as 32 bits, then the items. Memory grows with the bytes received, not with the announced
+/// number.
 pub fn encode_list<T: Field>(items: &[T], out: &mut Vec<u8>) {
     (items.len() as u32).encode(out);
     items.iter().for_each(|item| item.encode(out));
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -14,25 +14,25 @@
     out[start..start + 4].copy_from_slice(&length.to_be_bytes());
 }
 
-/// Bytes in, messages out. After an error it gives that error for ever.
+/// Decodes a stream of bytes into messages. After an error it returns that error on every call.
 #[derive(Debug, Default)]
 pub struct Decoder {
     limits: Limits,
     buffer: Vec<u8>,
-    /// Bytes at the front of the buffer that are done with.
+    /// Bytes at the front of the buffer that have been decoded.
     used: usize,
-    /// Frames of unknown kinds passed over.
+    /// Frames of unknown kinds that were skipped.
     pub skipped: u64,
     failed: Option<FrameError>,
 }
 
 impl Decoder {
-    /// A decoder within these bounds.
+    /// A decoder with these limits.
     pub fn new(limits: Limits) -> Self {
         Self { limits, ..Self::default() }
     }
 
-    /// Takes bytes as they came. An idle decoder holds no buffer.
+    /// Appends received bytes. An idle decoder holds no buffer.
     pub fn push(&mut self, bytes: &[u8]) {
         if self.used == self.buffer.len() {
             self.buffer.clear();
@@ -44,17 +44,17 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Bytes held of a frame that is not whole yet.
+    /// Buffered bytes of an incomplete frame.
     pub fn held(&self) -> usize {
         self.buffer.len() - self.used
     }
 
-    /// Nothing is held that a new decoder would not have.
+    /// Whether the decoder is in its initial state.
     pub fn is_idle(&self) -> bool {
         self.held() == 0 && self.failed.is_none()
     }
 
-    /// The next whole message; `None`: more bytes are needed.
+    /// The next complete message; `None`: more bytes are needed.
     pub fn decode(&mut self) -> Result<Option<Message>, FrameError> {
         if let Some(error) = &self.failed {
             return Err(error.clone());
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -1,10 +1,10 @@
-//! HTTP/1.1 requests from bytes, responses to bytes. httparse reads the heads; what it leaves open (how long a
-//! body is, when a connection may go on) is settled here, on the strict side: a request whose end could be read
-//! in two ways is refused and its connection closed.
+//! HTTP/1.1 requests from bytes, responses to bytes. httparse reads the heads; what it leaves to its caller (the
+//! length of a body, whether a connection is kept alive) is decided here, strictly: a request whose end is ambiguous is
+//! rejected and its connection closed.
 
 use std::io::Write;
 
-/// Bounds of one connection.
+/// Limits of one connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Longest head, in bytes.
@@ -44,18 +44,18 @@
     }
 }
 
-/// What the bytes so far amount to.
+/// The result of decoding the bytes received so far.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
     /// More bytes are needed.
     More,
     /// The client waits for `100 Continue` before it sends the body.
     Continue,
-    /// A request is whole.
+    /// A request is complete.
     Request(Request),
 }
 
-/// Why bytes are no request; answer `status` and close.
+/// Why bytes are not a valid request: answer `status` and close the connection.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{status} {reason}")]
 pub struct HttpError {
@@ -82,7 +82,7 @@
     Trailers(usize),
 }
 
-/// Bytes in, requests out.
+/// Decodes a stream of bytes into requests.
 #[derive(Debug, Default)]
 pub struct Decoder {
     limits: Limits,
@@ -98,32 +98,32 @@
 const SIZE_LINE: usize = 256;
 
 impl Decoder {
-    /// A decoder within these bounds.
+    /// A decoder with these limits.
     pub fn new(limits: Limits) -> Self {
         Self { limits, ..Self::default() }
     }
 
-    /// Takes bytes as they came.
+    /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Bytes held of a request that is not whole yet.
+    /// Buffered bytes of an incomplete request.
     pub fn held(&self) -> usize {
         self.buffer.len() + self.request.body.len()
     }
 
-    /// A request is under way.
+    /// Whether a request has been received in part.
     pub fn midway(&self) -> bool {
         self.state != Body::Head || !self.buffer.is_empty()
     }
 
-    /// Nothing is held that a new decoder would not have.
+    /// Whether the decoder is in its initial state.
     pub fn is_idle(&self) -> bool {
         !self.midway() && self.failed.is_none()
     }
 
-    /// The next step; after an error that error for ever.
+    /// The next step; after an error it returns that error on every call.
     pub fn decode(&mut self) -> Result<Step, HttpError> {
         if let Some(error) = &self.failed {
             return Err(error.clone());
@@ -201,7 +201,7 @@
         Step::Request(std::mem::take(&mut self.request))
     }
 
-    /// A line without its end, if it is there.
+    /// The next line without its line end, if it has been received.
     fn line(&mut self, most: usize, long: &'static str) -> Result<Option<Vec<u8>>, HttpError> {
         match self.buffer.windows(2).position(|pair| pair == b"\r\n") {
             Some(at) if at <= most => {
@@ -305,7 +305,7 @@
     usize::from_str_radix(text, 16).or(refuse(400, "bad chunk size"))
 }
 
-/// Tells a client that waits for it to send the body.
+/// Tells a client that waits for it to send the body of its request.
 pub const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Appends a response with its length. Header values must be free of line ends: others are left out.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,7 +1,7 @@
 //! Bytes to typed messages and back: the main protocol ([`Message`], [`Decoder`]) and HTTP/1.1 ([`http`]).
 //!
-//! Nothing here opens a socket or reads a clock. Whatever bytes come in, the answer is a message, a wish for
-//! more bytes, or one [`FrameError`] that names the field; no input makes it panic or hold more memory than
+//! Nothing here opens a socket or reads a clock. Whatever bytes come in, the result is a message, a request for more
+//! bytes, or one [`FrameError`] that names the field; no input causes a panic or makes the decoder buffer more than
 //! [`Limits`] allows. `docs/PROTOCOL.md` has the layout.
 
 mod error;
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -47,17 +47,17 @@
         /// Its zone; empty if it has none.
         zone: String,
     }
-    /// The receiver did something that this side can't go on with; the connection closes after it.
+    /// The receiver violated the protocol; the sender closes the connection after this message.
     2 Bye {
-        /// What was wrong, in words.
+        /// Description of the violation.
         reason: String,
     }
-    /// The sender will close soon: send it nothing new.
+    /// The sender will close the connection soon and accepts nothing new.
     3 GoingAway {
         /// Why, in a word.
         reason: String,
     }
-    /// Is anybody there?
+    /// Liveness probe.
     4 Probe {
         /// Given back in the answer.
         number: u64,
@@ -127,7 +127,7 @@
         /// Longest wait; 0: answer at once.
         wait: Micros,
     }
-    /// Client to gateway: no longer interested in a call or an await. It gets no answer.
+    /// Client to gateway: cancel a call or an await, which then gets no answer.
     14 Cancel {
         /// From the call or the await.
         number: u64,
@@ -144,9 +144,9 @@
         function: String,
         /// Its class.
         class: String,
-        /// The key by which repeats are told; empty: none.
+        /// The idempotency key; empty: none.
         key: String,
-        /// After this nobody waits any more.
+        /// Time until the client's deadline.
         time_left: Micros,
         /// What is known of the function.
         shape: Shape,
@@ -159,14 +159,14 @@
         attempt: u64,
         /// How it ended.
         ending: Ending,
-        /// Calls of the same function held when this one came.
+        /// Calls of the same function in flight when this one arrived.
         crowd: u32,
         /// The function's answer.
         body: Vec<u8>,
         /// What ran.
         origin: Option<Origin>,
     }
-    /// Gateway to worker: nobody waits for this attempt any more.
+    /// Gateway to worker: cancel this attempt.
     22 CancelRun {
         /// From `Run`.
         attempt: u64,
@@ -188,7 +188,7 @@
         order: u64,
         /// How it ended.
         ending: Ending,
-        /// Instances that stand loaded.
+        /// Instances that are loaded.
         standing: u32,
     }
     /// Gateway to worker: unload the function's idle instances.
@@ -231,7 +231,7 @@
         /// How long an uncrowded fetch takes, in microseconds.
         time: Micros,
     }
-    /// Model store to worker: the image is there, or is not to be had now.
+    /// Model store to worker: the image has arrived, or is unavailable now.
     43 Fetched {
         /// From `Fetch`.
         number: u64,
--- a/crates/protocol/src/values.rs
+++ b/crates/protocol/src/values.rs
@@ -25,7 +25,7 @@
         Refused = 1 => "refused",
         /// It failed; whether it took effect is not promised.
         Failed = 2 => "failed",
-        /// Not over yet (answer to an await).
+        /// Still in progress (answer to an await).
         Pending = 3 => "pending",
         /// No such call is known here (answer to an await).
         Unknown = 4 => "unknown",
@@ -40,24 +40,24 @@
         Ok = 0 => "ok",
         /// The function failed; it may have run.
         Error = 1 => "error",
-        /// Turned away unseen.
+        /// Rejected without being run.
         Full = 2 => "full",
         /// The function is not loaded here.
         Miss = 3 => "miss",
         /// The load that the call waited for failed; the call never ran.
         LoadFailed = 4 => "load-failed",
-        /// Called off before it ran.
+        /// Cancelled before it ran.
         Cancelled = 5 => "cancelled",
     }
 );
 wire_enum!(
     /// Whether a listed worker may be given work.
     Standing {
-        /// In service.
+        /// Active.
         In = 0 => "in",
-        /// Finishing what it has.
+        /// Finishing the calls that it has; takes no new ones.
         Draining = 1 => "draining",
-        /// Withdrawn.
+        /// Removed from service.
         Out = 2 => "out",
     }
 );
@@ -82,7 +82,7 @@
     }
 );
 wire_struct!(
-    /// Facts about a function that travel with its calls; 0: not told.
+    /// Facts about a function that travel with its calls; 0: unknown.
     Shape {
         /// Memory of one instance, in MB.
         memory_mb: u32,
@@ -96,11 +96,11 @@
 );
 
 wire_struct!(
-    /// Which bytes ran, in the worker's own word.
+    /// Which version of a function ran, as the worker reports it.
     Origin {
         /// The function, as it was asked of the worker: with its version, if it has one.
         function: String,
-        /// A digest of its bytes, such as `sha256:...`; empty: not told.
+        /// A digest of its bytes, such as `sha256:...`; empty: unknown.
         digest: String,
     }
 );
--- a/crates/rehearsal/src/audit/cold_starts.rs
+++ b/crates/rehearsal/src/audit/cold_starts.rs
@@ -1,4 +1,4 @@
-//! Rule 4: no cold worker pushed over.
+//! Rule 4: no cold worker overloaded.
 
 use std::collections::BTreeMap;
 
@@ -11,9 +11,9 @@
     started: u64,
     /// Work that it can do when warm, in cores of standard speed.
     power: f64,
-    /// Sent more than this multiple of its present capacity ...
+    /// While cold it collapses when it is sent more than this multiple of its present capacity ...
     fall_multiple: f64,
-    /// ... for so long, it falls over; 0: never.
+    /// ... over this time; 0: never.
     fall_window: u64,
     /// The share of its capacity that it begins with.
     cold_from: f64,
@@ -33,7 +33,7 @@
         at.saturating_sub(self.started)
     }
 
-    /// Adds work; gives how many times what it bears it was sent within the window, once it is too much.
+    /// Adds work; returns its ratio to the capacity of the window, the first time that it is above 1.
     fn send(&mut self, at: u64, work: u64) -> Option<f64> {
         self.sent.push((at, work));
         let recent = self.sent.iter().filter(|(sent_at, _)| sent_at + self.fall_window >= at);
--- a/crates/rehearsal/src/audit/limits.rs
+++ b/crates/rehearsal/src/audit/limits.rs
@@ -4,9 +4,9 @@
 
 use crate::scene::{ClassSpec, Scene};
 
-/// After a deadline an answer still counts for so long: the way to the client.
+/// How long after the deadline an answer still counts: its time on the wire.
 const ANSWER_SLACK: u64 = 8_000;
-/// What a frame's way may take.
+/// Longest time of a frame on the wire.
 const TRANSIT: u64 = 100_000;
 
 /// The limits by which the rules are judged. Times are in microseconds.
@@ -16,13 +16,13 @@
     pub effects: BTreeMap<String, String>,
     /// Aims by class.
     pub aims: BTreeMap<String, u64>,
-    /// After a deadline an answer still counts for so long: the way to the client.
+    /// How long after the deadline an answer still counts: its time on the wire.
     pub answer_slack: u64,
     /// Nothing new later than this after a drain was told.
     pub drain_grace: u64,
     /// The ration's window (0: no ration), free orders, orders for each call.
     pub ration: (u64, f64, f64),
-    /// What a frame's way may take.
+    /// Longest time of a frame on the wire.
     pub transit: u64,
 }
 
--- a/crates/rehearsal/src/audit/mod.rs
+++ b/crates/rehearsal/src/audit/mod.rs
@@ -1,7 +1,7 @@
 //! The auditor: judges the five rules from records of clients, workers and the list.
 //!
-//! It trusts no gateway: it has no record of one. Clocks are those of one machine. Where a frame's way takes time,
-//! the gateway is given `transit` in its favour, and no more.
+//! It trusts no gateway: it has no record of one. Clocks are those of one machine. The time that frames are
+//! on the wire is allowed for with `transit` in the gateway's favour, and no more.
 
 mod answers;
 mod cold_starts;
--- a/crates/rehearsal/src/client.rs
+++ b/crates/rehearsal/src/client.rs
@@ -1,4 +1,4 @@
-//! A client that blocks: one connection, one message after the other. For commands and tests.
+//! A blocking client with one connection, for commands and tests.
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -12,11 +12,11 @@
     decoder: Decoder,
 }
 
-/// No answer takes longer: the longest await is ten minutes.
+/// Longer than any answer takes: the longest await is ten minutes.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(620);
 
 impl Client {
-    /// Connects and says hello.
+    /// Connects and sends `Hello`.
     pub fn connect(to: SocketAddr, name: &str) -> io::Result<Self> {
         let socket = TcpStream::connect_timeout(&to, Duration::from_secs(5))?;
         socket.set_read_timeout(Some(RECEIVE_TIMEOUT))?;
@@ -38,7 +38,7 @@
         self.socket.write_all(bytes)
     }
 
-    /// Waits for the next message for so long at most.
+    /// Waits for the next message, up to a timeout.
     pub fn receive_within(&mut self, within: Duration) -> io::Result<Message> {
         self.socket.set_read_timeout(Some(within))?;
         self.receive()
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -13,7 +13,7 @@
 use crate::client::Client;
 use crate::scene::{Scene, WorkerSpec};
 
-/// A running process that told where it listens.
+/// A running process that has reported where it listens.
 pub struct Process {
     child: Child,
     /// Its main address.
@@ -129,7 +129,7 @@
     orders: Vec<(String, std::process::Child, i32)>,
 }
 
-/// After the last call, orders may take so long to end.
+/// How long orders may take to end after the last call.
 const ORDERS_WITHIN: Duration = Duration::from_secs(20);
 
 const ANY_PORT: &str = "127.0.0.1:0";
@@ -258,7 +258,7 @@
         Ok(())
     }
 
-    /// Tells a worker to play a fault; one that is dead is passed over.
+    /// Sends a worker a fault command; a dead worker is skipped.
     pub fn fault(&self, number: usize, words: &str) -> anyhow::Result<()> {
         match self.workers[number] {
             Some(_) => control(self.worker_at[number], words),
@@ -285,7 +285,7 @@
         Ok(())
     }
 
-    /// Waits for all orders; tells which did not end as wanted.
+    /// Waits for all orders; returns those that did not end as wanted.
     pub fn end_orders(&mut self) -> anyhow::Result<Vec<String>> {
         let end = Instant::now() + ORDERS_WITHIN;
         let mut bad = Vec::new();
@@ -305,12 +305,12 @@
         Ok(bad)
     }
 
-    /// Tells the list something.
+    /// Sends the worker list a control command.
     pub fn tell_list(&self, words: &str) -> anyhow::Result<()> {
         control(self.list.main, words)
     }
 
-    /// Tells the store something.
+    /// Sends the model store a control command.
     pub fn tell_store(&self, words: &str) -> anyhow::Result<()> {
         control(self.store.main, words)
     }
--- a/crates/rehearsal/src/load/clients.rs
+++ b/crates/rehearsal/src/load/clients.rs
@@ -17,11 +17,11 @@
 const CONNECT_WITHIN: Micros = 2_000_000;
 /// Time that each call has.
 const CALL_TIME: Micros = 10_000_000;
-/// Calls that are open so long after the end are never answered.
+/// Calls that are open this long after the end count as never answered.
 const ANSWER_WITHIN: Micros = 20_000_000;
 /// How often the end is looked for, if nothing else is due.
 const POLL: Micros = 100_000;
-/// The longest time that is told from others.
+/// The longest time that the histogram distinguishes.
 const LONGEST: u64 = 60_000_000;
 
 /// Whom the clients call.
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -12,7 +12,7 @@
 use crate::scene::{Event, Scene};
 use crate::traffic::Clients;
 
-/// What came of a rehearsal.
+/// The result of a rehearsal.
 pub struct Outcome {
     /// The verdict.
     pub verdict: Verdict,
@@ -61,7 +61,7 @@
         let at = Duration::from_millis(timed.at_ms);
         std::thread::sleep(at.saturating_sub(start.elapsed()));
         progress(&format!("{:5.1} s  {}", timed.at_ms as f64 / 1e3, words(&timed.event)));
-        // A peer that can't be told is part of the scene; the clients go on.
+        // An unreachable peer is part of the scene; the clients go on.
         match director.play(&mut fleet, scene, &timed.event) {
             Ok(bad) => bad_ends.extend(bad),
             Err(error) => progress(&format!("         it could not be played: {error:#}")),
@@ -82,7 +82,7 @@
     Ok(Outcome { verdict, bad_ends, took: began.elapsed() })
 }
 
-/// An event for a person.
+/// An event as text.
 fn words(event: &Event) -> String {
     match event {
         Event::KillWorker(n) => format!("worker-{n} is killed"),
--- a/crates/rehearsal/src/scene.rs
+++ b/crates/rehearsal/src/scene.rs
@@ -92,7 +92,7 @@
 pub struct FleetTerms {
     /// Workers answer 'miss' where a function is not loaded.
     pub miss: bool,
-    /// Idle instances stay for so long, in milliseconds.
+    /// How long idle instances stay loaded, in milliseconds.
     pub keep_alive_ms: u64,
     /// Rule 3: nothing new later than this after a drain was told, in milliseconds.
     pub drain_grace_ms: u64,
@@ -110,7 +110,7 @@
     pub max_attempts: usize,
     /// The list's changes come so late, in milliseconds.
     pub list_delay_ms: u64,
-    /// A worker that is gone stays listed for so long, in milliseconds.
+    /// How long a worker that is gone stays listed, in milliseconds.
     pub list_notice_ms: u64,
     /// Fetches that the store serves at full pace, and those that it takes.
     pub store: (usize, usize),
@@ -137,7 +137,7 @@
     pub retries: u32,
     /// A client gives up after this share of its class's time.
     pub try_share: f64,
-    /// Clients go on calling a dead gateway for so long, in milliseconds.
+    /// How long clients go on calling a dead gateway, in milliseconds.
     pub front_notice_ms: u64,
 }
 
@@ -159,7 +159,7 @@
     KillWorker(usize),
     /// A worker's process starts again: empty and cold.
     StartWorker(usize),
-    /// A worker is told to play a fault; the words are in docs/REHEARSAL.md.
+    /// A fault command to a worker; docs/REHEARSAL.md lists them.
     Fault(usize, String),
     /// A gateway's process is killed, with -9.
     KillGateway(usize),
@@ -169,7 +169,7 @@
     StartGateway(usize),
     /// The zones can't reach each other for so many milliseconds.
     CutZone(String, u64),
-    /// The worker list is told something.
+    /// A control command to the worker list.
     List(String),
     /// An operator gives `cresswheel versions` this order over all gateways.
     Versions {
@@ -180,7 +180,7 @@
         /// The exit code that it is to end with.
         exits: i32,
     },
-    /// The model store is told something.
+    /// A control command to the model store.
     Store(String),
     /// This share of the calls goes to so many functions that were not called before, for a time.
     Hot {
@@ -188,7 +188,7 @@
         share: f64,
         /// New functions in each class.
         functions: usize,
-        /// For so long, in milliseconds.
+        /// Duration, in milliseconds.
         ms: u64,
     },
     /// This share of a class's calls takes so many times its usual work, for a time.
@@ -199,7 +199,7 @@
         share: f64,
         /// Times the work.
         times: f64,
-        /// For so long, in milliseconds.
+        /// Duration, in milliseconds.
         ms: u64,
     },
     /// This share of the idle connections makes one call each, within so many milliseconds.
@@ -215,7 +215,7 @@
         share: f64,
         /// Part of their time.
         part: f64,
-        /// For so long, in milliseconds.
+        /// Duration, in milliseconds.
         ms: u64,
     },
 }
--- a/crates/rehearsal/src/traffic.rs
+++ b/crates/rehearsal/src/traffic.rs
@@ -1,4 +1,4 @@
-//! The clients of a rehearsal: calls at times drawn ahead, whatever the answers do; one connection to each gateway.
+//! The clients of a rehearsal: open-loop calls at times drawn ahead; one connection to each gateway.
 //!
 //! Each client's call has a trace of its own, by which the auditor finds it at the workers.
 
@@ -19,7 +19,7 @@
 const MS: Micros = 1_000;
 const CONNECT_WITHIN: Micros = 250 * MS;
 const RETRY_CONNECT: Micros = 100 * MS;
-/// After its deadline a call is waited for so long yet, to see what comes late.
+/// How long after its deadline a call is still waited for, to detect late answers.
 const GRACE: Micros = 500 * MS;
 
 /// Accounts that calls are about, in turn.
--- a/crates/standins/src/control.rs
+++ b/crates/standins/src/control.rs
@@ -1,11 +1,11 @@
-//! Faults in words: `hang 5000`, `lose 0.3 10000`, `cut block-b 8000`, ...
+//! Fault commands: `hang 5000`, `lose 0.3 10000`, `cut block-b 8000`, ...
 
 use std::collections::BTreeMap;
 
-/// A fault that a worker plays for a time.
+/// A fault that a worker simulates for a time.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
-    /// Reads everything, answers nothing. Probes too go unanswered.
+    /// Reads everything and answers nothing, probes included.
     Hang,
     /// This share of the answers is lost; probes pass.
     Lose(f64),
@@ -19,28 +19,28 @@
     LoadFail(f64),
     /// Everything takes so many times as long.
     Slow(f64),
-    /// All calls and orders are turned away.
+    /// All calls and orders are rejected.
     Refuse,
-    /// Gateways of this zone don't get through, nor answers to them.
+    /// Nothing passes between the worker and gateways of this zone.
     Cut(String),
     /// This share of the answers is sent twice.
     Twice(f64),
-    /// With each answer comes one to a call that it never got.
+    /// Each answer is accompanied by one to a call that the worker never got.
     Stray,
     /// This share of the calls of a version ends in an error, after running.
     BadVersion(String, f64),
-    /// Under the first function's name it holds the bytes of the second.
+    /// The image of the second function is served under the name of the first.
     Swap(String, String),
 }
 
-/// The faults in force, each until its time.
+/// The active faults, each until its end.
 #[derive(Clone, Debug, Default)]
 pub struct Faults {
     until: BTreeMap<&'static str, (u64, Fault)>,
 }
 
 impl Faults {
-    /// Reads `NAME [VALUE] MS` and puts it in force from `now` on.
+    /// Parses `NAME [VALUE] MS` and activates the fault from `now` on.
     pub fn begin(&mut self, now: u64, words: &str) -> Result<(), String> {
         let parts: Vec<&str> = words.split_whitespace().collect();
         let share = |text: &str| match text.parse::<f64>() {
@@ -75,12 +75,12 @@
         Ok(())
     }
 
-    /// The fault of this name, if it is in force.
+    /// The fault of this name, if it is active.
     pub fn get(&self, now: u64, name: &str) -> Option<&Fault> {
         self.until.get(name).filter(|(until, _)| now < *until).map(|(_, fault)| fault)
     }
 
-    /// The share of a fault that has one; 0 when it is not in force.
+    /// The share of a fault that has one; 0 when it is not active.
     pub fn share(&self, now: u64, name: &str) -> f64 {
         match self.get(now, name) {
             Some(
@@ -110,7 +110,7 @@
         }
     }
 
-    /// Whose bytes it holds under this function's name, if they are not the function's own.
+    /// The function whose image is served under this function's name, if it is not the function's own.
     pub fn swapped(&self, now: u64, function: &str) -> Option<&str> {
         match self.get(now, "swap") {
             Some(Fault::Swap(name, image)) if name == function => Some(image),
@@ -123,7 +123,7 @@
         if let Some(Fault::Slow(times)) = self.get(now, "slow") { *times } else { 1.0 }
     }
 
-    /// Whether gateways of this zone don't get through.
+    /// Whether this zone is cut off.
     pub fn cuts(&self, now: u64, zone: &str) -> bool {
         matches!(self.get(now, "cut"), Some(Fault::Cut(cut)) if cut == zone)
     }
--- a/crates/standins/src/echo.rs
+++ b/crates/standins/src/echo.rs
@@ -1,5 +1,5 @@
-//! The least that can stand at either side of a gateway in a measurement: a worker that answers at once, and a
-//! relay that carries the same frames as a gateway and decides nothing.
+//! Baselines for measurements: a worker that answers at once, and a relay that forwards the same frames as a gateway
+//! and decides nothing.
 
 use std::collections::HashMap;
 use std::io;
@@ -20,7 +20,7 @@
 }
 
 impl Echo {
-    /// Listens. A silent one answers orders only. What passes is written down in `records`.
+    /// Listens. A silent one answers orders only. What passes is recorded in `records`.
     pub fn start(at: SocketAddr, silent: bool, records: Option<&Path>) -> io::Result<Self> {
         let mut hub = Hub::new(HubLimits::default())?;
         let (_, address) = hub.listen(at, Wire::Frames)?;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,7 +1,7 @@
 //! Small peers for tests and rehearsals: a worker ([`Worker`]), the worker list ([`WorkerList`]), the model store
-//! ([`Store`]) and a lossy link ([`Link`]). Each plays faults on command and writes down what passed on its
-//! sockets ([`Record`]), for the auditor. They are models, not products: what a worker's function computes is an
-//! echo that takes time.
+//! ([`Store`]) and a lossy link ([`Link`]). Each simulates faults on command and records what passed on its
+//! sockets ([`Record`]) for the auditor. They are models, not products: a worker's function is an echo that takes
+//! time.
 
 mod control;
 mod echo;
--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -1,4 +1,4 @@
-//! A link between two places: bytes pass, later than they came, until it is cut or reset.
+//! A network link with a delay, which can be cut and reset.
 
 use std::collections::{HashMap, VecDeque};
 use std::io;
@@ -7,7 +7,7 @@
 use cresswheel_protocol::Micros;
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 
-/// From when to when bytes wait, and when connections break.
+/// The start and end of a cut, and the time of a reset.
 type Plan = (Option<(Micros, Micros)>, Option<Micros>);
 
 /// A relay from its own address to another one.
@@ -17,7 +17,7 @@
     to: SocketAddr,
     delay: Micros,
     planned: Option<Plan>,
-    /// Bytes pass no further from one time to another; they wait.
+    /// Start and end of a time in which bytes are held back.
     cut: (Micros, Micros),
     /// All connections break then.
     reset: Option<Micros>,
@@ -53,7 +53,7 @@
         }
     }
 
-    /// Relays for so long.
+    /// Relays for this long.
     pub fn run(&mut self, span: Micros) -> io::Result<()> {
         let end = self.hub.clock().now() + span;
         loop {
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -1,4 +1,4 @@
-//! The worker list: workers register, gateways follow. It can be late, frozen, deaf or wrong on command.
+//! The worker list: workers register, gateways follow. It can be slow, frozen, disconnected or wrong on command.
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
@@ -21,10 +21,10 @@
     registered: HashMap<Connection, String>,
     followers: HashMap<Connection, String>,
     names: HashMap<Connection, String>,
-    /// Changes go out so long after they happened.
+    /// Delay between a change and its publication.
     delay: Micros,
     frozen_until: Micros,
-    /// A worker whose connection ended is listed for so long yet.
+    /// How long a worker stays listed after its connection ended.
     notice: Micros,
     changes: Vec<(Micros, Listed)>,
 }
@@ -93,7 +93,7 @@
             Message::Register { workers } => {
                 for worker in workers {
                     self.registered.insert(connection, worker.id.clone());
-                    // What was still to be said of its earlier life is void.
+                    // Pending removals of its earlier process are void.
                     self.changes.retain(|(_, w)| w.id != worker.id || w.standing != Standing::Out);
                     self.changes.push((now + self.delay, worker));
                 }
@@ -119,7 +119,7 @@
             ["delay", span] => self.delay = ms(span)?,
             ["notice", span] => self.notice = ms(span)?,
             ["freeze", span] => self.frozen_until = now + ms(span)?,
-            // A worker that is not there.
+            // A worker that does not exist.
             ["ghost", id, address] => {
                 let listed = Listed {
                     id: id.into(),
--- a/crates/standins/src/records.rs
+++ b/crates/standins/src/records.rs
@@ -1,4 +1,4 @@
-//! What passed on the sockets of clients and stand-ins, a JSON object a line. The auditor reads nothing else.
+//! Records of what passed on the sockets of clients and stand-ins, one JSON object a line: the auditor's only input.
 
 use std::fs::File;
 use std::io::{self, BufWriter, Write};
@@ -7,18 +7,18 @@
 use cresswheel_protocol::Origin;
 use serde::{Deserialize, Serialize};
 
-/// One thing that passed.
+/// One recorded event.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
-    /// When, in microseconds since 1970, by the clock of the one who saw it.
+    /// The time in microseconds since 1970, on the recorder's clock.
     pub at: u64,
-    /// Who saw it.
+    /// The recorder's name.
     pub by: String,
-    /// What it was.
+    /// The event.
     pub what: RecordedEvent,
 }
 
-/// What passed.
+/// An event on a socket, or something done to the system under test.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RecordedEvent {
@@ -89,14 +89,14 @@
         /// In MB, those that load included.
         mb: u32,
     },
-    /// A cold worker was pushed over.
+    /// A cold worker collapsed under overload.
     Fell {
         /// Work sent to it within the window, in core-microseconds.
         sent: u64,
         /// What it could have borne.
         bearable: u64,
     },
-    /// The list told a gateway of workers.
+    /// The list sent a gateway workers.
     Told {
         /// The gateway.
         gateway: String,
@@ -118,7 +118,7 @@
         /// When the client gives up, on its clock.
         deadline: u64,
     },
-    /// A client was told that its deferred call was taken.
+    /// A client was told that its deferred call was accepted.
     Accepted {
         /// The call's trace.
         trace: String,
@@ -138,7 +138,7 @@
         #[serde(default)]
         digest: String,
     },
-    /// A client stopped waiting, by its own will.
+    /// A client stopped waiting of its own accord.
     GaveUp {
         /// The call's trace.
         trace: String,
@@ -147,7 +147,7 @@
     GatewayGone {
         /// The call's trace.
         trace: String,
-        /// No connection stood, so it never got there.
+        /// No connection was established, so the call was never sent.
         unreached: bool,
     },
     /// Something done to the system under test.
@@ -158,7 +158,7 @@
 }
 
 impl RecordedEvent {
-    /// A client got a final answer, and was told that this ran.
+    /// A client got a final answer, which names what ran.
     pub fn answered(trace: String, status: String, reason: String, origin: Option<Origin>) -> Self {
         let (function, digest) = origin.map(|o| (o.function, o.digest)).unwrap_or_default();
         Self::Answered { trace, status, reason, function, digest }
@@ -184,7 +184,7 @@
         Ok(Self { by: name.into(), out })
     }
 
-    /// Takes a record down.
+    /// Writes a record.
     pub fn write(&mut self, at: u64, what: RecordedEvent) {
         let Some(out) = &mut self.out else { return };
         let record = Record { at, by: self.by.clone(), what };
@@ -195,7 +195,7 @@
         }
     }
 
-    /// Hands what was taken down to the kernel, so that it outlives this process.
+    /// Writes buffered records to the file, so that they survive the end of this process.
     pub fn flush(&mut self) {
         if let Some(Err(error)) = self.out.as_mut().map(Write::flush) {
             tracing::error!(%error, "records could not be written");
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -1,4 +1,4 @@
-//! The model store that all workers share: slow when crowded, turns fetches away past a limit, can stop.
+//! The model store that all workers share: it slows down under load, rejects fetches above a limit, and can be stopped.
 
 use std::collections::BTreeSet;
 use std::io;
@@ -11,11 +11,11 @@
 pub struct Store {
     hub: Hub,
     address: SocketAddr,
-    /// Fetches that it serves at full pace at once.
+    /// Concurrent fetches that it serves at full speed.
     capacity: usize,
-    /// Fetches that it takes at once.
+    /// Concurrent fetches that it accepts.
     most: usize,
-    /// Functions that it does not have.
+    /// Functions that it reports as missing.
     absent: BTreeSet<String>,
     stopped_until: Micros,
     due: BTreeSet<(Micros, Connection, u64)>,
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -16,7 +16,7 @@
 use crate::records::{RecordedEvent, Recorder};
 use crate::worker_model::{Effect, Job, Model, Profile};
 
-/// What a worker process is told.
+/// Settings of a worker process.
 #[derive(Clone, Debug)]
 pub struct WorkerSettings {
     /// Its id on the list; empty: its address.
@@ -33,7 +33,7 @@
     pub kind: String,
     /// Its cell.
     pub cell: u64,
-    /// It counts as started long ago: warm from the first call on.
+    /// It is treated as started long ago: warm from the first call on.
     pub warm: bool,
     /// The model.
     pub profile: Profile,
@@ -50,7 +50,7 @@
     function: String,
 }
 
-/// What a worker says of a function's bytes. A stand-in has none but the name.
+/// The digest that a worker reports for a function. A stand-in hashes the function's name, since it has no code.
 pub fn digest(function: &str) -> String {
     let bytes = Sha256::digest(function.as_bytes());
     let hex = bytes.iter().map(|byte| format!("{byte:02x}"));
@@ -79,7 +79,7 @@
     jobs: HashMap<u64, PendingAttempt>,
     orders: HashMap<u64, (Connection, u64)>,
     next: u64,
-    /// As it was last taken down, in MB.
+    /// As last recorded, in MB.
     memory: u32,
     effects: Vec<Effect>,
 }
@@ -212,7 +212,7 @@
         Message::Hello { role: Role::Worker, name, zone }
     }
 
-    /// False: end the process.
+    /// Handles a notice; false: end the process.
     fn notice(&mut self, notice: Notice) -> bool {
         match notice {
             Notice::Message(connection, message) => return self.message(connection, message),
--- a/crates/standins/src/worker_model/calls.rs
+++ b/crates/standins/src/worker_model/calls.rs
@@ -1,4 +1,4 @@
-//! Calls: taken, turned away, cancelled, started.
+//! Calls: accepted, rejected, cancelled, started.
 
 use cresswheel_protocol::Ending;
 
@@ -7,7 +7,7 @@
 use super::{Effect, Job, Model};
 
 impl Model {
-    /// A call came.
+    /// Handles a new call.
     pub fn run(&mut self, now: u64, job: Job, out: &mut Vec<Effect>) {
         self.pass(now, out);
         self.add_work(now, Self::work(&job.shape), out);
@@ -25,7 +25,7 @@
         self.start_fetches(out);
     }
 
-    /// How a call of this function ends at once, if it is not taken. Queues the load of an absent function.
+    /// How a call of this function ends at once, if it is not accepted. Queues the load of an absent function.
     fn refusal(&mut self, name: &str) -> Option<Ending> {
         let is_present = self.functions.get(name).is_some_and(|f| f.loaded + f.loading > 0);
         if self.refusing || self.fallen {
@@ -44,7 +44,7 @@
         (waiting as usize >= self.profile.queue).then_some(Ending::Full)
     }
 
-    /// Nobody waits for a call any more; running ones go on.
+    /// Cancels a waiting call; running ones go on.
     pub fn cancel(&mut self, number: u64, out: &mut Vec<Effect>) {
         for function in self.functions.values_mut() {
             if let Some(at) = function.waiting.iter().position(|waiting| waiting.job.number == number)
@@ -65,7 +65,7 @@
             let Some(accepted) = function.waiting.pop_front() else { return };
             let number = accepted.job.number;
             if accepted.job.deadline <= now {
-                // Nobody waits: answered as not run.
+                // Past the client's deadline: answered as not run.
                 out.push(Effect::Ended(number, Ending::Full, accepted.in_flight));
                 continue;
             }
@@ -86,7 +86,7 @@
         (took as u64).max(1)
     }
 
-    /// Books work against the cold start.
+    /// Counts work against the capacity of a cold worker.
     fn add_work(&mut self, now: u64, work: u64, out: &mut Vec<Effect>) {
         if self.fallen {
             return;
--- a/crates/standins/src/worker_model/cold_start.rs
+++ b/crates/standins/src/worker_model/cold_start.rs
@@ -1,4 +1,4 @@
-//! A worker process that began lately bears less than a warm one, and falls over when it is sent too much.
+//! Cold start: a new worker process has less capacity than a warm one, and collapses when it is overloaded.
 
 use std::collections::VecDeque;
 
@@ -12,12 +12,12 @@
     work: u64,
 }
 
-/// More work than a cold worker bears, in core-microseconds.
+/// More work than a cold worker can take, in core-microseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Overload {
     /// Sent within the window.
     pub sent: u64,
-    /// What it could have borne.
+    /// What it could have taken.
     pub bearable: u64,
 }
 
@@ -53,7 +53,7 @@
         (self.cold_from + (1.0 - self.cold_from) * age).min(1.0)
     }
 
-    /// Adds work that was sent now; tells if it is more than the worker bears.
+    /// Adds work that was sent now; returns the overload, if it is more than the worker can take.
     pub fn add(&mut self, now: u64, work: u64) -> Option<Overload> {
         let window = self.fall_window;
         let capacity = self.capacity(now);
--- a/crates/standins/src/worker_model/function.rs
+++ b/crates/standins/src/worker_model/function.rs
@@ -6,10 +6,10 @@
 
 use super::Job;
 
-/// Time of a load where nothing is told of it, in microseconds.
+/// Default time of a load, in microseconds.
 const USUAL_LOAD: u64 = 500_000;
 
-/// A call that was taken.
+/// A call that was accepted.
 #[derive(Debug)]
 pub struct AcceptedJob {
     pub job: Job,
--- a/crates/standins/src/worker_model/loads.rs
+++ b/crates/standins/src/worker_model/loads.rs
@@ -9,7 +9,7 @@
 const MOST_INSTANCES: u32 = 64;
 
 impl Model {
-    /// An order to hold instances; 0 asks.
+    /// Handles an order to load instances; a count of 0 only asks.
     pub fn hold(
         &mut self,
         now: u64,
@@ -51,12 +51,12 @@
         }
     }
 
-    /// All functions are released anew: idle instances are void.
+    /// Unloads all idle instances, as a new release of all functions does.
     pub fn flush(&mut self) {
         self.functions.values_mut().for_each(Function::unload_idle);
     }
 
-    /// A fetch ended.
+    /// Handles the end of a fetch.
     pub fn fetched(&mut self, now: u64, name: &str, there: bool, out: &mut Vec<Effect>) {
         self.pass(now, out);
         self.fetching = self.fetching.saturating_sub(1);
@@ -116,7 +116,7 @@
         }
     }
 
-    /// Ends the orders that can't be met any more, and the calls that nothing will serve.
+    /// Ends orders that can no longer be met, and calls that no instance will serve.
     fn load_failed(&mut self, name: &str, out: &mut Vec<Effect>) {
         let Some(function) = self.functions.get_mut(name) else { return };
         function.loading -= 1;
--- a/crates/standins/src/worker_model/mod.rs
+++ b/crates/standins/src/worker_model/mod.rs
@@ -1,5 +1,5 @@
 //! What a worker does, without sockets and clock: instances, lanes, queue, memory, loads, keep-alive, a cold
-//! start that can be pushed over.
+//! start that can be overloaded.
 
 mod calls;
 mod cold_start;
@@ -27,11 +27,11 @@
     pub function: String,
     /// What is known of the function.
     pub shape: Shape,
-    /// Nobody waits for it after this.
+    /// The client's deadline.
     pub deadline: u64,
 }
 
-/// What the model has done.
+/// Something that the model did, for its caller to carry out or to answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
     /// A call began to run.
@@ -40,13 +40,13 @@
     Ended(u64, Ending, u32),
     /// An order ended, with the instances that are loaded.
     Held(u64, Ending, u32),
-    /// A load begins: fetch the function's image, for so long if nothing is in the way.
+    /// A load begins: fetch the function's image, which takes this long on an idle store.
     Fetch(String, u64),
-    /// It was sent too much while cold: work sent within the window, work that it could have borne.
+    /// It was overloaded while cold: work sent within the window, and the capacity of that time.
     Fell(u64, u64),
 }
 
-/// Work that a call does where nothing is told of it, in microseconds.
+/// Default work of a call, in microseconds.
 const USUAL_WORK: u64 = 20_000;
 
 /// A worker, without sockets and clock.
@@ -64,9 +64,9 @@
     loads_waiting: VecDeque<String>,
     /// Fetches under way.
     fetching: usize,
-    /// It fell over and does nothing more.
+    /// It collapsed under overload and does nothing more.
     pub fallen: bool,
-    /// New calls and orders are turned away.
+    /// New calls and orders are rejected.
     pub refusing: bool,
     /// Everything takes so many times as long.
     pub slowness: f64,
--- a/crates/standins/src/worker_model/profile.rs
+++ b/crates/standins/src/worker_model/profile.rs
@@ -1,6 +1,6 @@
 //! What kind of worker is modelled.
 
-/// What a worker is.
+/// Properties of a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Profile {
     /// Cores.
@@ -13,21 +13,21 @@
     pub queue: usize,
     /// Loads that run at a time; twice as many may wait.
     pub loads: usize,
-    /// An idle instance stays for so long, in microseconds.
+    /// How long an idle instance stays loaded, in microseconds.
     pub keep_alive: u64,
-    /// A call of a function that is not there loads it and waits; else it is answered 'miss'.
+    /// A call of an absent function loads it and waits; otherwise it is answered 'miss'.
     pub load_on_call: bool,
     /// The share of its capacity that it begins with.
     pub cold_from: f64,
     /// Until it has all of it, in microseconds.
     pub warm_up: u64,
-    /// Sent more than this multiple of its present capacity ...
+    /// While cold it collapses when it is sent more than this multiple of its present capacity ...
     pub fall_multiple: f64,
-    /// ... for so long, it falls over. 0: it never does.
+    /// ... over this time, in microseconds; 0: never.
     pub fall_window: u64,
     /// Part of a load that is the fetch from the store.
     pub fetch_share: f64,
-    /// Of its random draws.
+    /// Seed of its random draws.
     pub seed: u64,
 }
 
--- a/crates/standins/src/worker_model/timers.rs
+++ b/crates/standins/src/worker_model/timers.rs
@@ -1,4 +1,4 @@
-//! What ends by itself: calls, loads, idle instances.
+//! Timers: ends of calls, loads and idle instances.
 
 use cresswheel_protocol::Ending;
 
@@ -6,7 +6,7 @@
 use super::{Effect, Model};
 
 impl Model {
-    /// Lets time pass.
+    /// Advances the model to a time.
     pub fn pass(&mut self, now: u64, out: &mut Vec<Effect>) {
         while let Some((at, number)) = self.running.first().filter(|(at, _)| *at <= now).copied() {
             self.running.pop_first();
