--- a/crates/crowd/src/crowd.rs
+++ b/crates/crowd/src/crowd.rs
@@ -6,16 +6,16 @@
 use std::path::PathBuf;
 
 use cresswheel_protocol::{Message, Micros, Role, Shape, Status as Ending};
-use cresswheel_standins::{Recorder, What};
+use cresswheel_standins::{RecordedEvent, Recorder};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 use serde::{Deserialize, Serialize};
 
-/// What a crowd is told at its start.
+/// Settings of a crowd.
 #[derive(Clone, Debug)]
 pub struct CrowdSettings {
-    /// Where it is told what to do.
+    /// Where it listens for commands.
     pub control: SocketAddr,
     /// Its gateway.
     pub to: SocketAddr,
@@ -42,19 +42,19 @@
     pub give_up_ms: u64,
 }
 
-/// How it stands with a crowd.
+/// The state of a crowd.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
     /// Connections asked for.
     pub wanted: usize,
-    /// Connections that stand.
-    pub stand: usize,
+    /// Connections that are established.
+    pub established: usize,
     /// Connections that could not be made, or ended.
     pub lost: usize,
     /// Calls without their answer whose time is not over.
     pub open: usize,
     /// Calls that are still to be sent.
-    pub to_come: usize,
+    pub scheduled: usize,
     /// Calls answered.
     pub answered: u64,
     /// Pings answered.
@@ -69,10 +69,10 @@
     /// Adds another crowd's status.
     pub fn add(&mut self, other: &Self) {
         self.wanted += other.wanted;
-        self.stand += other.stand;
+        self.established += other.established;
         self.lost += other.lost;
         self.open += other.open;
-        self.to_come += other.to_come;
+        self.scheduled += other.scheduled;
         self.answered += other.answered;
         self.pings += other.pings;
         self.asked_to_leave += other.asked_to_leave;
@@ -80,13 +80,13 @@
     }
 }
 
-/// Connections being made at once.
-const AT_ONCE: usize = 128;
+/// Connection attempts under way at once.
+const MAX_CONNECTING: usize = 128;
 /// Source addresses used in turn.
 const ADDRESSES: usize = 250;
 /// Functions called, the same by all crowds.
 const FUNCTIONS: u32 = 16;
-/// After its deadline a call is waited for so long yet, to see what comes late.
+/// How long after its deadline a call is still waited for, to detect late answers.
 const GRACE: Micros = 500_000;
 const CONNECT_WITHIN: Micros = 20_000_000;
 
@@ -104,11 +104,11 @@
     recorder: Recorder,
     rng: Pcg32,
     status: Status,
-    standing: Vec<Connection>,
-    making: usize,
-    begun: usize,
-    /// Calls to come, the soonest last.
-    to_come: Vec<(Micros, Connection)>,
+    established: Vec<Connection>,
+    connecting: usize,
+    started: usize,
+    /// Calls that are scheduled, the soonest last.
+    scheduled: Vec<(Micros, Connection)>,
     open: HashMap<u64, Open>,
     mute: bool,
     wave: u32,
@@ -117,7 +117,7 @@
 }
 
 impl Crowd {
-    /// Listens for what it is to do.
+    /// Listens for commands.
     pub fn start(settings: CrowdSettings) -> io::Result<Self> {
         let mut hub = Hub::new(HubLimits::default())?;
         let (_, control) = hub.listen(settings.control, Wire::Frames)?;
@@ -127,10 +127,10 @@
             hub,
             control,
             status: Status::default(),
-            standing: Vec::new(),
-            making: 0,
-            begun: 0,
-            to_come: Vec::new(),
+            established: Vec::new(),
+            connecting: 0,
+            started: 0,
+            scheduled: Vec::new(),
             open: HashMap::new(),
             mute: false,
             wave: 0,
@@ -140,23 +140,23 @@
         })
     }
 
-    /// Where it is told what to do.
+    /// Where it listens for commands.
     pub fn address(&self) -> SocketAddr {
         self.control
     }
 
-    /// Does as it is told until it is told to stop.
+    /// Serves until a command stops it.
     pub fn run(&mut self) -> io::Result<()> {
         while !self.stopped {
-            self.make();
+            self.open_connections();
             let now = self.hub.clock().now();
-            while let Some((_, connection)) = self.to_come.last().filter(|(at, _)| *at <= now).copied() {
-                self.to_come.pop();
+            while let Some((_, connection)) = self.scheduled.last().filter(|(at, _)| *at <= now).copied() {
+                self.scheduled.pop();
                 self.call(connection);
             }
             self.open.retain(|_, open| open.deadline + GRACE > now);
             self.recorder.flush();
-            let soon = self.to_come.last().map(|(at, _)| *at);
+            let soon = self.scheduled.last().map(|(at, _)| *at);
             let over = (!self.open.is_empty()).then_some(now + 50_000);
             self.hub.wait(soon.into_iter().chain(over).min())?;
             while let Some(notice) = self.hub.take_notice() {
@@ -166,13 +166,13 @@
         Ok(())
     }
 
-    fn make(&mut self) {
-        while self.making < AT_ONCE && self.begun < self.status.wanted {
+    fn open_connections(&mut self) {
+        while self.connecting < MAX_CONNECTING && self.started < self.status.wanted {
             let (x, y) = self.settings.from;
-            let last = (self.begun % ADDRESSES) as u8 + 1;
+            let last = (self.started % ADDRESSES) as u8 + 1;
             let from = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, x, y, last)), 0);
-            self.begun += 1;
-            self.making += 1;
+            self.started += 1;
+            self.connecting += 1;
             let connection =
                 self.hub.connect_from(Some(from), self.settings.to, Wire::Frames, CONNECT_WITHIN);
             let hello = Message::Hello { role: Role::Client, name: String::new(), zone: String::new() };
@@ -183,9 +183,9 @@
     fn notice(&mut self, notice: Notice) {
         match notice {
             Notice::Connected(connection) => {
-                self.making -= 1;
-                self.standing.push(connection);
-                self.status.stand += 1;
+                self.connecting -= 1;
+                self.established.push(connection);
+                self.status.established += 1;
                 self.status.last_made = self.hub.clock().now();
                 if self.mute {
                     self.hub.pause(connection, true);
@@ -195,16 +195,16 @@
             Notice::Closed { connection, guest: false, never_stood, .. } => {
                 self.status.lost += 1;
                 if never_stood {
-                    self.making -= 1;
+                    self.connecting -= 1;
                     return;
                 }
-                self.status.stand -= 1;
-                self.standing.retain(|other| *other != connection);
+                self.status.established -= 1;
+                self.established.retain(|other| *other != connection);
                 let now = self.hub.clock().now();
                 let gone = self.open.extract_if(|_, open| open.connection == connection);
                 for (_, open) in gone {
                     let trace = open.trace;
-                    self.recorder.write(now, What::GatewayGone { trace, unreached: false });
+                    self.recorder.write(now, RecordedEvent::GatewayGone { trace, unreached: false });
                 }
             }
             _ => {}
@@ -214,12 +214,12 @@
     fn message(&mut self, connection: Connection, message: Message) {
         match message {
             Message::Control { words } => {
-                let wrong = self.told(&words).err().unwrap_or_default();
+                let wrong = self.run_command(&words).err().unwrap_or_default();
                 self.hub.send(connection, &Message::Controlled { wrong }, None);
             }
             Message::Page { .. } => {
                 let status =
-                    Status { open: self.open.len(), to_come: self.to_come.len(), ..self.status.clone() };
+                    Status { open: self.open.len(), scheduled: self.scheduled.len(), ..self.status.clone() };
                 let json = serde_json::to_vec(&status).unwrap_or_default();
                 self.hub.send(connection, &Message::Counts { json }, None);
             }
@@ -237,14 +237,14 @@
                 let status = status.word().to_owned();
                 debug_assert!(Ending::from_word(&status).is_some());
                 let now = self.hub.clock().now();
-                self.recorder.write(now, What::answered(open.trace, status, reason, None));
+                self.recorder.write(now, RecordedEvent::answered(open.trace, status, reason, None));
             }
             _ => {}
         }
     }
 
-    /// `open COUNT`, `wake SHARE MS`, `mute`, `half COUNT`, `leave`, `stop`.
-    fn told(&mut self, words: &str) -> Result<(), String> {
+    /// Runs a control command: `open COUNT`, `wake SHARE MS`, `mute`, `half COUNT`, `leave`, `stop`.
+    fn run_command(&mut self, words: &str) -> Result<(), String> {
         let parts: Vec<&str> = words.split(' ').collect();
         let number = |at: usize| -> Result<f64, String> {
             let part = parts.get(at).ok_or(format!("{words}: a number is missing"))?;
@@ -253,19 +253,19 @@
         match parts[0] {
             "open" => self.status.wanted = number(1)? as usize,
             "wake" => self.wake(number(1)?, number(2)?),
-            // Clients that read no more, and answer nothing: gone without a word.
+            // Clients that stop reading and answering, as after a network failure.
             "mute" => {
                 self.mute = true;
-                self.standing.iter().for_each(|connection| self.hub.pause(*connection, true));
+                self.established.iter().for_each(|connection| self.hub.pause(*connection, true));
             }
             "half" => {
                 let count = number(1)? as usize;
-                for connection in self.standing.iter().take(count) {
+                for connection in self.established.iter().take(count) {
                     self.hub.send_bytes(*connection, &[0, 0, 1, 0, 1, 10, 7]);
                 }
             }
             "leave" => {
-                let all = std::mem::take(&mut self.standing);
+                let all = std::mem::take(&mut self.established);
                 all.iter().for_each(|connection| self.hub.close(*connection, "left"));
             }
             "stop" => self.stopped = true,
@@ -278,22 +278,22 @@
     fn wake(&mut self, share: f64, ms: f64) {
         self.wave += 1;
         let now = self.hub.clock().now();
-        let count = (self.standing.len() as f64 * share.clamp(0.0, 1.0)).round() as usize;
+        let count = (self.established.len() as f64 * share.clamp(0.0, 1.0)).round() as usize;
         // The first of a shuffle are a fair draw.
         for at in 0..count {
-            let other = at + self.rng.next_u32() as usize % (self.standing.len() - at);
-            self.standing.swap(at, other);
+            let other = at + self.rng.next_u32() as usize % (self.established.len() - at);
+            self.established.swap(at, other);
             let after = (f64::from(self.rng.next_u32()) / f64::from(u32::MAX) * ms * 1e3) as Micros;
-            self.to_come.push((now + after, self.standing[at]));
+            self.scheduled.push((now + after, self.established[at]));
         }
-        self.to_come.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+        self.scheduled.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
     }
 
     fn call(&mut self, connection: Connection) {
-        let mut lot = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+        let mut drawn = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
         let picked = self.settings.mix.iter().find(|mix| {
-            lot -= mix.share;
-            lot <= 0.0
+            drawn -= mix.share;
+            drawn <= 0.0
         });
         let Some(mix) = picked.or(self.settings.mix.last()) else { return };
         let (class, time_left) = (mix.class.clone(), mix.give_up_ms * 1_000);
@@ -304,8 +304,13 @@
         let now = self.hub.clock().now();
         let deadline = now + time_left;
         let gateway = "gateway-0".to_owned();
-        let asked =
-            What::Asked { trace: trace.clone(), gateway, class: class.clone(), deferred: false, deadline };
+        let asked = RecordedEvent::Asked {
+            trace: trace.clone(),
+            gateway,
+            class: class.clone(),
+            deferred: false,
+            deadline,
+        };
         self.recorder.write(now, asked);
         let message = Message::Call {
             number,
@@ -321,7 +326,7 @@
             account: None,
         };
         if !self.hub.send(connection, &message, None) {
-            return self.recorder.write(now, What::GatewayGone { trace, unreached: true });
+            return self.recorder.write(now, RecordedEvent::GatewayGone { trace, unreached: true });
         }
         self.open.insert(number, Open { trace, connection, deadline });
     }
--- a/crates/protocol/src/field.rs
+++ b/crates/protocol/src/field.rs
@@ -3,7 +3,7 @@
 use crate::error::FrameError;
 use crate::limits::MAX_NAME;
 
-/// What remains of a frame's payload.
+/// The part of a frame's payload that has not been read.
 pub struct Reader<'a> {
     rest: &'a [u8],
     /// The field being read, for errors.
@@ -15,7 +15,7 @@
         Self { rest: payload, field: "" }
     }
 
-    /// Whether all was read.
+    /// Whether the whole payload was read.
     pub fn is_empty(&self) -> bool {
         self.rest.is_empty()
     }
@@ -34,19 +34,19 @@
     }
 }
 
-/// A type that can stand in a frame.
+/// A type that can be a field of a frame.
 pub trait Field: Sized {
-    fn put(&self, out: &mut Vec<u8>);
-    fn take(reader: &mut Reader) -> Result<Self, FrameError>;
+    fn encode(&self, out: &mut Vec<u8>);
+    fn decode(reader: &mut Reader) -> Result<Self, FrameError>;
 }
 
 macro_rules! number {
     ($($type:ty),*) => {$(
         impl Field for $type {
-            fn put(&self, out: &mut Vec<u8>) {
+            fn encode(&self, out: &mut Vec<u8>) {
                 out.extend_from_slice(&self.to_be_bytes());
             }
-            fn take(reader: &mut Reader) -> Result<Self, FrameError> {
+            fn decode(reader: &mut Reader) -> Result<Self, FrameError> {
                 Ok(Self::from_be_bytes(reader.array()?))
             }
         }
@@ -55,11 +55,11 @@
 number!(u8, u16, u32, u64);
 
 impl Field for bool {
-    fn put(&self, out: &mut Vec<u8>) {
+    fn encode(&self, out: &mut Vec<u8>) {
         out.push(u8::from(*self));
     }
-    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
-        match u8::take(reader)? {
+    fn decode(reader: &mut Reader) -> Result<Self, FrameError> {
+        match u8::decode(reader)? {
             0 => Ok(false),
             1 => Ok(true),
             value => Err(FrameError::Value { field: reader.field, value }),
@@ -67,19 +67,19 @@
     }
 }
 
-/// A name: UTF-8, at most [`MAX_NAME`] bytes, its length before it as 16 bits. A longer one is cut at the
-/// border of a character when written.
+/// A name: its length as 16 bits, then at most [`MAX_NAME`] bytes of UTF-8. A longer name is truncated at a character
+/// boundary when it is written.
 impl Field for String {
-    fn put(&self, out: &mut Vec<u8>) {
+    fn encode(&self, out: &mut Vec<u8>) {
         let mut end = self.len().min(MAX_NAME);
         while !self.is_char_boundary(end) {
             end -= 1;
         }
-        (end as u16).put(out);
+        (end as u16).encode(out);
         out.extend_from_slice(&self.as_bytes()[..end]);
     }
-    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
-        let length = usize::from(u16::take(reader)?);
+    fn decode(reader: &mut Reader) -> Result<Self, FrameError> {
+        let length = usize::from(u16::decode(reader)?);
         if length > MAX_NAME {
             return Err(FrameError::Long { field: reader.field, length, most: MAX_NAME });
         }
@@ -88,40 +88,40 @@
     }
 }
 
-/// A field that was added to the end of a message later: peers of before neither send nor miss it.
+/// A field added to the end of a message in a later build: older peers neither send nor expect it.
 impl<T: Field> Field for Option<T> {
-    fn put(&self, out: &mut Vec<u8>) {
-        self.iter().for_each(|field| field.put(out));
+    fn encode(&self, out: &mut Vec<u8>) {
+        self.iter().for_each(|field| field.encode(out));
     }
-    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
-        if reader.is_empty() { Ok(None) } else { T::take(reader).map(Some) }
+    fn decode(reader: &mut Reader) -> Result<Self, FrameError> {
+        if reader.is_empty() { Ok(None) } else { T::decode(reader).map(Some) }
     }
 }
 
-/// A body: its length before it as 32 bits; the frame's own bound bounds it.
+/// A body: its length as 32 bits, then its bytes; bounded by the length of the frame.
 impl Field for Vec<u8> {
-    fn put(&self, out: &mut Vec<u8>) {
-        (self.len() as u32).put(out);
+    fn encode(&self, out: &mut Vec<u8>) {
+        (self.len() as u32).encode(out);
         out.extend_from_slice(self);
     }
-    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
-        let length = u32::take(reader)? as usize;
+    fn decode(reader: &mut Reader) -> Result<Self, FrameError> {
+        let length = u32::decode(reader)? as usize;
         Ok(reader.take(length)?.to_vec())
     }
 }
 
-/// A list of records: their number before them as 32 bits. Memory grows with the bytes that are there, never
-/// with the number that is announced.
-pub fn put_list<T: Field>(items: &[T], out: &mut Vec<u8>) {
-    (items.len() as u32).put(out);
-    items.iter().for_each(|item| item.put(out));
+/// A list: the number of items as 32 bits, then the items. Memory grows with the bytes received, not with the announced
+/// number.
+pub fn encode_list<T: Field>(items: &[T], out: &mut Vec<u8>) {
+    (items.len() as u32).encode(out);
+    items.iter().for_each(|item| item.encode(out));
 }
 
-pub fn take_list<T: Field>(reader: &mut Reader) -> Result<Vec<T>, FrameError> {
-    let count = u32::take(reader)?;
+pub fn decode_list<T: Field>(reader: &mut Reader) -> Result<Vec<T>, FrameError> {
+    let count = u32::decode(reader)?;
     let mut items = Vec::new();
     for _ in 0..count {
-        items.push(T::take(reader)?);
+        items.push(T::decode(reader)?);
     }
     Ok(items)
 }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -5,7 +5,7 @@
 use crate::field::{Field, Reader};
 use crate::values::{Ending, Listed, Origin, Role, Shape, Status};
 
-macro_rules! messages {
+macro_rules! wire_messages {
     ($($(#[$doc:meta])* $code:literal $name:ident { $($(#[$fdoc:meta])* $field:ident: $type:ty,)* })*) => {
         /// A message, one to a frame.
         #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,14 +21,14 @@
             pub fn kind(&self) -> &'static str {
                 match self { $(Self::$name { .. } => stringify!($name)),* }
             }
-            pub(crate) fn put(&self, out: &mut Vec<u8>) {
-                match self { $(Self::$name { $($field),* } => { $($field.put(out);)* }),* }
+            pub(crate) fn encode(&self, out: &mut Vec<u8>) {
+                match self { $(Self::$name { $($field),* } => { $($field.encode(out);)* }),* }
             }
             /// `None`: a kind that this version does not know. Bytes after the last field are passed over.
-            pub(crate) fn take(code: u8, reader: &mut Reader) -> Result<Option<Self>, FrameError> {
+            pub(crate) fn decode(code: u8, reader: &mut Reader) -> Result<Option<Self>, FrameError> {
                 Ok(Some(match code {
                     $($code => Self::$name {
-                        $($field: { reader.field = stringify!($field); Field::take(reader)? }),*
+                        $($field: { reader.field = stringify!($field); Field::decode(reader)? }),*
                     },)*
                     _ => return Ok(None),
                 }))
@@ -37,7 +37,7 @@
     };
 }
 
-messages! {
+wire_messages! {
     /// Opens a connection, from the side that connected.
     1 Hello {
         /// What the sender is.
@@ -47,17 +47,17 @@
         /// Its zone; empty if it has none.
         zone: String,
     }
-    /// The receiver did something that this side can't go on with; the connection closes after it.
+    /// The receiver violated the protocol; the sender closes the connection after this message.
     2 Bye {
-        /// What was wrong, in words.
+        /// Description of the violation.
         reason: String,
     }
-    /// The sender will close soon: send it nothing new.
+    /// The sender will close the connection soon and accepts nothing new.
     3 GoingAway {
         /// Why, in a word.
         reason: String,
     }
-    /// Is anybody there?
+    /// Liveness probe.
     4 Probe {
         /// Given back in the answer.
         number: u64,
@@ -127,7 +127,7 @@
         /// Longest wait; 0: answer at once.
         wait: Micros,
     }
-    /// Client to gateway: no longer interested in a call or an await. It gets no answer.
+    /// Client to gateway: cancel a call or an await, which then gets no answer.
     14 Cancel {
         /// From the call or the await.
         number: u64,
@@ -144,9 +144,9 @@
         function: String,
         /// Its class.
         class: String,
-        /// The key by which repeats are told; empty: none.
+        /// The idempotency key; empty: none.
         key: String,
-        /// After this nobody waits any more.
+        /// Time until the client's deadline.
         time_left: Micros,
         /// What is known of the function.
         shape: Shape,
@@ -159,14 +159,14 @@
         attempt: u64,
         /// How it ended.
         ending: Ending,
-        /// Calls of the same function held when this one came.
+        /// Calls of the same function in flight when this one arrived.
         crowd: u32,
         /// The function's answer.
         body: Vec<u8>,
         /// What ran.
         origin: Option<Origin>,
     }
-    /// Gateway to worker: nobody waits for this attempt any more.
+    /// Gateway to worker: cancel this attempt.
     22 CancelRun {
         /// From `Run`.
         attempt: u64,
@@ -188,7 +188,7 @@
         order: u64,
         /// How it ended.
         ending: Ending,
-        /// Instances that stand loaded.
+        /// Instances that are loaded.
         standing: u32,
     }
     /// Gateway to worker: unload the function's idle instances.
@@ -231,7 +231,7 @@
         /// How long an uncrowded fetch takes, in microseconds.
         time: Micros,
     }
-    /// Model store to worker: the image is there, or is not to be had now.
+    /// Model store to worker: the image has arrived, or is unavailable now.
     43 Fetched {
         /// From `Fetch`.
         number: u64,
--- a/crates/protocol/src/values.rs
+++ b/crates/protocol/src/values.rs
@@ -2,10 +2,10 @@
 
 use crate::Micros;
 use crate::error::FrameError;
-use crate::field::{Field, Reader, put_list, take_list};
-use crate::macros::{choice, record};
+use crate::field::{Field, Reader, decode_list, encode_list};
+use crate::macros::{wire_enum, wire_struct};
 
-choice!(
+wire_enum!(
     /// What the peer that opens a connection is.
     Role {
         /// A client of a gateway.
@@ -16,7 +16,7 @@
         Worker = 3 => "worker",
     }
 );
-choice!(
+wire_enum!(
     /// How a call ended for its client.
     Status {
         /// It ran; the body is the function's answer.
@@ -25,7 +25,7 @@
         Refused = 1 => "refused",
         /// It failed; whether it took effect is not promised.
         Failed = 2 => "failed",
-        /// Not over yet (answer to an await).
+        /// Still in progress (answer to an await).
         Pending = 3 => "pending",
         /// No such call is known here (answer to an await).
         Unknown = 4 => "unknown",
@@ -33,36 +33,36 @@
         Expired = 5 => "expired",
     }
 );
-choice!(
+wire_enum!(
     /// How a worker ended an attempt or an order.
     Ending {
         /// Done.
         Ok = 0 => "ok",
         /// The function failed; it may have run.
         Error = 1 => "error",
-        /// Turned away unseen.
+        /// Rejected without being run.
         Full = 2 => "full",
         /// The function is not loaded here.
         Miss = 3 => "miss",
         /// The load that the call waited for failed; the call never ran.
         LoadFailed = 4 => "load-failed",
-        /// Called off before it ran.
+        /// Cancelled before it ran.
         Cancelled = 5 => "cancelled",
     }
 );
-choice!(
+wire_enum!(
     /// Whether a listed worker may be given work.
     Standing {
-        /// In service.
+        /// Active.
         In = 0 => "in",
-        /// Finishing what it has.
+        /// Finishing the calls that it has; takes no new ones.
         Draining = 1 => "draining",
-        /// Withdrawn.
+        /// Removed from service.
         Out = 2 => "out",
     }
 );
 
-record!(
+wire_struct!(
     /// One worker on the list.
     Listed {
         /// Its name, kept when its process restarts.
@@ -81,8 +81,8 @@
         started: Micros,
     }
 );
-record!(
-    /// Facts about a function that travel with its calls; 0: not told.
+wire_struct!(
+    /// Facts about a function that travel with its calls; 0: unknown.
     Shape {
         /// Memory of one instance, in MB.
         memory_mb: u32,
@@ -95,21 +95,21 @@
     }
 );
 
-record!(
-    /// Which bytes ran, in the worker's own word.
+wire_struct!(
+    /// Which version of a function ran, as the worker reports it.
     Origin {
         /// The function, as it was asked of the worker: with its version, if it has one.
         function: String,
-        /// A digest of its bytes, such as `sha256:...`; empty: not told.
+        /// A digest of its bytes, such as `sha256:...`; empty: unknown.
         digest: String,
     }
 );
 
 impl Field for Vec<Listed> {
-    fn put(&self, out: &mut Vec<u8>) {
-        put_list(self, out);
+    fn encode(&self, out: &mut Vec<u8>) {
+        encode_list(self, out);
     }
-    fn take(reader: &mut Reader) -> Result<Self, FrameError> {
-        take_list(reader)
+    fn decode(reader: &mut Reader) -> Result<Self, FrameError> {
+        decode_list(reader)
     }
 }
--- a/crates/rehearsal/src/audit/cold_starts.rs
+++ b/crates/rehearsal/src/audit/cold_starts.rs
@@ -1,8 +1,8 @@
-//! Rule 4: no cold worker pushed over.
+//! Rule 4: no cold worker overloaded.
 
 use std::collections::BTreeMap;
 
-use cresswheel_standins::{Record, What};
+use cresswheel_standins::{Record, RecordedEvent};
 
 use super::verdict::RuleVerdict;
 
@@ -11,9 +11,9 @@
     started: u64,
     /// Work that it can do when warm, in cores of standard speed.
     power: f64,
-    /// Sent more than this multiple of its present capacity ...
+    /// While cold it collapses when it is sent more than this multiple of its present capacity ...
     fall_multiple: f64,
-    /// ... for so long, it falls over; 0: never.
+    /// ... over this time; 0: never.
     fall_window: u64,
     /// The share of its capacity that it begins with.
     cold_from: f64,
@@ -33,7 +33,7 @@
         at.saturating_sub(self.started)
     }
 
-    /// Adds work; gives how many times what it bears it was sent within the window, once it is too much.
+    /// Adds work; returns its ratio to the capacity of the window, the first time that it is above 1.
     fn send(&mut self, at: u64, work: u64) -> Option<f64> {
         self.sent.push((at, work));
         let recent = self.sent.iter().filter(|(sent_at, _)| sent_at + self.fall_window >= at);
@@ -56,21 +56,21 @@
     for record in records {
         let worker = record.by.as_str();
         match &record.what {
-            What::Started { started, .. } => {
+            RecordedEvent::Started { started, .. } => {
                 lives.extend(new_life(&record.what).map(|life| (worker, life)));
-                verdict.looked_at += usize::from(*started > 0);
+                verdict.checked += usize::from(*started > 0);
             }
-            What::Run { work, .. } => {
+            RecordedEvent::Run { work, .. } => {
                 let Some(life) = lives.get_mut(worker) else { continue };
                 if !life.is_cold(record.at) {
                     continue;
                 }
                 if let Some(times) = life.send(record.at, *work) {
-                    verdict.broken.push(format!("{worker} was sent {times:.2} times what it bears"));
+                    verdict.violations.push(format!("{worker} was sent {times:.2} times what it bears"));
                 }
             }
-            What::Fell { .. } if lives.get(worker).is_none_or(|life| !life.overloaded) => {
-                verdict.broken.push(format!("{worker} fell over"));
+            RecordedEvent::Fell { .. } if lives.get(worker).is_none_or(|life| !life.overloaded) => {
+                verdict.violations.push(format!("{worker} fell over"));
             }
             _ => {}
         }
@@ -78,8 +78,9 @@
     verdict
 }
 
-fn new_life(what: &What) -> Option<Life> {
-    let What::Started { started, power, fall_multiple, fall_window, cold_from, warm_up, .. } = what else {
+fn new_life(what: &RecordedEvent) -> Option<Life> {
+    let RecordedEvent::Started { started, power, fall_multiple, fall_window, cold_from, warm_up, .. } = what
+    else {
         return None;
     };
     Some(Life {
--- a/crates/rehearsal/src/audit/drains.rs
+++ b/crates/rehearsal/src/audit/drains.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cresswheel_standins::{Record, What};
+use cresswheel_standins::{Record, RecordedEvent};
 
-use super::limits::Terms;
+use super::limits::AuditLimits;
 use super::verdict::RuleVerdict;
 
 /// What the worker list told each gateway.
@@ -43,27 +43,29 @@
 }
 
 /// Judges all attempts and orders that workers read.
-pub fn judge(records: &[Record], terms: &Terms) -> RuleVerdict {
+pub fn judge(records: &[Record], limits: &AuditLimits) -> RuleVerdict {
     let mut verdict = RuleVerdict::default();
     let mut membership = Membership::default();
     for record in records {
         match &record.what {
-            What::Told { gateway, whole, workers } => {
+            RecordedEvent::Told { gateway, whole, workers } => {
                 membership.update(record.at, gateway, *whole, workers);
             }
-            What::Scene { words } => {
+            RecordedEvent::Scene { words } => {
                 if let Some(gateway) = words.strip_prefix("start ") {
                     membership.forget(gateway);
                 }
             }
-            What::Run { gateway, .. } | What::Hold { gateway, count: 1.., .. } => {
-                verdict.looked_at += 1;
+            RecordedEvent::Run { gateway, .. } | RecordedEvent::Hold { gateway, count: 1.., .. } => {
+                verdict.checked += 1;
                 let worker = &record.by;
                 let since = membership.barred_since.get(&(gateway.as_str(), worker.as_str()));
-                let allowed = terms.drain_grace + terms.transit;
+                let allowed = limits.drain_grace + limits.transit;
                 if let Some(since) = since.filter(|since| record.at > *since + allowed) {
                     let late_ms = (record.at - since) / 1_000;
-                    verdict.broken.push(format!("{gateway} sent to {worker} {late_ms} ms after it was told"));
+                    verdict
+                        .violations
+                        .push(format!("{gateway} sent to {worker} {late_ms} ms after it was told"));
                 }
             }
             _ => {}
--- a/crates/rehearsal/src/audit/limits.rs
+++ b/crates/rehearsal/src/audit/limits.rs
@@ -1,33 +1,33 @@
-//! What the rules mean in figures.
+//! The limits by which the rules are judged.
 
 use std::collections::BTreeMap;
 
 use crate::scene::{ClassSpec, Scene};
 
-/// After a deadline an answer still counts for so long: the way to the client.
+/// How long after the deadline an answer still counts: its time on the wire.
 const ANSWER_SLACK: u64 = 8_000;
-/// What a frame's way may take.
+/// Longest time of a frame on the wire.
 const TRANSIT: u64 = 100_000;
 
-/// What the rules mean in figures. Times are in microseconds.
+/// The limits by which the rules are judged. Times are in microseconds.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Terms {
+pub struct AuditLimits {
     /// Effects by class: `safe`, `unsafe`, `keyed GROUP MS`.
     pub effects: BTreeMap<String, String>,
     /// Aims by class.
     pub aims: BTreeMap<String, u64>,
-    /// After a deadline an answer still counts for so long: the way to the client.
+    /// How long after the deadline an answer still counts: its time on the wire.
     pub answer_slack: u64,
     /// Nothing new later than this after a drain was told.
     pub drain_grace: u64,
     /// The ration's window (0: no ration), free orders, orders for each call.
     pub ration: (u64, f64, f64),
-    /// What a frame's way may take.
+    /// Longest time of a frame on the wire.
     pub transit: u64,
 }
 
-impl Terms {
-    /// The terms of a scene.
+impl AuditLimits {
+    /// The limits that a scene sets.
     pub fn of(scene: &Scene) -> Self {
         let effect = |class: &ClassSpec| (class.name.clone(), class.effect.clone());
         let aim = |class: &ClassSpec| (class.name.clone(), class.aim_ms * 1_000);
--- a/crates/rehearsal/src/audit/mod.rs
+++ b/crates/rehearsal/src/audit/mod.rs
@@ -1,7 +1,7 @@
 //! The auditor: judges the five rules from records of clients, workers and the list.
 //!
-//! It trusts no gateway: it has no record of one. Clocks are those of one machine. Where a frame's way takes time,
-//! the gateway is given `transit` in its favour, and no more.
+//! It trusts no gateway: it has no record of one. Clocks are those of one machine. The time that frames are
+//! on the wire is allowed for with `transit` in the gateway's favour, and no more.
 
 mod answers;
 mod cold_starts;
@@ -19,9 +19,9 @@
 use cresswheel_standins::Record;
 
 use history::{Call, History};
-pub use limits::Terms;
+pub use limits::AuditLimits;
 pub use records::read_records;
-pub use verdict::{ClassTable, RuleVerdict, Verdict};
+pub use verdict::{ClassTable, InstanceCost, RuleVerdict, Verdict};
 
 /// The rules by number.
 pub const RULES: [&str; 5] = [
@@ -33,22 +33,22 @@
 ];
 
 /// Judges records, which must be in the order of time.
-pub fn audit(records: &[Record], terms: &Terms) -> Verdict {
+pub fn audit(records: &[Record], limits: &AuditLimits) -> Verdict {
     let history = History::of(records);
     let (versions, served) = versions::judge(records);
     Verdict {
         rules: [
-            answers::judge(&history, terms),
-            effects::judge(&history, records, terms),
-            drains::judge(records, terms),
+            answers::judge(&history, limits),
+            effects::judge(&history, records, limits),
+            drains::judge(records, limits),
             cold_starts::judge(records),
-            ration::judge(records, terms),
+            ration::judge(records, limits),
         ],
-        classes: tables::by_class(&history, terms),
+        classes: tables::by_class(&history, limits),
         unreadable: Vec::new(),
         versions,
         served,
-        held: tables::memory_and_orders(records),
+        instances: tables::instance_cost(records),
         deferred_lost: history.calls.values().filter(|call| is_deferred_lost(call)).count(),
     }
 }
--- a/crates/rehearsal/src/audit/ration.rs
+++ b/crates/rehearsal/src/audit/ration.rs
@@ -2,18 +2,18 @@
 
 use std::collections::BTreeMap;
 
-use cresswheel_standins::{Record, What};
+use cresswheel_standins::{Record, RecordedEvent};
 
-use super::limits::Terms;
+use super::limits::AuditLimits;
 use super::verdict::RuleVerdict;
 
 /// Times of events by gateway, in order.
 type TimesByGateway<'a> = BTreeMap<&'a str, Vec<u64>>;
 
 /// Judges all orders that workers read.
-pub fn judge(records: &[Record], terms: &Terms) -> RuleVerdict {
+pub fn judge(records: &[Record], limits: &AuditLimits) -> RuleVerdict {
     let mut verdict = RuleVerdict::default();
-    let (window, free, per_call) = terms.ration;
+    let (window, free, per_call) = limits.ration;
     if window == 0 {
         return verdict;
     }
@@ -22,20 +22,20 @@
     for record in records {
         match &record.what {
             // A restarted gateway has a ration of its own.
-            What::Scene { words } => {
+            RecordedEvent::Scene { words } => {
                 if let Some(gateway) = words.strip_prefix("start ") {
                     orders.remove(gateway);
                 }
             }
-            What::Hold { gateway, count: 1.., .. } => {
-                verdict.looked_at += 1;
+            RecordedEvent::Hold { gateway, count: 1.., .. } => {
+                verdict.checked += 1;
                 orders.entry(gateway).or_default().push(record.at);
                 // The transit counts in the gateway's favour.
                 let since = record.at.saturating_sub(window);
-                let given = count_within(&orders, gateway, since + terms.transit, record.at);
-                let called = count_within(&calls, gateway, since.saturating_sub(terms.transit), record.at);
+                let given = count_within(&orders, gateway, since + limits.transit, record.at);
+                let called = count_within(&calls, gateway, since.saturating_sub(limits.transit), record.at);
                 if given as f64 > free + per_call * called as f64 {
-                    verdict.broken.push(format!("{gateway} gave {given} orders for {called} calls"));
+                    verdict.violations.push(format!("{gateway} gave {given} orders for {called} calls"));
                 }
             }
             _ => {}
@@ -47,7 +47,7 @@
 fn calls(records: &[Record]) -> TimesByGateway<'_> {
     let mut calls = TimesByGateway::new();
     for record in records {
-        if let What::Asked { gateway, .. } = &record.what {
+        if let RecordedEvent::Asked { gateway, .. } = &record.what {
             calls.entry(gateway).or_default().push(record.at);
         }
     }
--- a/crates/rehearsal/src/audit/report.rs
+++ b/crates/rehearsal/src/audit/report.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use super::RULES;
-use super::verdict::{ClassTable, RuleVerdict, Verdict};
+use super::verdict::{ClassTable, InstanceCost, RuleVerdict, Verdict};
 
 /// What is judged of functions with versions.
 const VERSIONS: &str = "one version for each call, and the answer names it";
@@ -15,7 +15,7 @@
         for (rule, verdict) in RULES.iter().zip(&self.rules) {
             write_rule(f, rule, verdict)?;
         }
-        if self.versions.looked_at > 0 {
+        if self.versions.checked > 0 {
             write_rule(f, VERSIONS, &self.versions)?;
         }
         for line in self.unreadable.iter().take(SHOWN) {
@@ -27,13 +27,13 @@
 }
 
 fn write_rule(f: &mut fmt::Formatter<'_>, rule: &str, verdict: &RuleVerdict) -> fmt::Result {
-    let word = if verdict.broken.is_empty() { "held" } else { "BROKEN" };
-    writeln!(f, "{word:6}  {rule} ({} looked at)", verdict.looked_at)?;
-    for broken in verdict.broken.iter().take(SHOWN) {
-        writeln!(f, "        {broken}")?;
+    let word = if verdict.violations.is_empty() { "held" } else { "BROKEN" };
+    writeln!(f, "{word:6}  {rule} ({} looked at)", verdict.checked)?;
+    for violation in verdict.violations.iter().take(SHOWN) {
+        writeln!(f, "        {violation}")?;
     }
-    if verdict.broken.len() > SHOWN {
-        writeln!(f, "        and {} more", verdict.broken.len() - SHOWN)?;
+    if verdict.violations.len() > SHOWN {
+        writeln!(f, "        and {} more", verdict.violations.len() - SHOWN)?;
     }
     Ok(())
 }
@@ -72,8 +72,11 @@
     }
 
     fn write_totals(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (memory, orders) = self.held;
-        writeln!(f, "workers held {memory:.1} GB seconds of instances, gateways gave {orders} load orders")?;
+        let InstanceCost { memory_gb_s, load_orders } = self.instances;
+        writeln!(
+            f,
+            "workers held {memory_gb_s:.1} GB seconds of instances, gateways gave {load_orders} load orders"
+        )?;
         if !self.served.is_empty() {
             let served: Vec<String> =
                 self.served.iter().map(|(name, count)| format!("{name} {count}")).collect();
--- a/crates/rehearsal/src/audit/tables.rs
+++ b/crates/rehearsal/src/audit/tables.rs
@@ -2,18 +2,18 @@
 
 use std::collections::BTreeMap;
 
-use cresswheel_standins::{Record, What};
+use cresswheel_standins::{Record, RecordedEvent};
 
 use super::history::{Answer, Call, History};
-use super::limits::Terms;
-use super::verdict::ClassTable;
+use super::limits::AuditLimits;
+use super::verdict::{ClassTable, InstanceCost};
 
 /// A table for each class.
-pub fn by_class(history: &History, terms: &Terms) -> BTreeMap<String, ClassTable> {
+pub fn by_class(history: &History, limits: &AuditLimits) -> BTreeMap<String, ClassTable> {
     let mut tables: BTreeMap<String, ClassTable> = BTreeMap::new();
     for call in history.calls.values() {
         let table = tables.entry(call.class.clone()).or_default();
-        let aim = terms.aims.get(&call.class).copied().unwrap_or(u64::MAX);
+        let aim = limits.aims.get(&call.class).copied().unwrap_or(u64::MAX);
         add_call(table, call, aim);
     }
     tables.values_mut().for_each(|table| table.took.sort());
@@ -57,17 +57,17 @@
     }
 }
 
-/// Memory that workers held, added up over time, in GB seconds; load orders for instances.
-pub fn memory_and_orders(records: &[Record]) -> (f64, usize) {
+/// What the workers' instances cost.
+pub fn instance_cost(records: &[Record]) -> InstanceCost {
     let mut usage: BTreeMap<&str, Usage> = BTreeMap::new();
-    let (mut mb_us, mut orders) = (0.0, 0);
+    let (mut mb_us, mut load_orders) = (0.0, 0);
     for record in records {
         let mb = match record.what {
-            What::Memory { mb } => mb,
+            RecordedEvent::Memory { mb } => mb,
             // A restarted process begins with nothing.
-            What::Started { .. } => 0,
-            What::Hold { count: 1.., .. } => {
-                orders += 1;
+            RecordedEvent::Started { .. } => 0,
+            RecordedEvent::Hold { count: 1.., .. } => {
+                load_orders += 1;
                 continue;
             }
             _ => continue,
@@ -77,5 +77,5 @@
     }
     let end = records.last().map_or(0, |record| record.at);
     mb_us += usage.into_values().map(|last| last.until(end)).sum::<f64>();
-    (mb_us / 1e9, orders)
+    InstanceCost { memory_gb_s: mb_us / 1e9, load_orders }
 }
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -4,15 +4,15 @@
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
-use cresswheel_standins::{Recorder, What};
+use cresswheel_standins::{RecordedEvent, Recorder};
 use cresswheel_transport::Clock;
 
-use crate::audit::{Terms, Verdict, audit, read_records};
+use crate::audit::{AuditLimits, Verdict, audit, read_records};
 use crate::fleet::Fleet;
 use crate::scene::{Event, Scene};
 use crate::traffic::Clients;
 
-/// What came of a rehearsal.
+/// The result of a rehearsal.
 pub struct Outcome {
     /// The verdict.
     pub verdict: Verdict,
@@ -24,8 +24,8 @@
 
 impl Outcome {
     /// Whether all rules held and all gateways ended as they should.
-    pub fn held(&self) -> bool {
-        self.verdict.held() && self.bad_ends.is_empty()
+    pub fn is_passed(&self) -> bool {
+        self.verdict.is_passed() && self.bad_ends.is_empty()
     }
 }
 
@@ -61,7 +61,7 @@
         let at = Duration::from_millis(timed.at_ms);
         std::thread::sleep(at.saturating_sub(start.elapsed()));
         progress(&format!("{:5.1} s  {}", timed.at_ms as f64 / 1e3, words(&timed.event)));
-        // A peer that can't be told is part of the scene; the clients go on.
+        // An unreachable peer is part of the scene; the clients go on.
         match director.play(&mut fleet, scene, &timed.event) {
             Ok(bad) => bad_ends.extend(bad),
             Err(error) => progress(&format!("         it could not be played: {error:#}")),
@@ -78,11 +78,11 @@
     drop(director);
     drop(fleet);
     let (found, unreadable) = read_records(&records)?;
-    let verdict = Verdict { unreadable, ..audit(&found, &Terms::of(scene)) };
+    let verdict = Verdict { unreadable, ..audit(&found, &AuditLimits::of(scene)) };
     Ok(Outcome { verdict, bad_ends, took: began.elapsed() })
 }
 
-/// An event for a person.
+/// An event as text.
 fn words(event: &Event) -> String {
     match event {
         Event::KillWorker(n) => format!("worker-{n} is killed"),
@@ -117,7 +117,7 @@
 
 impl Director {
     fn note(&mut self, words: String) {
-        self.recorder.write(self.clock.now(), What::Scene { words });
+        self.recorder.write(self.clock.now(), RecordedEvent::Scene { words });
         self.recorder.flush();
     }
 
--- a/crates/rehearsal/src/traffic.rs
+++ b/crates/rehearsal/src/traffic.rs
@@ -1,4 +1,4 @@
-//! The clients of a rehearsal: calls at times drawn ahead, whatever the answers do; one connection to each gateway.
+//! The clients of a rehearsal: open-loop calls at times drawn ahead; one connection to each gateway.
 //!
 //! Each client's call has a trace of its own, by which the auditor finds it at the workers.
 
@@ -8,7 +8,7 @@
 use std::sync::mpsc::Receiver;
 
 use cresswheel_protocol::{Message, Micros, Role, Shape, Status};
-use cresswheel_standins::{Recorder, What};
+use cresswheel_standins::{RecordedEvent, Recorder, uniform};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
@@ -19,21 +19,22 @@
 const MS: Micros = 1_000;
 const CONNECT_WITHIN: Micros = 250 * MS;
 const RETRY_CONNECT: Micros = 100 * MS;
-/// After its deadline a call is waited for so long yet, to see what comes late.
+/// How long after its deadline a call is still waited for, to detect late answers.
 const GRACE: Micros = 500 * MS;
 
 /// Accounts that calls are about, in turn.
 const ACCOUNTS: u64 = 9_973;
 
-struct Door {
+/// A gateway, and the clients' connection to it.
+struct GatewayConnection {
     at: SocketAddr,
     name: String,
     zone: String,
     connection: Option<Connection>,
-    stands: bool,
+    is_established: bool,
     retry_at: Micros,
     /// Clients think that it lives until then.
-    believed: Micros,
+    believed_up_until: Micros,
 }
 
 struct Open {
@@ -64,9 +65,9 @@
     hub: Hub,
     recorder: Recorder,
     rng: Pcg32,
-    doors: Vec<Door>,
+    gateways: Vec<GatewayConnection>,
     /// Connections that are idle, and whose.
-    crowd: BTreeMap<Connection, usize>,
+    idle: BTreeMap<Connection, usize>,
     open: BTreeMap<u64, Open>,
     /// Calls that hasty clients left: an answer to one may have been on its way.
     left: BTreeSet<u64>,
@@ -98,14 +99,14 @@
     pub fn new(scene: &Scene, gateways: &[SocketAddr], records: &Path) -> anyhow::Result<Self> {
         let hub = Hub::new(HubLimits::default())?;
         let start = hub.clock().now();
-        let door = |(n, at): (usize, &SocketAddr)| Door {
+        let gateway = |(n, at): (usize, &SocketAddr)| GatewayConnection {
             at: *at,
             name: Fleet::gateway_name(n),
             zone: scene.gateways[n].zone.clone(),
             connection: None,
-            stands: false,
+            is_established: false,
             retry_at: start,
-            believed: Micros::MAX,
+            believed_up_until: Micros::MAX,
         };
         let ranks = |class: &crate::ClassSpec| {
             let zipf = scene.traffic.zipf;
@@ -114,8 +115,8 @@
         Ok(Self {
             recorder: Recorder::new(Some(records), "clients")?,
             rng: Pcg32::new(scene.seed, 0xc11e),
-            doors: gateways.iter().enumerate().map(door).collect(),
-            crowd: BTreeMap::new(),
+            gateways: gateways.iter().enumerate().map(gateway).collect(),
+            idle: BTreeMap::new(),
             open: BTreeMap::new(),
             left: BTreeSet::new(),
             due: BTreeSet::new(),
@@ -132,22 +133,23 @@
         })
     }
 
-    fn lot(&mut self) -> f64 {
-        f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
+    /// A random number from 0 up to 1.
+    fn uniform(&mut self) -> f64 {
+        uniform(&mut self.rng)
     }
 
     /// Calls for the scene's length, then waits for what is open. Events for clients come over `events`.
     pub fn run(mut self, events: &Receiver<Event>) -> anyhow::Result<()> {
         // All connections first: a call before them would only tell of the start.
         let settled = self.hub.clock().now() + 2_000 * MS;
-        while self.doors.iter().any(|d| !d.stands) && self.hub.clock().now() < settled {
+        while self.gateways.iter().any(|d| !d.is_established) && self.hub.clock().now() < settled {
             self.connect();
             self.step(Some(settled))?;
         }
-        for door in 0..self.doors.len() {
+        for gateway in 0..self.gateways.len() {
             for _ in 0..self.scene.traffic.crowd {
-                let connection = self.greet(door);
-                self.crowd.insert(connection, door);
+                let connection = self.open_connection(gateway);
+                self.idle.insert(connection, gateway);
             }
         }
         self.start = self.hub.clock().now();
@@ -160,7 +162,7 @@
             }
             let now = self.hub.clock().now();
             while arrival <= now && arrival < end {
-                self.arrive(arrival);
+                self.call_next(arrival);
                 arrival += self.gap(arrival);
             }
             self.connect();
@@ -173,7 +175,7 @@
                 return Ok(());
             }
             let due = self.due.first().map(|(at, _)| *at);
-            let again = self.doors.iter().filter(|d| d.connection.is_none()).map(|d| d.retry_at).min();
+            let again = self.gateways.iter().filter(|d| d.connection.is_none()).map(|d| d.retry_at).min();
             let next = (arrival < end).then_some(arrival);
             // Events come over a channel that wakes nobody: look every few milliseconds.
             let until = [due, again, next, Some(now + 20 * MS)].into_iter().flatten().min();
@@ -186,8 +188,8 @@
         let curve = &self.scene.traffic.curve;
         let factor = curve.iter().rev().find(|(from, _)| *from <= into).map_or(1.0, |(_, factor)| *factor);
         let rate = (self.scene.traffic.rate * factor).max(1e-3);
-        let lot = self.lot();
-        (-(1.0 - lot).ln() / rate * 1e6) as Micros
+        let drawn = self.uniform();
+        (-(1.0 - drawn).ln() / rate * 1e6) as Micros
     }
 
     fn event(&mut self, event: &Event) {
@@ -196,10 +198,10 @@
             Event::Hot { share, functions, ms } => self.hot = (*share, *functions, now + ms * MS),
             Event::Heavy { class, share, times, ms } => self.heavy = (*class, *share, *times, now + ms * MS),
             Event::Wake { share, ms } => {
-                let all: Vec<Connection> = self.crowd.keys().copied().collect();
+                let all: Vec<Connection> = self.idle.keys().copied().collect();
                 for connection in all {
-                    if self.lot() < *share {
-                        let after = (self.lot() * (ms * MS) as f64) as Micros;
+                    if self.uniform() < *share {
+                        let after = (self.uniform() * (ms * MS) as f64) as Micros;
                         self.due.insert((now + after, Due::Wake(connection)));
                     }
                 }
@@ -209,19 +211,19 @@
         }
     }
 
-    fn greet(&mut self, door: usize) -> Connection {
-        let door = &self.doors[door];
-        let connection = self.hub.connect(door.at, Wire::Frames, CONNECT_WITHIN);
-        let hello = Message::Hello { role: Role::Client, name: "clients".into(), zone: door.zone.clone() };
+    fn open_connection(&mut self, gateway: usize) -> Connection {
+        let gateway = &self.gateways[gateway];
+        let connection = self.hub.connect(gateway.at, Wire::Frames, CONNECT_WITHIN);
+        let hello = Message::Hello { role: Role::Client, name: "clients".into(), zone: gateway.zone.clone() };
         self.hub.send(connection, &hello, None);
         connection
     }
 
     fn connect(&mut self) {
         let now = self.hub.clock().now();
-        for door in 0..self.doors.len() {
-            if self.doors[door].connection.is_none() && self.doors[door].retry_at <= now {
-                self.doors[door].connection = Some(self.greet(door));
+        for gateway in 0..self.gateways.len() {
+            if self.gateways[gateway].connection.is_none() && self.gateways[gateway].retry_at <= now {
+                self.gateways[gateway].connection = Some(self.open_connection(gateway));
             }
         }
     }
@@ -231,9 +233,10 @@
         while let Some(notice) = self.hub.take_notice() {
             match notice {
                 Notice::Connected(connection) => {
-                    if let Some(door) = self.doors.iter_mut().find(|d| d.connection == Some(connection)) {
-                        door.stands = true;
-                        door.believed = Micros::MAX;
+                    if let Some(gateway) = self.gateways.iter_mut().find(|d| d.connection == Some(connection))
+                    {
+                        gateway.is_established = true;
+                        gateway.believed_up_until = Micros::MAX;
                     }
                 }
                 Notice::Closed { connection, unsent, .. } => self.closed(connection, &unsent),
@@ -242,10 +245,10 @@
                 }
                 // One that is asked to leave does so, if it waits for nothing.
                 Notice::Message(connection, Message::GoingAway { .. })
-                    if self.crowd.contains_key(&connection)
+                    if self.idle.contains_key(&connection)
                         && !self.open.values().any(|open| open.connection == connection) =>
                 {
-                    self.crowd.remove(&connection);
+                    self.idle.remove(&connection);
                     self.hub.close(connection, "asked to leave");
                 }
                 Notice::Message(_, message) => self.message(message),
@@ -258,14 +261,14 @@
     fn closed(&mut self, connection: Connection, unsent: &[u64]) {
         let now = self.hub.clock().now();
         self.lose_calls(connection, unsent);
-        self.crowd.remove(&connection);
-        let Some(at) = self.doors.iter().position(|d| d.connection == Some(connection)) else { return };
+        self.idle.remove(&connection);
+        let Some(at) = self.gateways.iter().position(|d| d.connection == Some(connection)) else { return };
         let notice = self.scene.traffic.front_notice_ms * MS;
-        let door = &mut self.doors[at];
-        if door.stands {
-            door.believed = now + notice;
+        let gateway = &mut self.gateways[at];
+        if gateway.is_established {
+            gateway.believed_up_until = now + notice;
         }
-        (door.connection, door.stands, door.retry_at) = (None, false, now + RETRY_CONNECT);
+        (gateway.connection, gateway.is_established, gateway.retry_at) = (None, false, now + RETRY_CONNECT);
     }
 
     fn lose_calls(&mut self, connection: Connection, unsent: &[u64]) {
@@ -275,7 +278,7 @@
         for number in lost {
             let Some(open) = self.open.remove(&number) else { continue };
             let unreached = unsent.contains(&number);
-            self.recorder.write(now, What::GatewayGone { trace: open.trace.clone(), unreached });
+            self.recorder.write(now, RecordedEvent::GatewayGone { trace: open.trace.clone(), unreached });
             // What the gateway held is the client's to repeat, where a repeat does no harm.
             self.repeat(open, unreached);
         }
@@ -288,42 +291,47 @@
         }
     }
 
-    fn arrive(&mut self, at: Micros) {
-        let (class, function, hot) = self.draw(at);
+    fn call_next(&mut self, at: Micros) {
+        let (class, function, hot) = self.draw_call(at);
         self.call(class, function, hot, self.scene.traffic.retries);
     }
 
     /// What is called next.
-    fn draw(&mut self, at: Micros) -> (usize, usize, bool) {
-        let lot = self.lot();
-        let class = self.class_shares.iter().position(|sum| lot < *sum).unwrap_or(0);
-        let hot = at < self.hot.2 && self.lot() < self.hot.0;
+    fn draw_call(&mut self, at: Micros) -> (usize, usize, bool) {
+        let drawn = self.uniform();
+        let class = self.class_shares.iter().position(|sum| drawn < *sum).unwrap_or(0);
+        let hot = at < self.hot.2 && self.uniform() < self.hot.0;
         let function = if hot {
             self.rng.next_u32() as usize % self.hot.1.max(1)
         } else {
-            let lot = self.lot();
+            let drawn = self.uniform();
             let ranks = &self.ranks[&self.scene.classes[class].functions];
-            ranks.iter().position(|sum| lot < *sum).unwrap_or(0)
+            ranks.iter().position(|sum| drawn < *sum).unwrap_or(0)
         };
         (class, function, hot)
     }
 
     fn call(&mut self, class: usize, function: usize, hot: bool, tries_left: u32) {
         let now = self.hub.clock().now();
-        let believed: Vec<usize> =
-            self.doors.iter().enumerate().filter(|(_, d)| now < d.believed).map(|(n, _)| n).collect();
+        let candidates: Vec<usize> = self
+            .gateways
+            .iter()
+            .enumerate()
+            .filter(|(_, d)| now < d.believed_up_until)
+            .map(|(n, _)| n)
+            .collect();
         let pick = self.rng.next_u32() as usize;
-        let door = match believed.len() {
-            0 => pick % self.doors.len(),
-            count => believed[pick % count],
+        let gateway = match candidates.len() {
+            0 => pick % self.gateways.len(),
+            count => candidates[pick % count],
         };
-        self.call_on(door, self.doors[door].connection, (class, function, hot), tries_left);
+        self.call_on(gateway, self.gateways[gateway].connection, (class, function, hot), tries_left);
     }
 
-    /// A call on this connection, which is one to that door.
+    /// Sends a call on this connection, which is one to that gateway.
     fn call_on(
         &mut self,
-        door: usize,
+        gateway: usize,
         connection: Option<Connection>,
         (class, function, hot): (usize, usize, bool),
         tries_left: u32,
@@ -332,13 +340,13 @@
         self.traces += 1;
         let trace = format!("{}-{}", self.scene.seed, self.traces);
         let spec = self.scene.classes[class].clone();
-        let short = now < self.give_up.2 && self.lot() < self.give_up.0;
+        let short = now < self.give_up.2 && self.uniform() < self.give_up.0;
         let part = self.scene.traffic.try_share * if short { self.give_up.1 } else { 1.0 };
         let time = (spec.give_up_ms as f64 * part) as Micros * MS;
-        let deferred = self.lot() < self.scene.traffic.deferred;
-        let hasty = !deferred && self.lot() < self.scene.traffic.hasty;
-        let leaves = hasty.then(|| (self.lot() * time as f64) as Micros);
-        let heavy = now < self.heavy.3 && class == self.heavy.0 && self.lot() < self.heavy.1;
+        let deferred = self.uniform() < self.scene.traffic.deferred;
+        let hasty = !deferred && self.uniform() < self.scene.traffic.hasty;
+        let leaves = hasty.then(|| (self.uniform() * time as f64) as Micros);
+        let heavy = now < self.heavy.3 && class == self.heavy.0 && self.uniform() < self.heavy.1;
         let work = spec.work_ms * if heavy { self.heavy.2 } else { 1.0 };
         let open = Open {
             trace: trace.clone(),
@@ -350,9 +358,9 @@
             connection: connection.unwrap_or_default(),
             tries_left,
         };
-        let asked = What::Asked {
+        let asked = RecordedEvent::Asked {
             trace: trace.clone(),
-            gateway: self.doors[door].name.clone(),
+            gateway: self.gateways[gateway].name.clone(),
             class: spec.name.clone(),
             deferred,
             deadline: open.deadline,
@@ -381,7 +389,8 @@
         };
         let sent = connection.is_some_and(|connection| self.hub.send(connection, &message, Some(number)));
         if !sent {
-            self.recorder.write(now, What::GatewayGone { trace: open.trace.clone(), unreached: true });
+            self.recorder
+                .write(now, RecordedEvent::GatewayGone { trace: open.trace.clone(), unreached: true });
             return self.repeat(open, true);
         }
         self.due.extend(leaves.map(|after| (now + after, Due::Leave(number))));
@@ -394,7 +403,7 @@
         match message {
             Message::Accepted { number, id } => {
                 let Some(open) = self.open.get_mut(&number) else { return };
-                self.recorder.write(now, What::Accepted { trace: open.trace.clone() });
+                self.recorder.write(now, RecordedEvent::Accepted { trace: open.trace.clone() });
                 open.id = Some(id.clone());
                 let wait = open.deadline.saturating_sub(now);
                 // The call's own number is free again: the answer to it was 'accepted'.
@@ -408,7 +417,7 @@
                     // An answer to nothing: the auditor is to see it.
                     let trace = format!("number {number}");
                     let status = status.word().to_owned();
-                    return self.recorder.write(now, What::answered(trace, status, reason, origin));
+                    return self.recorder.write(now, RecordedEvent::answered(trace, status, reason, origin));
                 };
                 if status == Status::Pending && now < open.deadline + GRACE / 2 {
                     // The await ended with the deadline; the result is due now.
@@ -418,7 +427,7 @@
                     return;
                 }
                 let word = status.word().to_owned();
-                self.recorder.write(now, What::answered(open.trace.clone(), word, reason, origin));
+                self.recorder.write(now, RecordedEvent::answered(open.trace.clone(), word, reason, origin));
                 match status {
                     Status::Refused => self.repeat(open, true),
                     Status::Failed => self.repeat(open, false),
@@ -435,15 +444,15 @@
             match due {
                 Due::Leave(number) => {
                     if let Some(open) = self.open.remove(&number) {
-                        self.recorder.write(now, What::GaveUp { trace: open.trace });
+                        self.recorder.write(now, RecordedEvent::GaveUp { trace: open.trace });
                         self.left.insert(number);
                         self.hub.send(open.connection, &Message::Cancel { number }, None);
                     }
                 }
                 Due::Wake(connection) => {
-                    if let Some(door) = self.crowd.get(&connection).copied() {
-                        let what = self.draw(now);
-                        self.call_on(door, Some(connection), what, self.scene.traffic.retries);
+                    if let Some(gateway) = self.idle.get(&connection).copied() {
+                        let what = self.draw_call(now);
+                        self.call_on(gateway, Some(connection), what, self.scene.traffic.retries);
                     }
                 }
                 // Nothing came: the auditor sees a call without an answer.
--- a/crates/standins/src/echo.rs
+++ b/crates/standins/src/echo.rs
@@ -1,5 +1,5 @@
-//! The least that can stand at either side of a gateway in a measurement: a worker that answers at once, and a
-//! relay that carries the same frames as a gateway and decides nothing.
+//! Baselines for measurements: a worker that answers at once, and a relay that forwards the same frames as a gateway
+//! and decides nothing.
 
 use std::collections::HashMap;
 use std::io;
@@ -9,7 +9,7 @@
 use cresswheel_protocol::{Ending, Message, Role, Status};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 
-use crate::records::{Recorder, What};
+use crate::records::{RecordedEvent, Recorder};
 
 /// A worker that answers every call at once, or never.
 pub struct Echo {
@@ -20,7 +20,7 @@
 }
 
 impl Echo {
-    /// Listens. A silent one answers orders only. What passes is written down in `records`.
+    /// Listens. A silent one answers orders only. What passes is recorded in `records`.
     pub fn start(at: SocketAddr, silent: bool, records: Option<&Path>) -> io::Result<Self> {
         let mut hub = Hub::new(HubLimits::default())?;
         let (_, address) = hub.listen(at, Wire::Frames)?;
@@ -43,7 +43,7 @@
                     Message::Run { attempt, body, trace, class, function, .. } if !self.silent => {
                         let at = self.hub.clock().now();
                         let (gateway, ending) = (String::new(), Ending::Ok.word().into());
-                        let run = What::Run {
+                        let run = RecordedEvent::Run {
                             gateway,
                             trace: trace.clone(),
                             attempt,
@@ -52,9 +52,11 @@
                             work: 0,
                         };
                         self.recorder.write(at, run);
-                        self.recorder.write(at, What::Began { trace: trace.clone(), class });
-                        self.recorder
-                            .write(at, What::Ran { trace, ending, lost: false, image: String::new() });
+                        self.recorder.write(at, RecordedEvent::Began { trace: trace.clone(), class });
+                        self.recorder.write(
+                            at,
+                            RecordedEvent::Ran { trace, ending, lost: false, image: String::new() },
+                        );
                         let ran = Message::Ran { attempt, ending: Ending::Ok, crowd: 0, body, origin: None };
                         self.hub.send(connection, &ran, None);
                     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,12 +1,13 @@
 //! Small peers for tests and rehearsals: a worker ([`Worker`]), the worker list ([`WorkerList`]), the model store
-//! ([`Store`]) and a lossy link ([`Link`]). Each plays faults on command and writes down what passed on its
-//! sockets ([`Record`]), for the auditor. They are models, not products: what a worker's function computes is an
-//! echo that takes time.
+//! ([`Store`]) and a lossy link ([`Link`]). Each simulates faults on command and records what passed on its
+//! sockets ([`Record`]) for the auditor. They are models, not products: a worker's function is an echo that takes
+//! time.
 
 mod control;
 mod echo;
 mod link;
 mod list;
+mod random;
 mod records;
 mod store;
 mod worker;
@@ -16,7 +17,8 @@
 pub use echo::{Echo, Relay};
 pub use link::Link;
 pub use list::WorkerList;
-pub use records::{Record, Recorder, What};
+pub use random::uniform;
+pub use records::{Record, RecordedEvent, Recorder};
 pub use store::Store;
 pub use worker::{Worker, WorkerSettings, digest};
 pub use worker_model::{Effect, Job, Model, Profile};
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -1,4 +1,4 @@
-//! The worker list: workers register, gateways follow. It can be late, frozen, deaf or wrong on command.
+//! The worker list: workers register, gateways follow. It can be slow, frozen, disconnected or wrong on command.
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
@@ -8,7 +8,7 @@
 use cresswheel_protocol::{Listed, Message, Micros, Standing};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 
-use crate::records::{Recorder, What};
+use crate::records::{RecordedEvent, Recorder};
 
 /// A worker list process.
 pub struct WorkerList {
@@ -21,10 +21,10 @@
     registered: HashMap<Connection, String>,
     followers: HashMap<Connection, String>,
     names: HashMap<Connection, String>,
-    /// Changes go out so long after they happened.
+    /// Delay between a change and its publication.
     delay: Micros,
     frozen_until: Micros,
-    /// A worker whose connection ended is listed for so long yet.
+    /// How long a worker stays listed after its connection ended.
     notice: Micros,
     changes: Vec<(Micros, Listed)>,
 }
@@ -93,7 +93,7 @@
             Message::Register { workers } => {
                 for worker in workers {
                     self.registered.insert(connection, worker.id.clone());
-                    // What was still to be said of its earlier life is void.
+                    // Pending removals of its earlier process are void.
                     self.changes.retain(|(_, w)| w.id != worker.id || w.standing != Standing::Out);
                     self.changes.push((now + self.delay, worker));
                 }
@@ -119,7 +119,7 @@
             ["delay", span] => self.delay = ms(span)?,
             ["notice", span] => self.notice = ms(span)?,
             ["freeze", span] => self.frozen_until = now + ms(span)?,
-            // A worker that is not there.
+            // A worker that does not exist.
             ["ghost", id, address] => {
                 let listed = Listed {
                     id: id.into(),
@@ -180,7 +180,7 @@
         let now = self.hub.clock().now();
         let gateway = self.followers.get(&follower).cloned().unwrap_or_default();
         let said = workers.iter().map(|w| (w.id.clone(), w.standing.word().to_owned())).collect();
-        self.recorder.write(now, What::Told { gateway, whole, workers: said });
+        self.recorder.write(now, RecordedEvent::Told { gateway, whole, workers: said });
         let version = self.version;
         self.hub.send(follower, &Message::List { whole, version, workers }, None);
     }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -9,14 +9,14 @@
 use cresswheel_protocol::{Ending, Listed, Message, Micros, Origin, Role, Standing};
 use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
 use rand_pcg::Pcg32;
-use rand_pcg::rand_core::Rng;
 use sha2::{Digest, Sha256};
 
 use crate::control::Faults;
-use crate::records::{Recorder, What};
+use crate::random::uniform;
+use crate::records::{RecordedEvent, Recorder};
 use crate::worker_model::{Effect, Job, Model, Profile};
 
-/// What a worker process is told.
+/// Settings of a worker process.
 #[derive(Clone, Debug)]
 pub struct WorkerSettings {
     /// Its id on the list; empty: its address.
@@ -33,7 +33,7 @@
     pub kind: String,
     /// Its cell.
     pub cell: u64,
-    /// It counts as started long ago: warm from the first call on.
+    /// It is treated as started long ago: warm from the first call on.
     pub warm: bool,
     /// The model.
     pub profile: Profile,
@@ -41,7 +41,8 @@
     pub records: Option<PathBuf>,
 }
 
-struct Out {
+/// A call of a gateway that the model has.
+struct PendingAttempt {
     connection: Connection,
     attempt: u64,
     trace: String,
@@ -49,7 +50,7 @@
     function: String,
 }
 
-/// What a worker says of a function's bytes. A stand-in has none but the name.
+/// The digest that a worker reports for a function. A stand-in hashes the function's name, since it has no code.
 pub fn digest(function: &str) -> String {
     let bytes = Sha256::digest(function.as_bytes());
     let hex = bytes.iter().map(|byte| format!("{byte:02x}"));
@@ -75,10 +76,10 @@
     store: Option<Connection>,
     fetches: BTreeMap<u64, String>,
     local_fetches: BTreeSet<(Micros, u64)>,
-    jobs: HashMap<u64, Out>,
+    jobs: HashMap<u64, PendingAttempt>,
     orders: HashMap<u64, (Connection, u64)>,
     next: u64,
-    /// As it was last taken down, in MB.
+    /// As last recorded, in MB.
     memory: u32,
     effects: Vec<Effect>,
 }
@@ -99,7 +100,7 @@
         let mut recorder = Recorder::new(settings.records.as_deref(), &settings.id)?;
         let started = if settings.warm { 0 } else { now };
         let p = &settings.profile;
-        let began = What::Started {
+        let began = RecordedEvent::Started {
             started,
             zone: settings.zone.clone(),
             cell: settings.cell,
@@ -150,7 +151,7 @@
             let due = [self.model.next(), fetch, self.list_retry, fault];
             let mb = self.model.memory();
             if std::mem::replace(&mut self.memory, mb) != mb {
-                self.recorder.write(now, What::Memory { mb });
+                self.recorder.write(now, RecordedEvent::Memory { mb });
             }
             // Records are with the kernel before an answer is: a kill can't take them.
             self.recorder.flush();
@@ -185,7 +186,7 @@
         let mut effects = std::mem::take(&mut self.effects);
         self.model.pass(now, &mut effects);
         self.effects = effects;
-        self.carry_out();
+        self.apply_effects();
     }
 
     fn register(&mut self) {
@@ -211,7 +212,7 @@
         Message::Hello { role: Role::Worker, name, zone }
     }
 
-    /// False: end the process.
+    /// Handles a notice; false: end the process.
     fn notice(&mut self, notice: Notice) -> bool {
         match notice {
             Notice::Message(connection, message) => return self.message(connection, message),
@@ -250,26 +251,29 @@
             Message::Run { attempt, trace, class, function, time_left, shape, .. } => {
                 let work = Model::work(&shape);
                 let (gateway, t, c, f) = (name, trace.clone(), class.clone(), function.clone());
-                self.recorder
-                    .write(now, What::Run { gateway, trace: t, attempt, class: c, function: f, work });
+                self.recorder.write(
+                    now,
+                    RecordedEvent::Run { gateway, trace: t, attempt, class: c, function: f, work },
+                );
                 if hangs {
                     return true;
                 }
                 self.next += 1;
-                let out = Out { connection, attempt, trace, class, function: function.clone() };
+                let out = PendingAttempt { connection, attempt, trace, class, function: function.clone() };
                 self.jobs.insert(self.next, out);
                 let job = Job { number: self.next, function, shape, deadline: now.saturating_add(time_left) };
                 self.model.run(now, job, &mut self.effects);
             }
             Message::CancelRun { attempt } => {
-                let here = |(_, o): &(&u64, &Out)| o.connection == connection && o.attempt == attempt;
+                let here =
+                    |(_, o): &(&u64, &PendingAttempt)| o.connection == connection && o.attempt == attempt;
                 if let Some(number) = self.jobs.iter().find(here).map(|(number, _)| *number) {
                     self.model.cancel(number, &mut self.effects);
                 }
             }
             Message::Hold { order, function, count, shape } => {
                 let f = function.clone();
-                self.recorder.write(now, What::Hold { gateway: name, function: f, count });
+                self.recorder.write(now, RecordedEvent::Hold { gateway: name, function: f, count });
                 if hangs {
                     return true;
                 }
@@ -279,20 +283,20 @@
             }
             Message::Drop { function } => self.model.drop_idle(&function),
             Message::Probe { number } if !hangs => {
-                let (held, queued) = self.model.held();
+                let (held, queued) = self.model.in_flight();
                 self.hub.send(connection, &Message::Probed { number, held, queued }, None);
             }
             Message::Fetched { number, there } => self.fetched(number, there),
             Message::Control { words } => return self.control(connection, &words),
             _ => {}
         }
-        self.carry_out();
+        self.apply_effects();
         true
     }
 
     fn control(&mut self, connection: Connection, words: &str) -> bool {
         let now = self.hub.clock().now();
-        self.recorder.write(now, What::Scene { words: words.into() });
+        self.recorder.write(now, RecordedEvent::Scene { words: words.into() });
         let mut wrong = String::new();
         match words {
             "stop" => return false,
@@ -322,22 +326,23 @@
     fn fetched(&mut self, fetch: u64, there: bool) {
         if let Some(name) = self.fetches.remove(&fetch) {
             self.model.fetched(self.hub.clock().now(), &name, there, &mut self.effects);
-            self.carry_out();
+            self.apply_effects();
         }
     }
 
-    fn lot(&mut self) -> f64 {
-        f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
+    /// A random number from 0 up to 1.
+    fn uniform(&mut self) -> f64 {
+        uniform(&mut self.rng)
     }
 
-    fn carry_out(&mut self) {
+    fn apply_effects(&mut self) {
         for effect in std::mem::take(&mut self.effects) {
             let now = self.hub.clock().now();
             match effect {
                 Effect::Began(number) => {
                     if let Some(out) = self.jobs.get(&number) {
                         let (trace, class) = (out.trace.clone(), out.class.clone());
-                        self.recorder.write(now, What::Began { trace, class });
+                        self.recorder.write(now, RecordedEvent::Began { trace, class });
                     }
                 }
                 Effect::Ended(number, ending, crowd) => self.ended(now, number, ending, crowd),
@@ -351,7 +356,7 @@
                 Effect::Fetch(name, time) => self.fetch(now, name, time),
                 Effect::Fell(sent, bearable) => {
                     tracing::warn!(sent, bearable, "pushed over");
-                    self.recorder.write(now, What::Fell { sent, bearable });
+                    self.recorder.write(now, RecordedEvent::Fell { sent, bearable });
                 }
             }
         }
@@ -363,12 +368,13 @@
     }
 
     fn ended(&mut self, now: Micros, number: u64, ending: Ending, crowd: u32) {
-        let Some(Out { connection, attempt, trace, class, function }) = self.jobs.remove(&number) else {
+        let Some(PendingAttempt { connection, attempt, trace, class, function }) = self.jobs.remove(&number)
+        else {
             return;
         };
         let bad = self.faults.version_share(now, &function);
         let ending =
-            if ending == Ending::Ok && bad > 0.0 && self.lot() < bad { Ending::Error } else { ending };
+            if ending == Ending::Ok && bad > 0.0 && self.uniform() < bad { Ending::Error } else { ending };
         // One that holds other bytes under the name says whose they are.
         let image = self.faults.swapped(now, &function).unwrap_or(&function).to_owned();
         let (lose, reset, twice) = (
@@ -378,10 +384,10 @@
         );
         // Draws only where a fault is in force: without one the run is not disturbed.
         let lose = lose.max(self.faults.class_share(now, &class));
-        let lost = self.cut_off(now, connection) || (lose > 0.0 && self.lot() < lose);
-        let breaks = !lost && reset > 0.0 && self.lot() < reset;
+        let lost = self.cut_off(now, connection) || (lose > 0.0 && self.uniform() < lose);
+        let breaks = !lost && reset > 0.0 && self.uniform() < reset;
         let word = ending.word().into();
-        let ran = What::Ran { trace, ending: word, lost: lost || breaks, image: image.clone() };
+        let ran = RecordedEvent::Ran { trace, ending: word, lost: lost || breaks, image: image.clone() };
         self.recorder.write(now, ran);
         if breaks {
             return self.hub.close(connection, "reset on purpose");
@@ -393,7 +399,7 @@
         let origin = Some(Origin { function, digest: digest(&image) });
         let answer = Message::Ran { attempt, ending, crowd, body, origin };
         self.hub.send(connection, &answer, None);
-        if twice > 0.0 && self.lot() < twice {
+        if twice > 0.0 && self.uniform() < twice {
             self.hub.send(connection, &answer, None);
         }
         if self.faults.get(now, "stray").is_some() {
--- a/crates/standins/src/worker_model/loads.rs
+++ b/crates/standins/src/worker_model/loads.rs
@@ -9,7 +9,7 @@
 const MOST_INSTANCES: u32 = 64;
 
 impl Model {
-    /// An order to hold instances; 0 asks.
+    /// Handles an order to load instances; a count of 0 only asks.
     pub fn hold(
         &mut self,
         now: u64,
@@ -25,17 +25,17 @@
             function.shape = Some(shape);
         }
         function.idle_since = now;
-        let standing = function.standing;
-        if count == 0 || standing >= count {
-            return out.push(Effect::Held(order, Ending::Ok, standing));
+        let loaded = function.loaded;
+        if count == 0 || loaded >= count {
+            return out.push(Effect::Held(order, Ending::Ok, loaded));
         }
         if self.refusing || self.fallen || count > MOST_INSTANCES {
-            return out.push(Effect::Held(order, Ending::Full, standing));
+            return out.push(Effect::Held(order, Ending::Full, loaded));
         }
-        let missing = count - (standing + function.loading).min(count);
+        let missing = count - (loaded + function.loading).min(count);
         for _ in 0..missing {
             if !self.begin_load(name) {
-                return out.push(Effect::Held(order, Ending::Full, standing));
+                return out.push(Effect::Held(order, Ending::Full, loaded));
             }
         }
         if let Some(function) = self.functions.get_mut(name) {
@@ -51,16 +51,16 @@
         }
     }
 
-    /// All functions are released anew: idle instances are void.
+    /// Unloads all idle instances, as a new release of all functions does.
     pub fn flush(&mut self) {
         self.functions.values_mut().for_each(Function::unload_idle);
     }
 
-    /// A fetch ended.
+    /// Handles the end of a fetch.
     pub fn fetched(&mut self, now: u64, name: &str, there: bool, out: &mut Vec<Effect>) {
         self.pass(now, out);
         self.fetching = self.fetching.saturating_sub(1);
-        let fails = self.load_fail > 0.0 && self.lot() < self.load_fail;
+        let fails = self.load_fail > 0.0 && self.uniform() < self.load_fail;
         if !there || fails {
             self.load_failed(name, out);
         } else {
@@ -98,7 +98,7 @@
             self.functions.iter_mut().filter(|(name, function)| *name != except && function.has_idle());
         match idle.min_by_key(|(_, function)| function.idle_since) {
             Some((_, function)) => {
-                function.standing -= 1;
+                function.loaded -= 1;
                 true
             }
             None => false,
@@ -116,17 +116,18 @@
         }
     }
 
-    /// Ends the orders that can't be met any more, and the calls that nothing will serve.
+    /// Ends orders that can no longer be met, and calls that no instance will serve.
     fn load_failed(&mut self, name: &str, out: &mut Vec<Effect>) {
         let Some(function) = self.functions.get_mut(name) else { return };
         function.loading -= 1;
-        let standing = function.standing;
-        let expected = standing + function.loading;
+        let loaded = function.loaded;
+        let expected = loaded + function.loading;
         let lost = function.orders.extract_if(.., |order| order.count > expected);
-        out.extend(lost.map(|order| Effect::Held(order.number, Ending::LoadFailed, standing)));
+        out.extend(lost.map(|order| Effect::Held(order.number, Ending::LoadFailed, loaded)));
         if expected == 0 {
             let waiting = function.waiting.drain(..);
-            let ended = |AcceptedJob { job, crowd }| Effect::Ended(job.number, Ending::LoadFailed, crowd);
+            let ended =
+                |AcceptedJob { job, in_flight }| Effect::Ended(job.number, Ending::LoadFailed, in_flight);
             out.extend(waiting.map(ended));
         }
     }
--- a/crates/standins/src/worker_model/mod.rs
+++ b/crates/standins/src/worker_model/mod.rs
@@ -1,5 +1,5 @@
 //! What a worker does, without sockets and clock: instances, lanes, queue, memory, loads, keep-alive, a cold
-//! start that can be pushed over.
+//! start that can be overloaded.
 
 mod calls;
 mod cold_start;
@@ -12,8 +12,8 @@
 
 use cresswheel_protocol::{Ending, Shape};
 use rand_pcg::Pcg32;
-use rand_pcg::rand_core::Rng;
 
+use crate::random::uniform;
 use cold_start::ColdStart;
 use function::{AcceptedJob, Function};
 pub use profile::Profile;
@@ -27,26 +27,26 @@
     pub function: String,
     /// What is known of the function.
     pub shape: Shape,
-    /// Nobody waits for it after this.
+    /// The client's deadline.
     pub deadline: u64,
 }
 
-/// What the model has done.
+/// Something that the model did, for its caller to carry out or to answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
     /// A call began to run.
     Began(u64),
-    /// A call ended, with the calls of its function held when it came.
+    /// A call ended, with the calls of its function in flight when it came.
     Ended(u64, Ending, u32),
-    /// An order ended, with the instances that stand.
+    /// An order ended, with the instances that are loaded.
     Held(u64, Ending, u32),
-    /// A load begins: fetch the function's image, for so long if nothing is in the way.
+    /// A load begins: fetch the function's image, which takes this long on an idle store.
     Fetch(String, u64),
-    /// It was sent too much while cold: work sent within the window, work that it could have borne.
+    /// It was overloaded while cold: work sent within the window, and the capacity of that time.
     Fell(u64, u64),
 }
 
-/// Work that a call does where nothing is told of it, in microseconds.
+/// Default work of a call, in microseconds.
 const USUAL_WORK: u64 = 20_000;
 
 /// A worker, without sockets and clock.
@@ -64,9 +64,9 @@
     loads_waiting: VecDeque<String>,
     /// Fetches under way.
     fetching: usize,
-    /// It fell over and does nothing more.
+    /// It collapsed under overload and does nothing more.
     pub fallen: bool,
-    /// New calls and orders are turned away.
+    /// New calls and orders are rejected.
     pub refusing: bool,
     /// Everything takes so many times as long.
     pub slowness: f64,
@@ -98,8 +98,8 @@
     }
 
     /// A random number from 0 up to 1.
-    fn lot(&mut self) -> f64 {
-        f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
+    fn uniform(&mut self) -> f64 {
+        uniform(&mut self.rng)
     }
 
     /// The share of its capacity that it has at a time.
@@ -112,15 +112,15 @@
         if shape.work > 0 { shape.work } else { USUAL_WORK }
     }
 
-    /// Calls held, and those among them that wait.
-    pub fn held(&self) -> (u32, u32) {
+    /// Calls in flight, and those among them that wait.
+    pub fn in_flight(&self) -> (u32, u32) {
         let waiting: usize = self.functions.values().map(|f| f.waiting.len()).sum();
         ((self.running.len() + waiting) as u32, waiting as u32)
     }
 
     /// Memory in use, in MB.
     pub fn memory(&self) -> u32 {
-        self.functions.values().map(|f| (f.standing + f.loading) * f.memory()).sum()
+        self.functions.values().map(|f| (f.loaded + f.loading) * f.memory()).sum()
     }
 
     /// When [`Model::pass`] is wanted next.
