Cold workers: a whole call a half window by one lot, so that a fleet's sends don't rise with its requests

Need: a cold worker falls at N + 2 x root of N + 2 calls in a window from all gateways together, N from the settings. Checked: the sum of the rates is right; sends rose with requests at an unchanged rate. Ruled out: retries and refused sends (each passes the gate and is charged), the count of gateways (only the floor of one core rests on it). At fault: (1) cold_budget against the lot of each request: a part b of a call passed with b at every request that came, and only a send was charged; from about 3.3 requests a window at each gateway the fleet exceeds its budget. (2) send_gate charged only while capacity(now) < 1: who thinks a worker a second older sends uncharged in its last window. Change: the budget is counted by half windows since the news; a part of a call is whole by a lot drawn once for the half window, whatever asks; what is left lapses; every send is charged; the first half window is cut short by lot.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -169,13 +169,15 @@
 
     /// The share of its capacity that a worker has for sure at this time.
     fn capacity(&self, cold: &ColdStart, at: Micros) -> f64 {
-        match self.entry.started {
-            Some(start) if at < start.saturating_add(cold.warm_up) => {
-                let age = at.saturating_sub(start) as f64 / cold.warm_up.max(1) as f64;
-                cold.from + (1.0 - cold.from) * age
-            }
-            _ => 1.0,
-        }
+        let warm_at = self.entry.started.map_or(0, |start| start.saturating_add(cold.warm_up));
+        let left = warm_at.saturating_sub(at).min(cold.warm_up) as f64 / cold.warm_up.max(1) as f64;
+        1.0 - (1.0 - cold.from) * left
+    }
+
+    /// Half windows since the news of its start; the first is cut short by lot: gateways are out of step.
+    fn ramp_half(&self, cold: &ColdStart, now: Micros) -> u64 {
+        let half = (cold.window / 2).max(1);
+        (now.saturating_sub(self.ramp.since) + self.ramp.seed % half) / half
     }
 }
 
@@ -315,7 +317,7 @@
                 // A new process: empty, cold, and innocent of what the old one did.
                 let worker = &mut self.workers[w];
                 worker.health = vec![Health::default(); self.settings.classes.len() + 1];
-                (worker.cold_credit, worker.cold_since) = (0.0, self.now);
+                worker.ramp = Ramp { since: self.now, seed: self.rng.next_u64(), ..Ramp::default() };
                 self.forget(w);
             }
             if self.workers[w].entry.state != entry.state {
@@ -482,7 +484,7 @@
         let avoid: Vec<W> = entry.attempts.iter().filter(|a| a.avoid).map(|a| a.worker).collect();
         let ring = self.ring_of(f);
         let homes = self.homes(f);
-        let usable = |w: &W| !avoid.contains(w) && self.has_room(f, *w) && self.may_take(*w, class, lot);
+        let usable = |w: &W| !avoid.contains(w) && self.has_room(f, *w) && self.may_take(*w, class);
         let able: Vec<W> = ring.iter().copied().filter(usable).take(homes + STAND_INS).collect();
         let homes = homes.min(able.len());
 
@@ -517,14 +519,14 @@
     }
 
     /// Whether a worker may be given a request of this class: healthy or on trial, within its cold start.
-    fn may_take(&self, w: W, class: usize, lot: f64) -> bool {
+    fn may_take(&self, w: W, class: usize) -> bool {
         let worker = &self.workers[w];
         let healthy = match worker.health.get(class).or(worker.health.last()).map(|h| h.view(self.now)) {
             None | Some(View::Good) => true,
             Some(View::Trial) => worker.flying == 0,
             Some(View::Bad) => false,
         };
-        (healthy || self.fleet.trusting) && self.cold_budget(w) > lot
+        (healthy || self.fleet.trusting) && self.cold_budget(w) >= 1.0
     }
 
     fn has_room(&self, f: F, w: W) -> bool {
@@ -632,20 +634,20 @@
         [function.load, self.means.load, guess].into_iter().find(|t| *t > 0.0).unwrap_or(guess)
     }
 
-    /// Requests that a cold worker may still be sent: saved up at our part of the multiple of its present
-    /// capacity, measured by what a warm worker answers us, so that the parts of all gateways add up to it.
-    /// A part of a request passes by lot. Half a window is saved at most: more, and an idle worker that all
-    /// gateways turn to at once would get what each of hundreds had saved.
+    /// Requests that a cold worker may still be sent in this half window: our part of the multiple of its
+    /// capacity, measured by what a warm worker answers us, so that the parts of all gateways add up to it. A
+    /// part of one is whole by a lot, drawn once for the half window, however many ask; what is left lapses.
     fn cold_budget(&self, w: W) -> f64 {
-        let (cold, worker) = (&self.settings.cold, &self.workers[w]);
+        let (cold, worker, ramp) = (&self.settings.cold, &self.workers[w], &self.workers[w].ramp);
         let share = worker.capacity(cold, self.now.saturating_sub(cold.window));
         if share >= 1.0 {
             return 1.0;
         }
+        let half = worker.ramp_half(cold, self.now);
         let one_core = 1.0 / self.means.run.max(self.aim as f64 / 8.0) / f64::from(self.settings.gateways);
         let rate = COLD_SPEND * cold.multiple * share * self.means.worker_rate.max(one_core);
-        let saved = worker.cold_credit + rate * self.now.saturating_sub(worker.cold_since) as f64;
-        saved.min(rate * cold.window as f64 / 2.0)
+        let lot = xxh3_64_with_seed(&half.to_le_bytes(), ramp.seed) as f64 / u64::MAX as f64;
+        if half == ramp.half { ramp.left } else { (rate * cold.window as f64 / 2.0 + lot).floor() }
     }
 
     /// Whether the rules allow the request another attempt at all; the send gate looks at the worker.
@@ -667,7 +669,7 @@
             && self.workers[w].entry.state == WorkerState::In
             && left > 0
             && self.same_group(entry, effect, w)
-            && self.cold_budget(w) > entry.lot;
+            && self.cold_budget(w) >= 1.0;
         if !kept {
             return false;
         }
@@ -680,13 +682,11 @@
         let patience = ((PATIENCE * expected) as Micros).max(aim * 2);
         let timeout = if repeatable && patience.saturating_add(aim / 4) < left { patience } else { left };
 
-        let (homes, credit) = (self.homes(f) as f64, self.cold_budget(w));
+        let (homes, left) = (self.homes(f) as f64, self.cold_budget(w) - 1.0);
         let worker = &mut self.workers[w];
+        (worker.ramp.half, worker.ramp.left) = (worker.ramp_half(&self.settings.cold, self.now), left);
         worker.flying += 1;
         self.functions[f].places.entry(w).or_default().flying += 1;
-        if capacity < 1.0 {
-            (worker.cold_credit, worker.cold_since) = (credit - 1.0, self.now);
-        }
         let crowd = f64::from(worker.flying);
         let request = id.clone();
         self.actions.push(Action::Send { request, worker: worker.entry.id.clone(), timeout });
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,9 +70,7 @@
     pub last_ok: Micros,
     /// It turned an order away: until then it is given no pre-load.
     pub full_until: Micros,
-    /// Work that it may still be sent while cold, as of when.
-    pub cold_credit: f64,
-    pub cold_since: Micros,
+    pub ramp: Ramp,
     /// Own requests in flight.
     pub flying: u32,
     /// Running means of answer time, and of own requests in flight when those were sent.
@@ -80,6 +78,18 @@
     pub crowd: f64,
 }
 
+/// What a worker is sent while it is cold, counted by half windows of the cold start.
+#[derive(Debug, Default)]
+pub struct Ramp {
+    /// News of its start came then.
+    pub since: Micros,
+    /// Seed of its lots.
+    pub seed: u64,
+    /// The half window of the last request sent to it, and how many more it may be sent in that one.
+    pub half: u64,
+    pub left: f64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fate {
     Out,
