A message that goes on coming is served when it is whole, within bounds

Observed: a request that came in six pieces over 2.7 s was closed after 1.25 s, on the platform's shell. Cause: the door kept one time for a half message, from its first byte, whether bytes came or not (`Door::rest`, the queue HALF).

Change, in the shared door: `half` stays the whole budget of a message from its first byte; `half_silent` gives it up earlier when nothing of it comes; `half_connections` bounds those whose message has not been whole for `evict_after`: beyond it the one that has been silent the longest gives way, never one with an open call. The platform's shell gives 1.25 s of silence, the longest class deadline (2.5 to 10 s) in all, a quarter of the places. What comes in the moment in which the time is up is looked at once. Where the two are not set, as in the other gateway, all is as it was.

--- a/crates/admission/src/door.rs
+++ b/crates/admission/src/door.rs
@@ -28,8 +28,13 @@
     pub unasked: Micros,
     /// Idle connections are closed after this: those of HTTP, and of the main protocol if there are no pings.
     pub idle: Micros,
-    /// A message must be whole this long after its first byte.
+    /// A message must be whole this long after its first byte, however its bytes come.
     pub half: Micros,
+    /// A message that is not whole, and of which nothing came for so long, is given up earlier; 0: it is not.
+    pub half_silent: Micros,
+    /// Connections whose message has not been whole for longer than `evict_after`, at most. Beyond that the one of
+    /// them that has been silent the longest gives way, unless it has an open call.
+    pub half_connections: usize,
     /// Bytes of messages not whole yet, over all connections.
     pub half_bytes: usize,
     /// A client that does not read its answers may do so for this long.
@@ -54,6 +59,8 @@
             unasked: 0,
             idle: 300 * S,
             half: 10 * S,
+            half_silent: 0,
+            half_connections: usize::MAX,
             half_bytes: 256 << 20,
             stall: 30 * S,
             ping_after: 600 * S,
@@ -132,6 +139,8 @@
 /// Nothing was answered to it yet.
 const NEW: usize = 6;
 const QUEUES: usize = 7;
+/// The one queue of those whose message is not whole, by their last bytes.
+const SILENT: usize = 0;
 
 /// When all places are taken, whether that is still so is looked at again after this.
 const LOOK_AGAIN: Micros = 1_000_000;
@@ -237,6 +246,8 @@
 pub struct Door {
     limits: DoorLimits,
     spans: Spans,
+    /// Those of the queue of half messages once more, in the order of their last bytes.
+    silent_halves: Spans,
     guests: Vec<Guest>,
     here: usize,
     half_bytes: usize,
@@ -282,6 +293,7 @@
         let mut door = Self {
             limits,
             spans: Spans::new(now, &[0; QUEUES]),
+            silent_halves: Spans::new(now, &[0]),
             guests: Vec::new(),
             here: 0,
             half_bytes: 0,
@@ -315,6 +327,8 @@
             (NEW, limits.unasked),
         ];
         spans.into_iter().for_each(|(queue, span)| self.spans.change(queue, span));
+        let silent = if limits.half_silent > 0 { limits.half_silent } else { limits.half };
+        self.silent_halves.change(SILENT, silent);
     }
 
     /// New bounds. If fewer connections are allowed than are there, the longest idle are asked to leave.
@@ -481,7 +495,7 @@
         } else if guest.held > 0 {
             HALF
         } else if guest.open > 0 {
-            return self.spans.take_out(slot);
+            return self.take_out(slot);
         } else if guest.asked {
             ASKED
         } else if guest.new && self.limits.unasked > 0 {
@@ -496,6 +510,17 @@
         if !runs_on {
             self.spans.put(now, slot, queue);
         }
+        if queue != HALF {
+            self.silent_halves.take_out(slot);
+        } else if self.silent_halves.queue(slot).is_none() {
+            self.silent_halves.put(now, slot, SILENT);
+        }
+    }
+
+    /// Takes a connection out of all queues.
+    fn take_out(&mut self, slot: usize) {
+        self.spans.take_out(slot);
+        self.silent_halves.take_out(slot);
     }
 
     fn guest(&mut self, slot: usize) -> Option<&mut Guest> {
@@ -510,6 +535,8 @@
                 let held = u32::try_from(held).unwrap_or(u32::MAX);
                 let before = std::mem::replace(&mut guest.held, held);
                 self.half_bytes = self.half_bytes - before as usize + held as usize;
+                // Its silence begins anew.
+                self.silent_halves.take_out(slot);
             }
             Sign::Stalled => guest.stalled = true,
             Sign::Reads => guest.stalled = false,
@@ -568,7 +595,7 @@
     /// A connection is gone. False: it was not here.
     pub fn left(&mut self, slot: usize) -> bool {
         let Some(guest) = self.guest(slot).copied() else { return false };
-        self.spans.take_out(slot);
+        self.take_out(slot);
         self.addresses.leave(guest.address);
         if guest.tenant != NO_TENANT {
             self.tenants.leave(guest.tenant);
@@ -589,6 +616,13 @@
         {
             return Some(self.close(slot, "half-bytes"));
         }
+        let too_many = self.half_too_many().find(|(_, due)| *due <= now);
+        if let Some((slot, _)) = too_many {
+            return Some(self.close(slot, "half-many"));
+        }
+        if let Some((slot, _)) = self.silent_halves.first(SILENT).filter(|(_, due)| *due <= now) {
+            return Some(self.close(slot, "half-sent"));
+        }
         let endings = [
             (HTTP, "idle"),
             (PINGED, "vanished"),
@@ -618,8 +652,17 @@
         Some(Act::Ping(slot))
     }
 
+    /// With more half messages than may be: who may give way for that, silent the longest first, and from when on.
+    fn half_too_many(&self) -> impl Iterator<Item = (usize, Micros)> + '_ {
+        let too_many = self.spans.len(HALF) > self.limits.half_connections;
+        let longest_silent = self.silent_halves.slots(SILENT).take(if too_many { LOOK_AT } else { 0 });
+        let without_calls = longest_silent.filter(|slot| self.guests[*slot].open == 0);
+        without_calls
+            .filter_map(|slot| Some((slot, self.spans.since(slot)?.saturating_add(self.limits.evict_after))))
+    }
+
     fn close(&mut self, slot: usize, why: &'static str) -> Act {
-        self.spans.take_out(slot);
+        self.take_out(slot);
         self.count(why);
         Act::Close(slot, why)
     }
@@ -673,7 +716,9 @@
             due.max(batch.unwrap_or(Micros::MAX))
         });
         let farewell = self.farewell.as_ref().filter(|f| f.left > 0).and_then(|f| f.pace.next(now));
-        firsts.chain(ping).chain(farewell).min()
+        let silent = self.silent_halves.first(SILENT).map(|(_, due)| due);
+        let too_many = self.half_too_many().map(|(_, due)| due);
+        firsts.chain(ping).chain(farewell).chain(silent).chain(too_many).min()
     }
 
     fn count(&mut self, why: &'static str) {
--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -382,6 +382,78 @@
     assert_eq!(client.next(), None);
 }
 
+#[test]
+fn a_request_that_comes_in_pieces_is_served_when_it_is_whole() {
+    let (one, names) = (host(good), Directory::new(1));
+    let node = Node::new(&[("s-1", &one)], &names, "load");
+    let mut client = node.client();
+    let whole = request(1, &id(1), "check", "1000", F, &[7; 300]);
+    // Twice as long as a message may be silent; its own time runs from its last byte.
+    for piece in whole.chunks(whole.len().div_ceil(6)) {
+        std::thread::sleep(Duration::from_millis(450));
+        client.send(piece);
+    }
+    assert_eq!(client.answer(), (1, 0));
+    client.ask_as(2, &id(2), "check", "3000");
+    assert_eq!(client.answer(), (2, 0), "the connection goes on");
+}
+
+#[test]
+fn a_message_that_drips_on_has_an_end() {
+    let (one, names) = (host(good), Directory::new(1));
+    let node =
+        Node::with(&one_host(&one, &names, "load").replace("\"give_up\":5000000", "\"give_up\":1000000"));
+    let mut client = node.client();
+    let whole = request(1, &id(1), "check", "1000", F, &[7; 300]);
+    // At this pace it would take 40 s.
+    client.socket.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+    let ended = whole.iter().position(|byte| {
+        let _ = std::io::Write::write_all(&mut client.socket, &[*byte]);
+        !matches!(std::io::Read::read(&mut client.socket, &mut [0]), Err(error) if
+            matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut))
+    });
+    assert!(
+        ended.is_some_and(|at| at > 12),
+        "ended at byte {ended:?}: longer than a silent one, not for ever"
+    );
+    node.logged("why=\"half-sent\"");
+}
+
+#[test]
+fn many_that_drip_on_do_not_keep_a_client_from_its_place() {
+    let (one, names) = (host(good), Directory::new(1));
+    let node = Node::new(&[("s-1", &one)], &names, "load");
+    // More than the 116 places; each drips on, and comes again when it is closed.
+    let stop = std::sync::atomic::AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let whole = request(1, &id(1), "check", "1000", F, &[7; 300]);
+            let mut crowd: Vec<(std::net::TcpStream, usize)> = Vec::new();
+            while !stop.load(std::sync::atomic::Ordering::SeqCst) {
+                crowd.retain_mut(|(socket, at)| {
+                    *at += 1;
+                    std::io::Write::write_all(socket, &whole[*at - 1..*at]).is_ok() && *at + 1 < whole.len()
+                });
+                while crowd.len() < 200 {
+                    crowd.push((std::net::TcpStream::connect(node.at).unwrap(), 0));
+                }
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        });
+        std::thread::sleep(Duration::from_secs(1));
+        let answers: Vec<_> = (0..10)
+            .map(|n| {
+                let mut client = node.client();
+                client.ask("check", "3000", n);
+                client.next()
+            })
+            .collect();
+        stop.store(true, std::sync::atomic::Ordering::SeqCst);
+        let is_served = |answer: &Option<_>| matches!(answer, Some(FromGateway::Answer(1, 0, ..)));
+        assert!(answers.iter().all(is_served), "{answers:?}");
+    });
+}
+
 #[test]
 fn a_client_that_reads_slowly_is_waited_for_and_one_that_reads_nothing_is_not() {
     const BODY: usize = 250 << 10;
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -39,6 +39,8 @@
     stalled: Option<(usize, u32)>,
     /// What it sent was no frame, or the like: it is told, hears what it is owed, and is closed.
     ending: bool,
+    /// The time of a message that is not whole was up as more of it came; it had its time once more.
+    overdue: bool,
 }
 
 /// All clients.
@@ -143,7 +145,14 @@
             }
         }
         let decoder = ClientDecoder::default();
-        let guest = Guest { decoder, streams: HashMap::new(), unusable: 0, stalled: None, ending: false };
+        let guest = Guest {
+            decoder,
+            streams: HashMap::new(),
+            unusable: 0,
+            stalled: None,
+            ending: false,
+            overdue: false,
+        };
         self.guests.insert(connection, guest);
         self.by_slot.insert(slot(connection), connection);
         if self.leaving {
@@ -163,6 +172,7 @@
                     return self.door.sign(now, slot(connection), Sign::Heard(held));
                 }
                 Ok(Some(frame)) => {
+                    guest.overdue = false;
                     self.door.whole(now, slot(connection));
                     self.frame(hub, is_ready, connection, came, frame);
                 }
@@ -303,12 +313,21 @@
                 *before = backlog;
                 self.door.sign(now, slot, Sign::Stalled);
             }
+            (None, "half-sent" | "half-bytes" | "half-many")
+                if !guest.overdue && !hub.is_quiet(connection) =>
+            {
+                guest.overdue = true;
+                self.door.sign(now, slot, Sign::Heard(guest.decoder.midway()));
+            }
             // What is open is still answered.
-            (None, "half-sent" | "half-bytes") if !guest.streams.is_empty() => {
+            (None, "half-sent" | "half-bytes" | "half-many") if !guest.streams.is_empty() => {
                 self.door.sign(now, slot, Sign::Heard(0));
                 self.end(hub, connection, why);
             }
-            (None, "half-sent" | "half-bytes") => hub.close(connection, why),
+            (None, "half-sent" | "half-bytes" | "half-many") => {
+                tracing::debug!(connection, why, "closed");
+                hub.close(connection, why);
+            }
             (None, _) if !hub.is_quiet(connection) => self.door.sign(now, slot, Sign::Heard(0)),
             _ => {
                 tracing::debug!(connection, why, "closed");
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -26,6 +26,12 @@
 /// An open request takes about so many bytes at most, its body and its answer included.
 const REQUEST_BYTES: usize = 48 << 10;
 
+/// A message that is not whole is given up when nothing of it came for so long.
+const HALF_SILENT: Micros = 5 * S / 4;
+/// While it goes on coming it may take as long as a client waits for its answer, within these.
+const HALF_AT_LEAST: Micros = 2 * HALF_SILENT;
+const HALF_AT_MOST: Micros = 10 * S;
+
 /// What the module and the engine keep of a function, about.
 const FUNCTION_BYTES: usize = 2 << 10;
 
@@ -102,7 +108,9 @@
                 evict_after: 200 * MS,
                 unasked: 5 * S / 4,
                 idle: 30 * S,
-                half: 5 * S / 4,
+                half: give_up.clamp(HALF_AT_LEAST, HALF_AT_MOST),
+                half_silent: HALF_SILENT,
+                half_connections: (clients / 4).max(1),
                 half_bytes: memory / 8,
                 stall: 2 * S,
                 pings_per_s: 0,
