What is begun leaves only after those who have gone were heard

Own connections are now written by the next call, after the notices. - of a request of which a part had left, the rest followed whenever the host read on: taking it back failed, and that was all (`Hosts::withdraw`). Its connection is now closed instead, so that the host never has it whole; not where an attempt that must not run twice is out on it. It is then as never sent. - a client that went during a long turn, or whose going lay behind more than one read, was read of only after what the turn had begun was written. After 50 ms, or with more to read, the clients are listened to again: who leaves is seen to at once, new requests wait (`Waiting`, 2 MiB of bodies, 64 looks). - beside these: a connection to a host that stood in time was given up as never standing when the look at it came late (`Hub::wait` closed what was due before it looked at what was ready). It looks first.

Ruled out: timers (notices are seen to first), the queue, the wait for a load, answers and ends in the moment of the client's going, the accept queue: their tests pass on the build before too.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -6,10 +6,12 @@
 
 mod peers;
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use cresswheel_platform_wire::client::FromGateway;
+use cresswheel_platform_wire::client::{FromGateway, encode_bare};
 use peers::{Client, Directory, Do, F, Host, Node, Played, config, good, host, invokes, request};
 
 const F2: &str = "7f3a9c21e0b4d656";
@@ -94,7 +96,7 @@
     answers.sort_unstable();
     let wanted: Vec<(u32, u8)> = [(1, 0)].into_iter().chain(many.map(|n| (n, 8))).collect();
     assert_eq!(answers, wanted);
-    let end = std::io::Read::read(&mut client.socket, &mut [0]);
+    let end = client.socket.read(&mut [0]);
     assert!(matches!(end, Ok(0)), "an end in good order: {end:?}");
     drop(client);
     assert_eq!(node.ends(), Some(0));
@@ -408,8 +410,8 @@
     // At this pace it would take 40 s.
     client.socket.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
     let ended = whole.iter().position(|byte| {
-        let _ = std::io::Write::write_all(&mut client.socket, &[*byte]);
-        !matches!(std::io::Read::read(&mut client.socket, &mut [0]), Err(error) if
+        let _ = client.socket.write_all(&[*byte]);
+        !matches!(client.socket.read(&mut [0]), Err(error) if
             matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut))
     });
     assert!(
@@ -419,38 +421,56 @@
     node.logged("why=\"half-sent\"");
 }
 
+/// Takes a step again and again in the background until the test is over.
+fn beside<T>(mut step: impl FnMut() + Send, test: impl FnOnce() -> T) -> T {
+    struct Stop<'a>(&'a AtomicBool);
+    impl Drop for Stop<'_> {
+        fn drop(&mut self) {
+            self.0.store(true, Ordering::SeqCst);
+        }
+    }
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            while !stop.load(Ordering::SeqCst) {
+                step();
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        });
+        let _stop = Stop(&stop);
+        test()
+    })
+}
+
+/// Ten clients ask, one after the other; each is served.
+fn ten_are_served(node: &Node) {
+    for n in 0..10 {
+        let mut client = node.client();
+        client.ask("check", "3000", n);
+        let answer = client.next();
+        assert!(matches!(answer, Some(FromGateway::Answer(1, 0, ..))), "client {n}: {answer:?}");
+    }
+}
+
 #[test]
 fn many_that_drip_on_do_not_keep_a_client_from_its_place() {
     let (one, names) = (host(good), Directory::new(1));
     let node = Node::new(&[("s-1", &one)], &names, "load");
+    let whole = request(1, &id(1), "check", "1000", F, &[7; 300]);
+    let mut crowd: Vec<(TcpStream, usize)> = Vec::new();
     // More than the 116 places; each drips on, and comes again when it is closed.
-    let stop = std::sync::atomic::AtomicBool::new(false);
-    std::thread::scope(|scope| {
-        scope.spawn(|| {
-            let whole = request(1, &id(1), "check", "1000", F, &[7; 300]);
-            let mut crowd: Vec<(std::net::TcpStream, usize)> = Vec::new();
-            while !stop.load(std::sync::atomic::Ordering::SeqCst) {
-                crowd.retain_mut(|(socket, at)| {
-                    *at += 1;
-                    std::io::Write::write_all(socket, &whole[*at - 1..*at]).is_ok() && *at + 1 < whole.len()
-                });
-                while crowd.len() < 200 {
-                    crowd.push((std::net::TcpStream::connect(node.at).unwrap(), 0));
-                }
-                std::thread::sleep(Duration::from_millis(100));
-            }
+    let drip = || {
+        crowd.retain_mut(|(socket, at)| {
+            *at += 1;
+            socket.write_all(&whole[*at - 1..*at]).is_ok() && *at + 1 < whole.len()
         });
+        while crowd.len() < 200 {
+            crowd.push((TcpStream::connect(node.at).unwrap(), 0));
+        }
+    };
+    beside(drip, || {
         std::thread::sleep(Duration::from_secs(1));
-        let answers: Vec<_> = (0..10)
-            .map(|n| {
-                let mut client = node.client();
-                client.ask("check", "3000", n);
-                client.next()
-            })
-            .collect();
-        stop.store(true, std::sync::atomic::Ordering::SeqCst);
-        let is_served = |answer: &Option<_>| matches!(answer, Some(FromGateway::Answer(1, 0, ..)));
-        assert!(answers.iter().all(is_served), "{answers:?}");
+        ten_are_served(&node);
     });
 }
 
@@ -472,7 +492,7 @@
         // Longer than the two seconds for which one that reads nothing is waited for, with a request open.
         let mut part = vec![0; 4 << 10];
         for _ in 0..6 {
-            std::io::Read::read_exact(&mut client.socket, &mut part).unwrap();
+            client.socket.read_exact(&mut part).unwrap();
             client.held.extend_from_slice(&part);
             std::thread::sleep(Duration::from_millis(500));
         }
@@ -487,6 +507,316 @@
     }
 }
 
+// Clients that have gone: no attempt begins for them, on whichever path it would.
+
+/// The ways in which a client goes.
+#[derive(Clone, Copy, Debug)]
+enum Goes {
+    TakesBack,
+    HalfCloses,
+    Closes,
+    Resets,
+}
+
+const WAYS: [Goes; 4] = [Goes::TakesBack, Goes::HalfCloses, Goes::Closes, Goes::Resets];
+/// Far more than the 0.1 s after which nothing may begin for a client that has gone.
+const LONG_GONE: Duration = Duration::from_millis(300);
+
+/// The client of the request on that stream goes; one that only takes back keeps its connection.
+fn goes(mut client: Client, stream: u32, way: Goes) -> Option<Client> {
+    match way {
+        Goes::TakesBack => client.take_back(stream),
+        Goes::HalfCloses => client.socket.shutdown(std::net::Shutdown::Write).unwrap(),
+        Goes::Closes => return None,
+        Goes::Resets => {
+            client.reset();
+            return None;
+        }
+    }
+    Some(client)
+}
+
+/// Nothing is sent on but what is asked now, by another client.
+fn only_what_is_asked_now_is_sent(node: &Node, one: &mut Played, why: &str) {
+    let mut other = node.client();
+    other.ask_as(1, &id(77), "check", "5000");
+    loop {
+        let (line, command) = one.next();
+        match command[0].as_str() {
+            "invoke" => {
+                assert_eq!(command[1], id(77), "{why}: sent on though its client had gone");
+                one.answer(line, &id(77), "OK", "-", b"out");
+                break;
+            }
+            "prewarm" => one.answer(line, &command[1], "OK", "instances=1", b""),
+            _ => {}
+        }
+    }
+    assert_eq!(other.answer(), (1, 0), "{why}");
+    while let Some((_, command)) = one.next_within(LONG_GONE) {
+        assert_ne!(command[0], "invoke", "{why}: {}", command[1]);
+    }
+}
+
+#[test]
+fn no_further_attempt_follows_an_answer_that_comes_with_its_clients_going() {
+    for word in ["BUSY", "MISS", "ERR", "reset", "end"] {
+        for way in WAYS {
+            let (node, mut one, mut client) = played("load", Node::client);
+            client.ask_as(1, &id(1), "check", "5000");
+            let (line, _) = one.next_of("invoke");
+            node.freeze();
+            match word {
+                "reset" => one.reset(line),
+                "end" => one.end(line),
+                word => one.answer(line, &id(1), word, "-", b""),
+            }
+            let _client = goes(client, 1, way);
+            std::thread::sleep(LONG_GONE);
+            node.wake();
+            only_what_is_asked_now_is_sent(&node, &mut one, &format!("{word}, {way:?}"));
+        }
+    }
+}
+
+#[test]
+fn no_attempt_follows_a_loads_end_that_comes_with_its_clients_going() {
+    for word in ["OK", "BUSY", "ERR"] {
+        for way in WAYS {
+            let (node, mut one, client, line, order) = waiting_for_a_load();
+            node.freeze();
+            one.answer(line, &order, word, "instances=1", b"");
+            let _client = goes(client, 9, way);
+            std::thread::sleep(LONG_GONE);
+            node.wake();
+            only_what_is_asked_now_is_sent(&node, &mut one, &format!("{word}, {way:?}"));
+        }
+    }
+}
+
+#[test]
+fn no_second_copy_and_no_retry_falls_due_for_a_client_that_has_gone() {
+    for (class, word) in [("check", None), ("check", Some("BUSY")), ("post", Some("BUSY"))] {
+        for way in WAYS {
+            let (node, mut one, mut client) = played("load", Node::client);
+            client.ask_as(1, &id(1), class, "5000");
+            let (line, _) = one.next_of("invoke");
+            word.into_iter().for_each(|word| one.answer(line, &id(1), word, "-", b""));
+            node.freeze();
+            let _client = goes(client, 1, way);
+            // What came before it stood still came; then every timer of the request is over.
+            while let Some((line, command)) = one.next_within(Duration::from_millis(50)) {
+                if command[0] == "invoke" {
+                    one.answer(line, &id(1), "BUSY", "-", b"");
+                }
+            }
+            std::thread::sleep(Duration::from_millis(1_500));
+            node.wake();
+            only_what_is_asked_now_is_sent(&node, &mut one, &format!("{class}, {word:?}, {way:?}"));
+        }
+    }
+}
+
+#[test]
+fn what_waits_in_the_queue_is_not_sent_on_when_its_client_goes() {
+    for way in WAYS {
+        let (mut one, names) = (Played::new(), Directory::new(1));
+        let patient = one_host(&one.host(), &names, "load").replace("\"aim\":600000", "\"aim\":4000000");
+        let node = Node::with(&patient);
+        // The one host takes nothing new for a while, so what is asked has to wait.
+        names.tell(2, &[("s-1", one.at, 1)]);
+        node.logged("list serial=2");
+        let mut client = node.client();
+        client.ask_as(1, &id(1), "check", "5000");
+        client.ask_as(2, &id(2), "no-such-class", "5000");
+        assert_eq!(client.answer(), (2, 8), "the second one was read, and the first one waits");
+        let _client = goes(client, 1, way);
+        node.logged(if matches!(way, Goes::TakesBack) { " taken back " } else { " left " });
+        names.tell(3, &[("s-1", one.at, 0)]);
+        node.logged("list serial=3");
+        only_what_is_asked_now_is_sent(&node, &mut one, &format!("{way:?}"));
+    }
+}
+
+#[test]
+fn a_taking_back_behind_more_than_one_read_is_heard_before_the_next_attempt_leaves() {
+    let (node, mut one, mut client, line, order) = waiting_for_a_load();
+    node.freeze();
+    one.answer(line, &order, "OK", "instances=1", b"");
+    // Words on streams that have nothing open mean nothing, but have to be read.
+    let mut words = Vec::new();
+    (1_000..21_000).for_each(|stream| encode_bare(&mut words, false, stream));
+    client.send(&words);
+    client.take_back(9);
+    std::thread::sleep(LONG_GONE);
+    node.wake();
+    only_what_is_asked_now_is_sent(&node, &mut one, "behind 200 KB");
+}
+
+#[test]
+fn a_client_that_goes_during_a_long_turn_is_heard_before_what_was_begun_in_it_leaves() {
+    for way in WAYS {
+        let (mut one, names) = (Played::new(), Directory::new(1));
+        let roomy = one_host(&one.host(), &names, "load")
+            .replace("\"memory_mb\":64", "\"memory_mb\":256")
+            .replace("\"connect_timeout\":250000", "\"connect_timeout\":9000000");
+        let (node, log) = Node::piped(&roomy);
+        let mut client = node.client();
+        let mut others: Vec<Client> = (0..40).map(|_| node.client()).collect();
+        // All are let in.
+        for client in others.iter_mut().chain([&mut client]) {
+            client.ask_as(99, &id(99), "no-such-class", "5000");
+            assert_eq!(client.answer(), (99, 8));
+        }
+        // Half of what the pipe holds, then a turn whose log is longer than the rest: the process stands in the middle
+        // of it.
+        log.read(false);
+        for _ in 0..250 {
+            client.ask_as(99, &id(99), "no-such-class", "5000");
+            assert_eq!(client.answer(), (99, 8));
+        }
+        node.freeze();
+        client.ask_as(1, &id(1), "check", "5000");
+        for (n, other) in others.iter_mut().enumerate() {
+            let first = 1_000 + 100 * n as u32;
+            let all = (1..=32).flat_map(|m| request(m, &id(first + m), "check", "5000", F, b"in"));
+            other.send(&all.collect::<Vec<u8>>());
+        }
+        node.wake();
+        std::thread::sleep(LONG_GONE);
+        let _client = goes(client, 1, way);
+        std::thread::sleep(LONG_GONE);
+        log.read(true);
+        node.logged(&format!("run id={}", id(1)));
+        // The others are served, and it is not among them.
+        let mut next = Some(one.next_of("invoke"));
+        while let Some((line, command)) = next {
+            if command[0] == "invoke" {
+                assert_ne!(command[1], id(1), "{way:?}: it left after its client had gone");
+                one.answer(line, &command[1], "OK", "-", b"out");
+            }
+            next = one.next_within(LONG_GONE);
+        }
+    }
+}
+
+#[test]
+fn a_connection_that_comes_up_with_its_clients_going_carries_nothing() {
+    for way in WAYS {
+        let (mut one, names) = (Played::narrow(), Directory::new(1));
+        let slow = one_host(&one.host(), &names, "load")
+            .replace("\"connect_timeout\":250000", "\"connect_timeout\":9000000");
+        let node = Node::with(&slow);
+        one.deaf = true;
+        // The first takes the one place that the machine holds, the second waits for its connection.
+        let mut clients: Vec<Client> = (1..=2).map(|_| node.client()).collect();
+        for (n, client) in (1..).zip(&mut clients) {
+            client.ask_as(1, &id(n), "check", "5000");
+            node.logged(&format!("run id={}", id(n)));
+        }
+        node.freeze();
+        let _client = goes(clients.pop().unwrap(), 1, way);
+        one.deaf = false;
+        let mut seen = Vec::new();
+        let end = std::time::Instant::now() + peers::PATIENCE;
+        while one.connections() < 2 {
+            assert!(std::time::Instant::now() < end, "the second connection never came up");
+            seen.extend(one.next_within(Duration::from_millis(10)));
+        }
+        std::thread::sleep(LONG_GONE);
+        node.wake();
+        seen.extend(std::iter::from_fn(|| one.next_within(Duration::from_millis(500))));
+        let invokes = seen.into_iter().filter(|(_, command)| command[0] == "invoke");
+        let invokes: Vec<_> = invokes.map(|(line, command)| (line, command[1].clone())).collect();
+        assert!(invokes.iter().all(|(_, of)| *of == id(1)), "{way:?}: {invokes:?}");
+        // It stood still for longer than the first attempt had, so there may be another one.
+        invokes.iter().for_each(|(line, _)| one.answer(*line, &id(1), "OK", "-", b"out"));
+        assert_eq!(clients[0].answer().0, 1);
+    }
+}
+
+/// A gateway with one connection to its host, which holds little that was not read, and clients of it whose requests
+/// of 16 KiB are on that connection.
+fn clogged() -> (Node, Played, Vec<Client>) {
+    let (mut one, names) = (Played::slow(), Directory::new(1));
+    let tight = one_host(&one.host(), &names, "load").replace("\"sockets\":256", "\"sockets\":40");
+    let node = Node::with(&tight);
+    let mut clients: Vec<Client> = (0..6).map(|_| node.client()).collect();
+    for (n, client) in (1..).zip(&mut clients) {
+        client.send(&request(1, &id(n), "check", "5000", F, &[7; 16 << 10]));
+        node.logged(&format!("run id={}", id(n)));
+    }
+    while one.connections() == 0 {
+        one.next_within(Duration::ZERO);
+    }
+    (node, one, clients)
+}
+
+#[test]
+fn an_attempt_of_which_a_part_has_left_does_not_arrive_when_its_client_has_gone() {
+    for way in WAYS {
+        let (node, mut one, clients) = clogged();
+        let _clients: Vec<_> = clients.into_iter().map(|client| goes(client, 1, way)).collect();
+        node.logged_times(if matches!(way, Goes::TakesBack) { " taken back " } else { " left " }, 6);
+        std::thread::sleep(LONG_GONE);
+        // What had left whole is there; what had left in part is cut short, and nothing follows.
+        let (whole, part) = one.read_to_the_end(0);
+        assert!(whole.len() < 6 && part > 0, "{way:?}: {whole:?}, {part} bytes more");
+        only_what_is_asked_now_is_sent(&node, &mut one, &format!("{way:?}"));
+    }
+}
+
+#[test]
+fn what_waits_on_a_clogged_connection_is_not_sent_on_when_it_clears_with_the_clients_going() {
+    let (node, mut one, clients) = clogged();
+    node.freeze();
+    let _clients: Vec<_> = clients.into_iter().map(|client| goes(client, 1, Goes::TakesBack)).collect();
+    // The host reads on: when the process is woken, both are there.
+    let mut before = Vec::new();
+    while let Some((_, command)) = one.next_within(LONG_GONE) {
+        before.push(command[1].clone());
+    }
+    node.wake();
+    node.logged_times(" taken back ", 6);
+    // Of the one that had left in part the rest does not come either.
+    let mut after = Vec::new();
+    while let Some((_, command)) = one.next_within(LONG_GONE) {
+        after.push(command[1].clone());
+    }
+    assert!(after.is_empty(), "{before:?}, then {after:?}");
+    only_what_is_asked_now_is_sent(&node, &mut one, "cleared");
+}
+
+#[test]
+fn what_waits_to_be_accepted_while_all_places_are_taken_is_not_sent_on_when_its_client_goes() {
+    for way in WAYS {
+        let (mut one, names) = (Played::new(), Directory::new(1));
+        let tight = one_host(&one.host(), &names, "load").replace("\"sockets\":256", "\"sockets\":40");
+        let node = Node::with(&tight);
+        // 40 descriptors leave 8 places; each has an open request.
+        let mut clients: Vec<Client> = (0..8).map(|_| node.client()).collect();
+        let mut open = Vec::new();
+        for (n, client) in (1..).zip(&mut clients) {
+            client.ask_as(1, &id(n), "post", "5000");
+            open.push((one.next_of("invoke").0, id(n)));
+        }
+        let mut waiting: Vec<Client> = (0..3).map(|_| node.client()).collect();
+        for (n, client) in (20..).zip(&mut waiting) {
+            client.ask_as(1, &id(n), "check", "5000");
+        }
+        let _gone: Vec<_> = waiting.into_iter().map(|client| goes(client, 1, way)).collect();
+        std::thread::sleep(LONG_GONE);
+        for (line, id) in &open {
+            one.answer(*line, id, "OK", "-", b"out");
+        }
+        for client in &mut clients {
+            assert_eq!(client.answer(), (1, 0));
+        }
+        drop(clients);
+        only_what_is_asked_now_is_sent(&node, &mut one, &format!("{way:?}"));
+    }
+}
+
 // Hosts.
 
 #[test]
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -6,9 +6,9 @@
 use std::fmt::Write as _;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -102,6 +102,7 @@
     pub at: SocketAddr,
     pub list: List,
     most: Arc<AtomicUsize>,
+    started: Arc<AtomicU64>,
 }
 
 impl Directory {
@@ -112,6 +113,8 @@
         let told = list.clone();
         let most = Arc::new(AtomicUsize::new(usize::MAX));
         let answers = most.clone();
+        let started = Arc::new(AtomicU64::new(0));
+        let began = started.clone();
         std::thread::spawn(move || {
             let mut bytes = [0; 512];
             let mut given: HashMap<SocketAddr, usize> = HashMap::new();
@@ -121,11 +124,12 @@
                 let times = given.entry(from).or_insert(0);
                 if !hosts.is_empty() && *times < answers.load(Ordering::SeqCst) {
                     *times += 1;
-                    socket.send_to(&answer(asked.metadata.id, serial, &hosts), from).unwrap();
+                    let bytes = answer(asked.metadata.id, serial, &hosts, began.load(Ordering::SeqCst));
+                    socket.send_to(&bytes, from).unwrap();
                 }
             }
         });
-        Self { at, list, most }
+        Self { at, list, most, started }
     }
 
     /// From now on each address that asks gets so many answers at most.
@@ -133,13 +137,18 @@
         self.most.store(most, Ordering::SeqCst);
     }
 
+    /// From now on all hosts are told to have started at that Unix millisecond.
+    pub fn started(&self, unix_ms: u64) {
+        self.started.store(unix_ms, Ordering::SeqCst);
+    }
+
     pub fn tell(&self, serial: u32, hosts: &[(&str, SocketAddr, u16)]) {
         let hosts = hosts.iter().map(|(id, at, priority)| ((*id).to_owned(), *at, *priority));
         *self.list.lock().unwrap() = (serial, hosts.collect());
     }
 }
 
-pub fn answer(id: u16, serial: u32, hosts: &[(String, SocketAddr, u16)]) -> Vec<u8> {
+pub fn answer(id: u16, serial: u32, hosts: &[(String, SocketAddr, u16)], started: u64) -> Vec<u8> {
     let name = |text: &str| Name::from_ascii(text).unwrap();
     let service = name("_data._tcp.farm.lan.");
     let mut message = Message::new(id, MessageType::Response, OpCode::Query);
@@ -150,7 +159,7 @@
         let srv = SRV::new(*priority, 40, at.port(), target.clone());
         message.add_answer(Record::from_rdata(service.clone(), 1, RData::SRV(srv)));
         message.add_additional(Record::from_rdata(target.clone(), 1, RData::A(A(*at.ip()))));
-        let text = TXT::new(vec!["kind=std".into(), "cell=1".into(), "started=0".into()]);
+        let text = TXT::new(vec!["kind=std".into(), "cell=1".into(), format!("started={started}")]);
         message.add_additional(Record::from_rdata(target, 1, RData::TXT(text)));
     }
     let soa = SOA::new(name("ns.farm.lan."), name("op.farm.lan."), serial, 1, 1, 1, 1);
@@ -203,6 +212,31 @@
     )
 }
 
+/// The log of a process, which may be left unread.
+pub struct LogPipe {
+    is_read: Arc<AtomicBool>,
+}
+
+impl LogPipe {
+    pub fn read(&self, is_read: bool) {
+        self.is_read.store(is_read, Ordering::SeqCst);
+    }
+}
+
+fn copy_while(mut log: impl Read, mut file: std::fs::File, wanted: &AtomicBool) {
+    let mut part = [0; 4096];
+    loop {
+        if !wanted.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(1));
+            continue;
+        }
+        match log.read(&mut part) {
+            Ok(0) | Err(_) => return,
+            Ok(count) => file.write_all(&part[..count]).unwrap(),
+        }
+    }
+}
+
 impl Node {
     pub fn new(hosts: &[(&str, &Host)], names: &Directory, absent: &'static str) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_cresswheel"));
@@ -229,11 +263,37 @@
         Self::of(command, config)
     }
 
-    fn of(mut command: Command, config: &str) -> Self {
+    /// One that the system lets open so many descriptors, whatever its configuration says.
+    pub fn with_descriptors(config: &str, most: usize) -> Self {
+        let mut shell = Command::new("/bin/sh");
+        let run = format!("ulimit -n {most}; exec {} --log debug platform", env!("CARGO_BIN_EXE_cresswheel"));
+        shell.args(["-c", &run]);
+        Self::of(shell, config).listens()
+    }
+
+    /// One whose log goes through a pipe that is read only while the test wants it to be: once the pipe is full, the
+    /// process stands where it is, in the middle of its turn.
+    pub fn piped(config: &str) -> (Self, LogPipe) {
+        let (reader, writer) = std::io::pipe().unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cresswheel"));
+        command.args(["--log", "debug", "platform"]);
+        let node = Self::logging_to(command, config, |_| writer.into());
+        let is_read = Arc::new(AtomicBool::new(true));
+        let (log, wanted) = (node.log(), is_read.clone());
+        let file = std::fs::File::create(log).unwrap();
+        std::thread::spawn(move || copy_while(reader, file, &wanted));
+        (node.listens(), LogPipe { is_read })
+    }
+
+    fn of(command: Command, config: &str) -> Self {
+        Self::logging_to(command, config, |log| std::fs::File::create(log).unwrap().into())
+    }
+
+    fn logging_to(mut command: Command, config: &str, log: impl FnOnce(&Path) -> Stdio) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let file = folder.path().join("config.json");
         std::fs::write(&file, config).unwrap();
-        let log = std::fs::File::create(folder.path().join("log")).unwrap();
+        let log = log(&folder.path().join("log"));
         let child = command.env("NODE_CONFIG", &file).stdin(Stdio::null()).stderr(log).spawn().unwrap();
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
         Self { child, at: nowhere, folder, hosts: Vec::new(), absent: "" }
@@ -431,6 +491,36 @@
         Self { listener, at, lines: Vec::new(), deaf: false }
     }
 
+    /// One whose connections hold a few kilobytes of what it did not read.
+    pub fn slow() -> Self {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(4 << 10).unwrap();
+        socket.set_tcp_mss(536).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(128).unwrap();
+        Self::of(socket.into())
+    }
+
+    /// Connections that came, those that ended included.
+    pub fn connections(&self) -> usize {
+        self.lines.len()
+    }
+
+    /// Reads a connection to its end; gives the ids of the whole requests on it, and how many bytes followed the last.
+    pub fn read_to_the_end(&mut self, line: usize) -> (Vec<String>, usize) {
+        let (mut socket, mut held) = self.lines[line].take().expect("a connection that was not ended");
+        socket.set_nonblocking(false).unwrap();
+        socket.set_read_timeout(Some(PATIENCE)).unwrap();
+        socket.read_to_end(&mut held).expect("its end");
+        let mut ids = Vec::new();
+        while let Some(command) = take_command(&mut held).expect("commands") {
+            if command[0] == b"invoke" {
+                ids.push(String::from_utf8_lossy(&command[1]).into_owned());
+            }
+        }
+        (ids, held.len())
+    }
+
     pub fn host(&self) -> Host {
         Host { at: self.at, seen: Arc::default() }
     }
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -11,20 +11,32 @@
 use cresswheel_engine::{Attempt, AttemptEnd, Input, OrderEnd};
 use cresswheel_platform_wire::host::{self, HostAnswer, HostDecoder, Invoke, Word};
 use cresswheel_protocol::{Ending, Listed, Standing};
-use cresswheel_transport::{Connection, ENDED, Hub};
+use cresswheel_transport::{Connection, ENDED, Hub, Sent};
 use foldhash::{HashMap, HashMapExt};
 
 /// What an id or tag on a connection stands for.
 #[derive(Clone, Copy, Debug)]
 enum Name {
-    /// When it was sent, and how long its connection is barred to others under its id once it is over.
-    Attempt(u64, Micros, Micros),
+    Attempt(Sending),
     Order(u64),
     Probe,
     /// It was answered or given up; nobody waits for it, but an answer may be on its way until then.
     Over(Micros),
 }
 
+/// An attempt on its connection.
+#[derive(Clone, Copy, Debug)]
+struct Sending {
+    number: u64,
+    sent: Micros,
+    /// How long its connection is barred to others under its id once it is over.
+    late: Micros,
+    is_repeatable: bool,
+}
+
+/// Why a connection was closed under an attempt of which the host has a part and gets no more.
+const CUT_SHORT: &str = "cut short";
+
 /// One connection.
 struct Line {
     decoder: HostDecoder,
@@ -173,7 +185,8 @@
         let call = &attempt.call;
         let patience = (attempt.timeout.min(attempt.time_left) / 1_000).max(1);
         let late = if attempt.is_repeatable { self.late.others } else { self.late.unsafe_calls };
-        let name = Name::Attempt(attempt.number, hub.clock().now(), late);
+        let (number, is_repeatable) = (attempt.number, attempt.is_repeatable);
+        let name = Name::Attempt(Sending { number, sent: hub.clock().now(), late, is_repeatable });
         let cargo = Cargo::Attempt(attempt.number);
         let frame = |out: &mut Vec<u8>| {
             let (id, class, function, once) = (&call.trace, &call.class, &call.function, &call.key);
@@ -226,13 +239,40 @@
         }
     }
 
-    /// Takes an attempt back if no byte of it has left; true: that was so.
+    /// Takes an attempt back if its host does not have all of it; true: that was so, and it never gets it.
     pub fn withdraw(&mut self, hub: &mut Hub, attempt: u64) -> bool {
-        let taken = self.carriers.withdraw(hub, attempt);
-        if taken {
+        if self.carriers.withdraw(hub, attempt) {
             self.forget(attempt);
+            return true;
         }
-        taken
+        self.cut_short(hub, attempt)
+    }
+
+    /// A part of the attempt has left, and the rest would follow whenever the host reads on: closes the connection,
+    /// unless that would break an attempt that its host has and that must not run twice.
+    fn cut_short(&mut self, hub: &mut Hub, attempt: u64) -> bool {
+        let Some((connection, _)) = self.out.get(&attempt) else { return false };
+        let connection = *connection;
+        if hub.sent(connection, attempt) != Sent::Part {
+            return false;
+        }
+        let names = self.lines.get(&connection).into_iter().flat_map(|line| line.names.values());
+        let must_stay = names.into_iter().any(|name| match name {
+            Name::Attempt(other) => {
+                !other.is_repeatable
+                    && other.number != attempt
+                    && hub.sent(connection, other.number) == Sent::Whole
+            }
+            _ => false,
+        });
+        if must_stay {
+            self.carriers.leaving(connection);
+            return false;
+        }
+        self.carriers.done(hub, attempt);
+        self.forget(attempt);
+        hub.close(connection, CUT_SHORT);
+        true
     }
 
     /// Takes back all for a host of which no byte has left, and tells how it ended.
@@ -246,7 +286,7 @@
         ended
     }
 
-    /// No byte of this attempt left, so no answer to it can come.
+    /// Its host does not have this attempt, so no answer to it can come.
     fn forget(&mut self, attempt: u64) {
         if let Some((connection, id)) = self.out.remove(&attempt) {
             self.lines.get_mut(&connection).into_iter().for_each(|line| _ = line.names.remove(&id));
@@ -262,9 +302,9 @@
         tracing::debug!(connection, id, "abort");
         self.carriers.call_off(hub, attempt, |out| host::abort(out, &id));
         let Some(line) = self.lines.get_mut(&connection) else { return };
-        if let Some(Name::Attempt(_, sent, late)) = line.names.get(&id).copied() {
-            line.names.insert(id, Name::Over(hub.clock().now() + late));
-            if line.heard <= sent {
+        if let Some(Name::Attempt(sending)) = line.names.get(&id).copied() {
+            line.names.insert(id, Name::Over(hub.clock().now() + sending.late));
+            if line.heard <= sending.sent {
                 // Nothing at all came since: the host may be gone without a word, and the connection with it.
                 self.carriers.leaving(connection);
             }
@@ -309,21 +349,25 @@
                     let up = self.carriers.worker(connection).filter(|_| answer.word == Word::Up);
                     ended.extend(up.map(Input::Probed));
                 }
-                Some(name @ (Name::Attempt(number, ..) | Name::Order(number))) => match told(name, answer) {
-                    Some((id, input)) => {
-                        match name {
-                            Name::Attempt(.., late) => line.names.insert(id, Name::Over(now + late)),
-                            _ => line.names.remove(&id),
-                        };
-                        self.carriers.done(hub, number);
-                        self.out.remove(&number);
-                        ended.push(input);
+                Some(name @ (Name::Attempt(Sending { number, .. }) | Name::Order(number))) => {
+                    match told(name, answer) {
+                        Some((id, input)) => {
+                            match name {
+                                Name::Attempt(sending) => {
+                                    line.names.insert(id, Name::Over(now + sending.late))
+                                }
+                                _ => line.names.remove(&id),
+                            };
+                            self.carriers.done(hub, number);
+                            self.out.remove(&number);
+                            ended.push(input);
+                        }
+                        None => {
+                            self.spoilt(hub, connection, "a word that is no answer to this");
+                            return ended;
+                        }
                     }
-                    None => {
-                        self.spoilt(hub, connection, "a word that is no answer to this");
-                        return ended;
-                    }
-                },
+                }
             }
         }
     }
@@ -350,8 +394,9 @@
         let sibling = self.carriers.has_sibling(connection);
         let never_stood = never_stood && !opened.is_some_and(|opened| self.was_heard(connection, opened));
         let mut ended = self.carriers.closed(connection, never_stood, unsent);
-        let in_order =
-            sibling || why == ENDED && !ended.iter().any(|input| matches!(input, Input::AttemptEnded(..)));
+        let in_order = sibling
+            || why == CUT_SHORT
+            || why == ENDED && !ended.iter().any(|input| matches!(input, Input::AttemptEnded(..)));
         for input in &mut ended {
             match input {
                 Input::AttemptEnded(number, ..) => _ = self.out.remove(number),
@@ -386,7 +431,7 @@
 /// A host's word in the engine's terms, and the id that it was under; `None`: it is no answer to this.
 fn told(name: Name, answer: HostAnswer) -> Option<(String, Input)> {
     let input = match name {
-        Name::Attempt(number, ..) => {
+        Name::Attempt(Sending { number, .. }) => {
             let ending = match answer.word {
                 Word::Ok => Ending::Ok,
                 Word::Miss if answer.load_failed => Ending::LoadFailed,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod lateness;
 mod settings;
 mod shell;
+mod waiting;
 
 pub use settings::PlatformSettings;
 pub use shell::Platform;
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -19,6 +19,7 @@
 use crate::front::{Ask, Front};
 use crate::hosts::Hosts;
 use crate::lateness::Lateness;
+use crate::waiting::Waiting;
 
 /// Reads the configuration again, for HUP.
 pub type Reload = Box<dyn FnMut() -> Result<Config, String>>;
@@ -33,6 +34,12 @@
 /// Meanwhile it is looked that often what has left.
 const FLUSH_LOOK: Micros = 5_000;
 
+/// A client that has gone is owed no further attempt 0.1 s later: what is begun leaves within half of that after the
+/// last look at the clients.
+const LONG_TURN: Micros = 50_000;
+/// However much they say, so many looks are taken before the work goes on.
+const HEAR_AT_MOST: u32 = 64;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Life {
     Running,
@@ -57,6 +64,8 @@
     look: Micros,
     tell: Micros,
     lateness: Lateness,
+    /// Requests that were read while only those who leave were listened for.
+    waiting: Waiting,
     inputs: VecDeque<Input>,
     outputs: Vec<Output>,
     life: Life,
@@ -92,6 +101,7 @@
             look: now + settings.look,
             tell: now + TELL,
             lateness: Lateness::default(),
+            waiting: Waiting::default(),
             inputs: VecDeque::new(),
             outputs: Vec::new(),
             life: Life::Running,
@@ -123,10 +133,18 @@
                 return Ok(());
             }
             self.directory.tick(&mut self.hub, now);
-            self.hub.wait(Some(self.next_due(now)))?;
+            let due = if self.waiting.is_empty() { self.next_due(now) } else { now };
+            self.hub.wait(Some(due))?;
+            while let Some(ask) = self.waiting.take() {
+                self.asked(ask);
+            }
             while let Some(notice) = self.hub.take_notice() {
                 self.notice(notice);
+                while let Some(ask) = self.front.take_ask() {
+                    self.asked(ask);
+                }
             }
+            self.hear_who_leaves()?;
             let now = self.hub.clock().now();
             if let Some(due) = self.engine.wake_at().filter(|at| *at <= now) {
                 self.lateness.saw(now, due);
@@ -147,6 +165,27 @@
         }
     }
 
+    /// What was begun in this turn leaves with the next one. A client that has gone by then must be known of, so after
+    /// a long turn, or with more to read than one turn reads, the clients are listened to once more: who leaves or
+    /// takes back is heard at once, and new requests wait.
+    fn hear_who_leaves(&mut self) -> io::Result<()> {
+        for _ in 0..HEAR_AT_MOST {
+            if !self.hub.is_behind(LONG_TURN) || self.waiting.is_full() {
+                break;
+            }
+            self.hub.hear_guests()?;
+            while let Some(notice) = self.hub.take_notice() {
+                self.notice(notice);
+                while let Some(ask) = self.front.take_ask() {
+                    if let Some(ask) = self.waiting.hear(ask) {
+                        self.asked(ask);
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// What the way to the end asks for now; true: it is reached.
     fn live(&mut self, now: Micros) -> bool {
         match self.life {
@@ -161,7 +200,9 @@
                 self.give(Input::Stop);
                 self.life = Life::Flushing(since + self.settings.stop_within + LEAVE_WITHIN);
             }
-            Life::Flushing(until) if until <= now || self.front.finish_all(&mut self.hub) => {
+            Life::Flushing(until)
+                if until <= now || self.waiting.is_empty() && self.front.finish_all(&mut self.hub) =>
+            {
                 self.tell_counts();
                 tracing::info!("stopped");
                 return true;
@@ -189,12 +230,7 @@
 
     fn notice(&mut self, notice: Notice) {
         let is_ready = self.is_ready();
-        let Some(notice) = self.front.notice(&mut self.hub, is_ready, notice) else {
-            while let Some(ask) = self.front.take_ask() {
-                self.asked(ask);
-            }
-            return;
-        };
+        let Some(notice) = self.front.notice(&mut self.hub, is_ready, notice) else { return };
         match notice {
             Notice::Connected(connection) => self.hosts.stands(&self.hub, connection),
             Notice::Bytes(connection, bytes) if self.hosts.is_ours(connection) => {
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -15,8 +15,8 @@
 use socket2::Socket;
 
 use crate::Clock;
-use crate::out::Out;
-use crate::watch::{Ready, Seen, Watch};
+use crate::out::{Out, Sent};
+use crate::watch::{AT_ONCE, Ready, Seen, Watch};
 
 /// Names a connection: its slot (20 bits) and how often one was opened before it (28 bits), so that it is not used
 /// again before 268 million others. The upper 16 bits are 0, for programs that bring several hubs together.
@@ -180,6 +180,13 @@
         })
     }
 
+    /// Whether something is to be written that waits for another kind of turn.
+    fn is_left_to(&self, write: Writing) -> bool {
+        let ends = self.close_when_flushed && !self.lingering;
+        let writes = self.writable && !self.connecting && (self.unsent() > 0 || ends);
+        write == Writing::Guests && !self.accepted && writes
+    }
+
     fn unsent(&self) -> usize {
         self.work.as_ref().map_or(0, |work| work.out.len())
     }
@@ -189,6 +196,14 @@
     }
 }
 
+/// Whose waiting bytes are written in a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Writing {
+    All,
+    /// Only those of connections that came to a listener.
+    Guests,
+}
+
 struct Listener {
     socket: Socket,
     wire: Wire,
@@ -200,6 +215,8 @@
 
 /// Bytes read from one connection before the next has its turn.
 const READ_AT_ONCE: usize = 64 << 10;
+/// One that gives so many may go on at once: its sender's window was full, and opens with the read.
+const READ_LONG: usize = READ_AT_ONCE / 2;
 /// Datagrams read before others have their turn.
 const DATAGRAMS_AT_ONCE: usize = 16;
 /// Connections accepted before others have their turn.
@@ -247,6 +264,9 @@
     accept_again: Option<Micros>,
     /// Connections with something to read or write in the next turn.
     turn: Vec<Connection>,
+    /// When guests were looked at last, and whether there may have been more of them with something to read.
+    heard: Micros,
+    heard_in_part: bool,
     /// When connections must stand, or stop lingering.
     due: BTreeSet<(Micros, Connection)>,
     notices: VecDeque<(Micros, Notice)>,
@@ -296,6 +316,8 @@
             looped: 0,
             accept_again: None,
             turn: Vec::new(),
+            heard: now,
+            heard_in_part: false,
             due: BTreeSet::new(),
             notices: VecDeque::new(),
             came: now,
@@ -656,6 +678,12 @@
         self.get(id).and_then(|conn| conn.work.as_mut()).is_some_and(|work| work.out.withdraw(mark))
     }
 
+    /// How much of a marked frame has left.
+    pub fn sent(&self, id: Connection, mark: u64) -> Sent {
+        let work = self.see(id).and_then(|conn| conn.work.as_ref());
+        work.map_or(Sent::Whole, |work| work.out.sent(mark))
+    }
+
     /// Stops or resumes reading a connection: its sender then has to wait.
     pub fn pause(&mut self, id: Connection, paused: bool) {
         let now = self.clock.now();
@@ -715,8 +743,11 @@
     }
 
     /// Writes what can be written, then waits for news, until `until` at the latest.
+    ///
+    /// What became possible meanwhile on the program's own connections is written by the next call: before that, the
+    /// program hears what its guests said, and may take back what has not left.
     pub fn wait(&mut self, until: Option<Micros>) -> io::Result<()> {
-        self.turns();
+        self.turns(Writing::All);
         // What is ready before there is any sleep became so since the last look; what ends the sleep came then.
         let mut found = self.look()?;
         let now = self.clock.now();
@@ -754,28 +785,62 @@
         }
         self.seen = seen;
         let now = self.clock.now();
-        while let Some((_, id)) = self.due.first().filter(|(at, _)| *at <= now).copied() {
-            let lingered = self.get(id).is_some_and(|conn| conn.lingering);
-            self.close(id, if lingered { FINISHED } else { "no connection in time" });
-        }
         if self.accept_again.is_some_and(|at| at <= now) {
             self.starve(None);
         }
         if self.accept_again.is_none() && !self.held {
             (0..self.listeners.len()).for_each(|number| self.accept(number));
         }
-        self.turns();
+        self.turns(Writing::Guests);
+        // Only now: a connection that stands by its time is not given up for a look that comes late.
+        while let Some((_, id)) = self.due.first().filter(|(at, _)| *at <= now).copied() {
+            let lingered = self.get(id).is_some_and(|conn| conn.lingering);
+            self.close(id, if lingered { FINISHED } else { "no connection in time" });
+        }
+        Ok(())
+    }
+
+    /// Whether guests may have said something that was not read: the last look at them was longer ago than `span`, or
+    /// found more than it could read, or so much that more may come with the reading.
+    pub fn is_behind(&self, span: Micros) -> bool {
+        let reads = |id: &Connection| self.see(*id).is_some_and(|conn| conn.accepted && conn.reads());
+        let late = self.heard.saturating_add(span) < self.clock.now();
+        !self.held && (late || self.heard_in_part || self.turn.iter().any(reads))
+    }
+
+    /// Reads what guests have said by now, and does nothing else: nothing is written or accepted, and nobody waits.
+    pub fn hear_guests(&mut self) -> io::Result<()> {
+        if self.held {
+            return Ok(());
+        }
+        let mut seen = std::mem::take(&mut self.seen);
+        self.look_at_guests(self.clock.now(), &mut seen)?;
+        seen.drain(..).for_each(|(since, what)| self.ready(since, what));
+        self.seen = seen;
+        // They keep their turn: what is to be written to them is written then.
+        let is_guest = |id: &Connection| self.see(*id).is_some_and(|conn| conn.accepted);
+        let guests: Vec<Connection> = self.turn.iter().copied().filter(is_guest).collect();
+        guests.into_iter().for_each(|id| self.read_in(id));
         Ok(())
     }
 
+    fn look_at_guests(&mut self, now: Micros, seen: &mut Vec<(Micros, Seen)>) -> io::Result<usize> {
+        if self.held {
+            return Ok(0);
+        }
+        let found = self.guests.look(now, seen)?;
+        (self.heard, self.heard_in_part) = (now, found == AT_ONCE);
+        Ok(found)
+    }
+
     /// Looks at the sockets without waiting, the program's own first.
     fn look(&mut self) -> io::Result<usize> {
         let now = self.clock.now();
-        let mut found = self.own.look(now, &mut self.seen)?;
-        if !self.held {
-            found += self.guests.look(now, &mut self.seen)?;
-        }
-        Ok(found)
+        let mut seen = std::mem::take(&mut self.seen);
+        let own = self.own.look(now, &mut seen);
+        let guests = self.look_at_guests(now, &mut seen);
+        self.seen = seen;
+        Ok(own? + guests?)
     }
 
     fn ready(&mut self, since: Micros, what: Seen) {
@@ -864,12 +929,15 @@
     }
 
     /// Reads and writes where there is something to read or write.
-    fn turns(&mut self) {
+    fn turns(&mut self, write: Writing) {
         for id in std::mem::take(&mut self.turn) {
             let Some(conn) = self.get(id) else { continue };
             conn.queued = false;
-            self.write_out(id);
+            self.write_out(id, write);
             self.read_in(id);
+            if self.see(id).is_some_and(|conn| conn.is_left_to(write)) {
+                self.queue(id);
+            }
             self.settle(id);
         }
     }
@@ -893,7 +961,7 @@
         }
     }
 
-    fn write_out(&mut self, id: Connection) {
+    fn write_out(&mut self, id: Connection, write: Writing) {
         let (now, limits) = (self.clock.now(), self.limits);
         loop {
             let Some(conn) = self.get(id) else { return };
@@ -919,6 +987,9 @@
                 }
                 return;
             }
+            if conn.is_left_to(write) {
+                return;
+            }
             if conn.unsent() == 0 {
                 if conn.close_when_flushed && !conn.lingering {
                     // If the other side has left meanwhile, the next read says so.
@@ -953,7 +1024,7 @@
             self.scratch = scratch;
             return;
         };
-        let (mut over, mut came) = (None, false);
+        let (mut over, mut came, mut long) = (None, false, false);
         // That the other side left is to be known before anything is done about what it sent before.
         let mut reads = if conn.ended { LAST_READS } else { 1 };
         while conn.reads() && reads > 0 {
@@ -964,6 +1035,7 @@
                 Ok(_) if conn.lingering => {}
                 Ok(count) => {
                     came = true;
+                    long |= conn.accepted && count >= READ_LONG;
                     conn.readable = count == scratch.len();
                     conn.drained = !conn.readable;
                     match &mut conn.work(&limits).decode {
@@ -983,6 +1055,7 @@
             break;
         }
         self.scratch = scratch;
+        self.heard_in_part |= long;
         self.decode(id);
         if let Some(why) = over {
             return self.close(id, &why);
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -19,3 +19,4 @@
 
 pub use clock::Clock;
 pub use hub::{Connection, ENDED, Hub, HubLimits, Notice, Wire, listener, slot};
+pub use out::Sent;
--- a/crates/transport/src/out.rs
+++ b/crates/transport/src/out.rs
@@ -2,6 +2,17 @@
 
 use std::collections::VecDeque;
 
+/// How much of a frame the kernel has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sent {
+    /// No byte: it can be taken back.
+    Nothing,
+    /// Some bytes, not all: the other side has no whole frame, and gets none if the connection is closed now.
+    Part,
+    /// All of it, or the connection never had such a frame.
+    Whole,
+}
+
 #[derive(Debug, Default)]
 pub struct Out {
     buffer: Vec<u8>,
@@ -69,6 +80,16 @@
         true
     }
 
+    /// How much of a marked frame has left.
+    pub fn sent(&self, mark: u64) -> Sent {
+        let at = self.base + self.sent as u64;
+        match self.marks.iter().find(|(.., m)| *m == mark) {
+            Some((start, ..)) if *start >= at => Sent::Nothing,
+            Some(_) => Sent::Part,
+            None => Sent::Whole,
+        }
+    }
+
     /// Marks of the frames of which no byte has left.
     pub fn unsent(&self) -> Vec<u64> {
         let at = self.base + self.sent as u64;
@@ -78,7 +99,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::Out;
+    use super::{Out, Sent};
 
     #[test]
     fn frames_are_unsent_until_their_first_byte_leaves() {
@@ -91,6 +112,7 @@
         assert_eq!(out.unsent(), [2, 3, 4], "whole frames that left are not unsent");
         out.took(1);
         assert_eq!(out.unsent(), [3, 4], "one byte is enough");
+        assert_eq!([1, 2, 3].map(|mark| out.sent(mark)), [Sent::Whole, Sent::Part, Sent::Nothing]);
         assert!(!out.withdraw(2) && !out.withdraw(1) && out.withdraw(3));
         assert_eq!(out.rest(), [[2u8; 9].as_slice(), [4u8; 10].as_slice()].concat());
         out.took(9);
--- a/crates/transport/src/watch.rs
+++ b/crates/transport/src/watch.rs
@@ -13,7 +13,7 @@
 use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
 
 /// Most sockets looked at in one turn on each side, so that a turn stays short.
-const AT_ONCE: usize = 256;
+pub const AT_ONCE: usize = 256;
 /// How long the machine may take to wake this process once a socket is ready, as far as the loop can tell.
 pub const WAKING: Micros = 1_000;
 /// Keys with this bit are listeners, those with the next one sockets for datagrams.
--- a/crates/transport/tests/hub.rs
+++ b/crates/transport/tests/hub.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cresswheel_protocol::{Limits, Message, encode};
-use cresswheel_transport::{Hub, HubLimits, Notice, Wire};
+use cresswheel_transport::{Hub, HubLimits, Notice, Sent, Wire};
 
 /// The next notice, within ten seconds.
 fn next(hub: &mut Hub) -> Notice {
@@ -57,6 +57,41 @@
     }
 }
 
+#[test]
+fn a_connection_that_stood_in_time_is_not_given_up_when_it_is_looked_at_late() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut hub = Hub::new(HubLimits::default()).unwrap();
+    let connection = hub.connect(listener.local_addr().unwrap(), Wire::Frames, 50_000);
+    let _peer = listener.accept().unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    assert!(matches!(next(&mut hub), Notice::Connected(c) if c == connection));
+}
+
+#[test]
+fn what_was_begun_leaves_only_after_the_guests_were_heard() {
+    let mut hub = Hub::new(HubLimits::default()).unwrap();
+    let worker = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (_, address) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Frames).unwrap();
+    let own = hub.connect(worker.local_addr().unwrap(), Wire::Frames, 1_000_000);
+    let mut guest = TcpStream::connect(address).unwrap();
+    let Notice::Opened(id, _) = next(&mut hub) else { panic!("a guest") };
+    let mut bytes = Vec::new();
+    encode(&probe(1), &mut bytes);
+    guest.write_all(&bytes).unwrap();
+    // It asks, something is begun for it, and the connection to the worker stands; all in one turn.
+    while !matches!(next(&mut hub), Notice::Message(..)) {}
+    assert!(hub.send(own, &probe(2), Some(2)));
+    assert!(!hub.is_behind(10_000_000), "all was read just now");
+    std::thread::sleep(Duration::from_millis(60));
+    drop(guest);
+    assert!(hub.is_behind(50_000), "the last look was long ago");
+    hub.hear_guests().unwrap();
+    assert!(matches!(hub.take_notice(), Some(Notice::Closed { connection, .. }) if connection == id));
+    assert!(!hub.is_behind(50_000));
+    assert_eq!(hub.sent(own, 2), Sent::Nothing);
+    assert!(hub.withdraw(own, 2), "listening writes nothing");
+}
+
 #[test]
 fn frames_that_left_are_not_given_back() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
