Shares of the descriptors that the system allows, where those are fewer

Need: idle clients may fill the descriptors while discovery is down; a gateway still reaches its directory and its hosts, and serves clients that ask. Observed by a test that starts it with RLIMIT_NOFILE at 64 and `limits.sockets` at 256: 300 clients that say 'ready?' and no more took all descriptors, so that no host could be reached and nobody was answered. Cause: the shares of clients and hosts were cut from the configuration's figure alone (`share`). They are now cut from the lower of the two. At 256 by both the test passes before as after.

Found beside it, and left open (docs/CROSSINGS.md, 'Descriptors'): while clients connect faster than places come free, the queue of connections is never seen empty, and a request is reckoned to have waited since it was; one with less time than that is refused as 'no-time'. The test's own requests have 20 s for that reason.

--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -9,6 +9,7 @@
 use cresswheel_engine::{AdmissionLimits, EngineSettings, ResultLimits};
 use cresswheel_platform_wire::config::{Config, ConfigError};
 use cresswheel_transport::{HubLimits, Wire};
+use rustix::process::{Resource, getrlimit};
 
 use crate::hosts::Late;
 
@@ -79,7 +80,7 @@
         module.connect_timeout = unless_stated(module.connect_timeout, aim);
         module.order_timeout = unless_stated(module.order_timeout, give_up);
         let memory = (config.limits.memory_mb as usize) << 20;
-        let (clients, host_connections) = share(config.limits.sockets);
+        let (clients, host_connections) = share(config.limits.sockets.min(descriptors_allowed()));
         let open_calls = pairs.or("limits.max_open", usize::MAX)?.min(memory / 4 / REQUEST_BYTES).max(64);
         let idle_close: Micros = pairs.or("limits.idle_close", IDLE_UNLESS_STATED)?;
         let answer_margin = (2 * module.tick).max(10 * MS);
@@ -145,6 +146,13 @@
     }
 }
 
+/// Descriptors that the system lets this process open, whatever the configuration says: clients that filled them all
+/// would leave none for hosts and the directory.
+fn descriptors_allowed() -> usize {
+    let limit = getrlimit(Resource::Nofile).current;
+    limit.map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX))
+}
+
 /// Descriptors of clients and of hosts. Usual clients hold a third of all at most; more places keep theirs free when
 /// others come by the hundred.
 fn share(descriptors: usize) -> (usize, usize) {
