--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -2,7 +2,8 @@
 //! [`Budget`].
 //!
 //! - [`Door`] says for each connection whether it may stay: room, shares of addresses and tenants, idle time, messages
-//!   that stay half sent, clients that do not read, pings, leave-taking. An idle connection costs it 32 bytes.
+//!   that stay half sent, clients that do not read, pings, leave-taking. An idle connection costs it 32 bytes, and 16
+//!   more from the first half message in its slot on.
 //! - [`Intake`] holds the calls that came faster than they can be started: who goes first, who is refused, with
 //!   a return time of its own.
 //! - [`Spans`] is the one timer structure behind the door; [`Pace`] the one measure of 'so many a second'.
