The test of a host that restarts lets its start fall into a later millisecond

The stand-in told a start of the very millisecond in which the connection was opened, and starts are told in milliseconds: the connection was not older. The product is as it was.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -1005,6 +1005,8 @@
     client.ask_as(1, &id(1), "check", "5000");
     let (old, _) = one.next_of("invoke");
     // The process went without a word, and another one has its address: nothing but the list says so.
+    // Starts are told in milliseconds: this one is in a later one than the connection.
+    std::thread::sleep(Duration::from_millis(5));
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
     names.started(now.as_millis() as u64);
     names.tell(2, &[("s-1", one.at, 0)]);
