--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -9,6 +9,7 @@
 use cresswheel_engine::{AdmissionLimits, EngineSettings, ResultLimits};
 use cresswheel_platform_wire::config::{Config, ConfigError};
 use cresswheel_transport::{HubLimits, Wire};
+use rustix::process::{Resource, getrlimit};
 
 use crate::hosts::Late;
 
@@ -26,6 +27,12 @@
 /// An open request takes about so many bytes at most, its body and its answer included.
 const REQUEST_BYTES: usize = 48 << 10;
 
+/// A message that is not whole is given up when nothing of it came for so long.
+const HALF_SILENT: Micros = 5 * S / 4;
+/// While it goes on coming it may take as long as a client waits for its answer, within these.
+const HALF_AT_LEAST: Micros = 2 * HALF_SILENT;
+const HALF_AT_MOST: Micros = 10 * S;
+
 /// What the module and the engine keep of a function, about.
 const FUNCTION_BYTES: usize = 2 << 10;
 
@@ -73,7 +80,7 @@
         module.connect_timeout = unless_stated(module.connect_timeout, aim);
         module.order_timeout = unless_stated(module.order_timeout, give_up);
         let memory = (config.limits.memory_mb as usize) << 20;
-        let (clients, host_connections) = share(config.limits.sockets);
+        let (clients, host_connections) = share(config.limits.sockets.min(descriptors_allowed()));
         let open_calls = pairs.or("limits.max_open", usize::MAX)?.min(memory / 4 / REQUEST_BYTES).max(64);
         let idle_close: Micros = pairs.or("limits.idle_close", IDLE_UNLESS_STATED)?;
         let answer_margin = (2 * module.tick).max(10 * MS);
@@ -102,7 +109,9 @@
                 evict_after: 200 * MS,
                 unasked: 5 * S / 4,
                 idle: 30 * S,
-                half: 5 * S / 4,
+                half: give_up.clamp(HALF_AT_LEAST, HALF_AT_MOST),
+                half_silent: HALF_SILENT,
+                half_connections: (clients / 4).max(1),
                 half_bytes: memory / 8,
                 stall: 2 * S,
                 pings_per_s: 0,
@@ -137,6 +146,13 @@
     }
 }
 
+/// Descriptors that the system lets this process open, whatever the configuration says: clients that filled them all
+/// would leave none for hosts and the directory.
+fn descriptors_allowed() -> usize {
+    let limit = getrlimit(Resource::Nofile).current;
+    limit.map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX))
+}
+
 /// Descriptors of clients and of hosts. Usual clients hold a third of all at most; more places keep theirs free when
 /// others come by the hundred.
 fn share(descriptors: usize) -> (usize, usize) {
