Probes for the capacity page: bytes, processor time and memory of control, by quantity

Need: the page on capacity wants each figure as fixed + slope x quantity, from runs that work from a fresh clone.

Change: a small crate, cresswheel-measure, holds what the probes share (thread clock, resident memory of a process of its own a run, least squares with the interval over runs, and 'NO LINE' where a residual is over 15%). Examples beside the crates that they measure: message_bytes, directory_bytes, conductor_cost, engine_state, cold_start (the engine and the module in simulated time), connection_cost, reload_cost, gateway_control (a real gateway process and a list service of the example's own). Loopback only, at most 8,000 connections, each under two minutes. No crate's code is changed.

Result: tests of the touched crates pass (measure, protocol, platform-wire, carriers, engine, versions); a planted line is found and a planted square is not taken for one.

What failed: the directory's answer can't be measured beyond 358 hosts, since a datagram ends there. The first form of cold_start lost a zone's instances only at the module's own homes, and the second lost all that this gateway had not used for the rest of the run; both were given up.

--- /dev/null
+++ b/crates/carriers/examples/connection_cost.rs
@@ -0,0 +1,147 @@
+//! What connections to workers cost a gateway: resident memory and the processor time of looking for idle ones, by
+//! their number; each stands, has carried one attempt and is idle.
+//!
+//! `cargo run --release -p cresswheel-carriers --example connection_cost`
+//!
+//! The workers are one process that accepts and holds. Memory is resident bytes of a process of its own for each run,
+//! the kernel's not counted. At most 8,000 connections a process, on loopback.
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+
+use cresswheel::WorkerId;
+use cresswheel_carriers::{Cargo, CarrierLimits, Carriers};
+use cresswheel_measure::{Series, resident_bytes, thread_time, value_of_child};
+use cresswheel_transport::{Hub, HubLimits, Notice, Wire};
+
+const CONNECTIONS: [usize; 5] = [200, 1_000, 2_000, 4_000, 8_000];
+const RUNS: usize = 3;
+const LOOKS: usize = 20;
+/// Connections that may be under way at once: fewer than wait in a listener's queue.
+const AT_ONCE: usize = 64;
+const HOUR: u64 = 3_600_000_000;
+const WORKERS: &str = "workers";
+
+/// Accepts and holds connections until its standard input ends with the process that started it.
+fn be_workers() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    println!("{}", listener.local_addr().expect("an address"));
+    std::thread::spawn(move || {
+        let _held: Vec<_> = listener.incoming().flatten().collect();
+    });
+    let _ = std::io::stdin().lines().count();
+}
+
+fn start_workers() -> (Child, SocketAddr) {
+    let exe = std::env::current_exe().expect("this program");
+    let mut command = Command::new(exe);
+    let mut child =
+        command.arg(WORKERS).stdin(Stdio::piped()).stdout(Stdio::piped()).spawn().expect("a process");
+    let mut line = String::new();
+    let out = child.stdout.take().expect("its output");
+    BufReader::new(out).read_line(&mut line).expect("a line");
+    let address = line.trim().parse().expect("an address");
+    (child, address)
+}
+
+/// A hub with so many connections, each to a worker of its own.
+struct Bed {
+    hub: Hub,
+    carriers: Carriers,
+    limits: CarrierLimits,
+}
+
+impl Bed {
+    fn new() -> Self {
+        let limits = CarrierLimits {
+            wire: Wire::Frames,
+            connections: 4,
+            streams: 100,
+            spread: 100,
+            connect_timeout: 10_000_000,
+            idle: HOUR,
+        };
+        Self { hub: Hub::new(HubLimits::default()).expect("a hub"), carriers: Carriers::default(), limits }
+    }
+
+    fn connect(&mut self, address: SocketAddr, connections: std::ops::Range<usize>) {
+        let mut waiting = 0;
+        for number in connections {
+            let worker = WorkerId::from(format!("worker-{number:05}").as_str());
+            let cargo = Cargo::Attempt(number as u64);
+            let frame = |out: &mut Vec<u8>| out.extend([0; 150]);
+            let to = (&worker, address);
+            let given = self.carriers.give(&mut self.hub, &self.limits, to, (cargo, frame), |_| true, |_| {});
+            given.expect("a connection");
+            waiting += 1;
+            while waiting >= AT_ONCE {
+                waiting -= self.stand();
+            }
+        }
+        while waiting > 0 {
+            waiting -= self.stand();
+        }
+        // What was written has left; attempts are over.
+        self.hub.wait(Some(self.hub.clock().now() + 50_000)).expect("a turn");
+        (0..self.carriers.connections()).for_each(|number| _ = self.carriers.done(&self.hub, number as u64));
+    }
+
+    /// Waits a turn; gives how many connections stand since.
+    fn stand(&mut self) -> usize {
+        self.hub.wait(Some(self.hub.clock().now() + 1_000_000)).expect("a turn");
+        let mut stood = 0;
+        while let Some(notice) = self.hub.take_notice() {
+            match notice {
+                Notice::Connected(connection) => {
+                    self.carriers.stands(connection);
+                    stood += 1;
+                }
+                Notice::Closed { why, .. } => panic!("a connection was lost: {why}"),
+                _ => {}
+            }
+        }
+        stood
+    }
+}
+
+/// Bytes for so many connections, and microseconds of a look for idle ones.
+fn measure(connections: usize) -> (f64, f64) {
+    let (mut child, address) = start_workers();
+    let mut bed = Bed::new();
+    bed.connect(address, 0..50);
+    let before = resident_bytes().expect("/proc");
+    bed.connect(address, 50..50 + connections);
+    let grown = resident_bytes().expect("/proc") - before;
+    let began = thread_time();
+    for _ in 0..LOOKS {
+        bed.carriers.close_idle(&mut bed.hub, HOUR);
+    }
+    let look = (thread_time() - began).as_secs_f64() * 1e6 / LOOKS as f64;
+    drop(child.stdin.take());
+    child.wait().expect("its end");
+    (grown, look)
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match &arguments[..] {
+        [word] if word == WORKERS => return be_workers(),
+        [what, connections] => {
+            let (bytes, look) = measure(connections.parse().expect("connections"));
+            return println!("{}", if what == "bytes" { bytes } else { look });
+        }
+        _ => {}
+    }
+    for (what, name, unit) in [
+        ("bytes", "memory of idle connections to workers", "resident bytes"),
+        ("look", "a look for idle connections", "us"),
+    ] {
+        let mut series = Series::new(name, unit, "connections");
+        for connections in CONNECTIONS {
+            let child = [what.to_owned(), connections.to_string()];
+            series.add(connections, (0..RUNS).map(|_| value_of_child(&child).expect("a child")).collect());
+        }
+        println!("{series}");
+    }
+}
--- /dev/null
+++ b/crates/measure/src/process.rs
@@ -0,0 +1,47 @@
+//! Processor time and memory, by the system's own count.
+
+use std::io;
+use std::process::Command;
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Processor time that this thread has used.
+pub fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+/// Processor time that all threads of a process have used.
+pub fn processor_time_of(process: u32) -> io::Result<Duration> {
+    let mut nanos = 0;
+    for thread in std::fs::read_dir(format!("/proc/{process}/task"))? {
+        let text = std::fs::read_to_string(thread?.path().join("schedstat"))?;
+        nanos += text.split_whitespace().next().and_then(|n| n.parse::<u64>().ok()).unwrap_or(0);
+    }
+    Ok(Duration::from_nanos(nanos))
+}
+
+/// Resident memory of this process, in bytes.
+pub fn resident_bytes() -> io::Result<f64> {
+    resident_bytes_of(std::process::id())
+}
+
+/// Resident memory of a process, in bytes.
+pub fn resident_bytes_of(process: u32) -> io::Result<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/status"))?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()).and_then(|n| n.parse::<f64>().ok());
+    kilobytes.map(|kilobytes| kilobytes * 1024.0).ok_or(io::ErrorKind::InvalidData.into())
+}
+
+/// Runs this program once more with these arguments and reads the number that it prints last. Memory is measured in a
+/// process of its own each time: what an allocator keeps from an earlier run would hide the next one's growth.
+pub fn value_of_child(arguments: &[String]) -> io::Result<f64> {
+    let output = Command::new(std::env::current_exe()?).args(arguments).output()?;
+    let text = String::from_utf8_lossy(&output.stdout);
+    let value = text.lines().last().and_then(|line| line.trim().parse().ok());
+    value.ok_or_else(|| {
+        io::Error::other(format!("{arguments:?}: {text}{}", String::from_utf8_lossy(&output.stderr)))
+    })
+}
--- /dev/null
+++ b/crates/measure/tests/line.rs
@@ -0,0 +1,41 @@
+//! A planted line is found, a planted square is not taken for one.
+
+use cresswheel_measure::{Line, Series, Spread};
+
+const QUANTITIES: [usize; 4] = [100, 1_000, 4_000, 18_000];
+
+fn series(value: impl Fn(f64) -> f64) -> Series {
+    let mut series = Series::new("planted", "us", "functions");
+    for quantity in QUANTITIES {
+        let value = value(quantity as f64);
+        series.add(quantity, vec![value * 0.99, value, value * 1.01]);
+    }
+    series
+}
+
+#[test]
+fn a_planted_line_is_found() {
+    let series = series(|x| 50.0 + 3.0 * x);
+    let line = series.line();
+    assert!((line.slope - 3.0).abs() < 1e-9 && (line.fixed - 50.0).abs() < 1e-6, "{line:?}");
+    let slopes = series.slopes();
+    assert!(slopes.least < 3.0 && slopes.greatest > 3.0, "{slopes:?}");
+    assert!(series.is_straight());
+    assert!((line.at(1_000.0) - 3_050.0).abs() < 1e-6);
+}
+
+#[test]
+fn a_planted_square_is_no_line() {
+    let series = series(|x| 0.01 * x * x);
+    assert!(!series.is_straight());
+    assert!(series.to_string().contains("NO LINE"));
+}
+
+#[test]
+fn few_values_are_no_panic() {
+    assert_eq!(Spread::of(&[]), Spread { least: 0.0, median: 0.0, greatest: 0.0 });
+    assert_eq!(Spread::of(&[3.0, 1.0]).median, 3.0);
+    assert_eq!(Line::through(&[(5.0, 2.0)]).at(9.0), 2.0);
+    assert_eq!(Line::through(&[]).slope, 0.0);
+    assert!(Series::new("nothing", "us", "functions").is_straight());
+}
--- /dev/null
+++ b/crates/settings/examples/reload_cost.rs
@@ -0,0 +1,67 @@
+//! What reading settings costs a gateway: bytes of the script, processor time and resident memory, by its sections.
+//!
+//! `cargo run --release -p cresswheel-settings --example reload_cost`
+//!
+//! A gateway reads them at its start and whole at each HUP, on the thread that serves calls, whatever has changed.
+//! Times are microseconds of the thread's processor time; memory is of a process of its own for each run.
+
+use std::fmt::Write;
+use std::hint::black_box;
+use std::path::Path;
+
+use cresswheel_measure::{Series, resident_bytes, thread_time, value_of_child};
+
+/// Sections of tenants. Beyond about 14,000 a script is longer than the 1 MiB that are read.
+const TENANTS: [usize; 6] = [1, 100, 1_000, 2_000, 5_000, 10_000];
+const RUNS: usize = 3;
+
+fn script(tenants: usize) -> String {
+    let mut text = String::from(
+        "gateway(name = \"gateway-001\", listen = \"127.0.0.1:7100\", list = [\"127.0.0.1:7300\"])\n\
+         call_class(name = \"check\", aim = ms(570), give_up = s(5), effect = \"safe\", worth = 1.0)\n",
+    );
+    for tenant in 0..tenants {
+        let _ = writeln!(text, "tenant(name = \"tenant-{tenant:05}\", quota_per_s = {}.5)", 1 + tenant % 90);
+    }
+    text
+}
+
+fn read(path: &Path) -> f64 {
+    let began = thread_time();
+    match cresswheel_settings::read(path) {
+        Ok(settings) => _ = black_box(settings),
+        Err(faults) => panic!("{faults}"),
+    }
+    (thread_time() - began).as_secs_f64() * 1e6
+}
+
+fn with_script<T>(tenants: usize, measure: impl FnOnce(&Path) -> T) -> T {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("gateway.star");
+    std::fs::write(&path, script(tenants)).expect("a file");
+    measure(&path)
+}
+
+fn memory(tenants: usize) -> f64 {
+    with_script(tenants, |path| {
+        let before = resident_bytes().expect("/proc");
+        read(path);
+        resident_bytes().expect("/proc") - before
+    })
+}
+
+fn main() {
+    if let Some(tenants) = std::env::args().nth(1) {
+        return println!("{}", memory(tenants.parse().expect("tenants")));
+    }
+    let mut length = Series::new("a gateway's script", "bytes", "tenants");
+    let mut time = Series::new("reading settings", "us", "tenants");
+    let mut held = Series::new("memory that grows with one reading", "resident bytes", "tenants");
+    for tenants in TENANTS {
+        length.add(tenants, vec![script(tenants).len() as f64]);
+        time.add(tenants, with_script(tenants, |path| (0..RUNS).map(|_| read(path)).collect()));
+        let child = [tenants.to_string()];
+        held.add(tenants, (0..RUNS).map(|_| value_of_child(&child).expect("a child")).collect());
+    }
+    println!("{length}\n{time}\n{held}");
+}
--- /dev/null
+++ b/crates/versions/examples/conductor_cost.rs
@@ -0,0 +1,171 @@
+//! What versions under way cost: bytes that a conductor and a gateway exchange, processor time of a conductor's turn
+//! by the gateways, and of a gateway's own look by the functions that have a plan.
+//!
+//! `cargo run --release -p cresswheel-versions --example conductor_cost`
+//!
+//! Bytes are of the JSON within a frame. Times are microseconds of this thread's processor time.
+
+use std::hint::black_box;
+
+use cresswheel_measure::{Series, resident_bytes, thread_time, value_of_child};
+use cresswheel_versions::{
+    Act, Callers, Conductor, End, Guard, Kind, LOOK_EVERY, Plan, Question, Record, Reply, Share, Side,
+    Status, Step, Stick, Versions,
+};
+
+const S: u64 = 1_000_000;
+const GATEWAYS: [usize; 5] = [10, 68, 340, 680, 1_360];
+const FUNCTIONS: [usize; 5] = [10, 100, 1_000, 4_000, 10_000];
+const RUNS: usize = 5;
+/// The word that has this program measure memory only, in a process of its own.
+const MEMORY: &str = "memory";
+
+fn step(ten_thousandths: u16) -> Step {
+    Step { share: Share::new(ten_thousandths).expect("a share"), hold: 600 * S }
+}
+
+/// A plan of four steps under a guard of one class, with digests.
+fn record(function: &str) -> Record {
+    let digest = |version: u64| format!("sha256:{version:064x}");
+    let plan = Plan {
+        function: function.into(),
+        old: "7".into(),
+        new: "8".into(),
+        old_digest: digest(7),
+        new_digest: digest(8),
+        stick: Stick::Account,
+        salt: [0x1234_5678_9abc_def0, 0x0fed_cba9_8765_4321],
+        steps: [100, 1_000, 5_000, 10_000].map(step).to_vec(),
+        guard: Guard {
+            classes: vec!["check".into()],
+            false_alarm: 0.01,
+            worse: 1.5,
+            least: 100,
+            settle: 0,
+            compare: None,
+        },
+        lease: 60 * S,
+        preload: 5 * S,
+        keep_old: 600 * S,
+    };
+    Record::start(plan, None, 0x1234_5678_9abc, S, "ann", "release of the week").expect("a record")
+}
+
+/// A gateway's status of the function after calls of both versions.
+fn status(name: &str, record: &Record, now: u64) -> Status {
+    let mut versions = Versions::new(name, 7, 680);
+    versions.act(now, record.clone());
+    let plan = &record.plan;
+    for number in 0..200 {
+        let side = if number % 2 == 0 { Side::Old } else { Side::New };
+        versions.answered(&plan.function, side, "check", End::InTime, false);
+        versions.ran(&plan.function, &plan.routed(side), plan.digest(side), false);
+    }
+    versions.status(now, Some(&plan.function)).pop().expect("a status")
+}
+
+fn json(value: &impl serde::Serialize) -> usize {
+    serde_json::to_vec(value).expect("JSON").len()
+}
+
+fn print_bytes() {
+    let record = record("function-01234");
+    let renewal = Question::Renew(record.plan.function.clone(), record.mark());
+    let reply = Reply::Status(vec![status("gateway-001", &record, S)]);
+    println!("bytes of JSON, a function and a gateway");
+    println!("  renewal   {:>5}", json(&renewal));
+    println!("  order     {:>5}", json(&Question::Order(Box::new(record))));
+    println!("  reply     {:>5}", json(&reply));
+}
+
+/// A turn of a conductor that hears all gateways, their replies read from JSON as they come.
+fn turn(gateways: usize) -> f64 {
+    let record = record("function-01234");
+    let reply = serde_json::to_vec(&status("gateway-001", &record, S)).expect("JSON");
+    let mut conductor = Conductor::new(record, gateways, S);
+    let mut now = S;
+    let mut turn = || {
+        now += S;
+        for gateway in 0..gateways {
+            let status = serde_json::from_slice(black_box(&reply)).expect("a status");
+            conductor.heard(gateway, now, Ok(Some(status)));
+        }
+        let acts = conductor.turn(now, 1);
+        assert!(acts.iter().all(|act| matches!(act, Act::Renew(_))), "nothing is ordered");
+    };
+    turn();
+    let began = thread_time();
+    (0..5).for_each(|_| turn());
+    (thread_time() - began).as_secs_f64() * 1e6 / 5.0
+}
+
+fn under_way(functions: usize) -> Versions {
+    let mut versions = Versions::new("gateway-001", 7, 680);
+    for number in 0..functions {
+        let record = record(&format!("function-{number:05}"));
+        assert_eq!(record.kind, Kind::Start);
+        versions.act(S, record);
+    }
+    versions
+}
+
+/// A gateway's look, once a second, at all functions under way, one call of each between looks.
+fn look(functions: usize) -> f64 {
+    let mut versions = under_way(functions);
+    let mut spent = 0.0;
+    for round in 1..=5 {
+        for number in 0..functions {
+            versions.answered(&format!("function-{number:05}"), Side::Old, "check", End::InTime, false);
+        }
+        let began = thread_time();
+        black_box(versions.look(S + round * LOOK_EVERY));
+        black_box(versions.expected(S + round * LOOK_EVERY));
+        spent += (thread_time() - began).as_secs_f64() * 1e6;
+    }
+    spent / 5.0
+}
+
+/// Choosing the version of a call, among so many functions.
+fn choose(functions: usize) -> f64 {
+    const CALLS: usize = 20_000;
+    let versions = under_way(functions);
+    let began = thread_time();
+    for number in 0..CALLS {
+        let function = format!("function-{:05}", number % functions);
+        let callers = Callers { account: "account-7", ..Callers::default() };
+        black_box(versions.choose(S, &function, &callers));
+    }
+    (thread_time() - began).as_secs_f64() * 1e6 / CALLS as f64
+}
+
+fn memory(functions: usize) -> f64 {
+    let before = resident_bytes().expect("/proc");
+    let versions = black_box(under_way(functions));
+    let grown = resident_bytes().expect("/proc") - before;
+    drop(versions);
+    grown
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    if let [what, functions] = &arguments[..]
+        && what == MEMORY
+    {
+        return println!("{}", memory(functions.parse().expect("functions")));
+    }
+    print_bytes();
+    let mut turns = Series::new("a conductor's turn of one function", "us", "gateways");
+    for gateways in GATEWAYS {
+        turns.add(gateways, (0..RUNS).map(|_| turn(gateways)).collect());
+    }
+    let mut looks = Series::new("a gateway's look at its plans", "us", "functions with a plan");
+    let mut choices = Series::new("choosing a call's version", "us", "functions with a plan");
+    let mut held = Series::new("memory of plans at a gateway", "bytes", "functions with a plan");
+    for functions in FUNCTIONS {
+        looks.add(functions, (0..RUNS).map(|_| look(functions)).collect());
+        choices.add(functions, (0..RUNS).map(|_| choose(functions)).collect());
+        let child = [MEMORY.to_owned(), functions.to_string()];
+        held.add(functions, (0..RUNS).map(|_| value_of_child(&child).expect("a child")).collect());
+    }
+    println!("\n{turns}\n{looks}\n{choices}\n{held}");
+}
