--- a/crates/versions/src/lib.rs
+++ b/crates/versions/src/lib.rs
@@ -18,7 +18,7 @@
 mod evidence;
 mod plan;
 mod record;
-mod seat;
+mod rollout;
 mod wire;
 
 /// Spans and instants in microseconds.
@@ -30,5 +30,5 @@
 pub use evidence::{ALTERNATIVES, Comparison, Judge, Worse, promised_calls};
 pub use plan::{Guard, MOST_STEPS, Plan, Side, Step};
 pub use record::{Kind, Mark, Record, Stage};
-pub use seat::{Chosen, Expected, Hold, LOOK_EVERY, Versions, Weight};
+pub use rollout::{Chosen, Expected, Hold, LOOK_EVERY, Versions, Weight};
 pub use wire::{End, Question, Reply, Status, Tally};
--- a/crates/versions/src/seat.rs
+++ b/crates/versions/src/rollout.rs
@@ -64,7 +64,7 @@
 
 /// One function.
 #[derive(Debug)]
-struct Seat {
+struct Rollout {
     record: Record,
     /// Since when the record is acted on.
     since: Micros,
@@ -86,7 +86,7 @@
     compared_seen: [u64; 2],
 }
 
-impl Seat {
+impl Rollout {
     fn share(&self, now: Micros) -> (Share, Option<Hold>) {
         let goal = self.record.share();
         if self.record.is_over() {
@@ -114,7 +114,7 @@
     life: u64,
     /// Gateways that judge by their own figures, this one included.
     gateways: u32,
-    seats: BTreeMap<String, Seat>,
+    rollouts: BTreeMap<String, Rollout>,
     /// From a routed name to its function.
     routed: BTreeMap<String, BTreeSet<String>>,
 }
@@ -122,12 +122,12 @@
 impl Versions {
     /// Nothing is known. `life` tells this start from all others.
     pub fn new(gateway: &str, life: u64, gateways: u32) -> Self {
-        Self { gateway: gateway.into(), life, gateways, seats: BTreeMap::new(), routed: BTreeMap::new() }
+        Self { gateway: gateway.into(), life, gateways, rollouts: BTreeMap::new(), routed: BTreeMap::new() }
     }
 
     /// Whether no function has a plan: then nothing else need be asked.
     pub fn is_empty(&self) -> bool {
-        self.seats.is_empty()
+        self.rollouts.is_empty()
     }
 
     /// What a record that came is against what is held. One that is [`Weight::Newer`] is to be written before
@@ -137,12 +137,12 @@
         if !faults.is_empty() {
             return Weight::Wrong(faults.join("; "));
         }
-        match self.seats.get(&record.plan.function) {
-            None if self.seats.len() >= MOST_FUNCTIONS => {
+        match self.rollouts.get(&record.plan.function) {
+            None if self.rollouts.len() >= MOST_FUNCTIONS => {
                 Weight::Wrong(format!("{MOST_FUNCTIONS} functions have plans already"))
             }
             None => Weight::Newer,
-            Some(seat) => match record.mark().cmp(&seat.record.mark()) {
+            Some(rollout) => match record.mark().cmp(&rollout.record.mark()) {
                 std::cmp::Ordering::Greater => Weight::Newer,
                 std::cmp::Ordering::Equal => Weight::Same,
                 std::cmp::Ordering::Less => Weight::Older,
@@ -161,7 +161,7 @@
             return;
         }
         let function = record.plan.function.clone();
-        let held = self.seats.remove(&function);
+        let held = self.rollouts.remove(&function);
         let twin = held.filter(|held| held.record.plan.is_same(&record.plan));
         for side in [Side::Old, Side::New] {
             self.routed.entry(record.plan.routed(side)).or_default().insert(function.clone());
@@ -169,13 +169,13 @@
         let judge = || Judge::new(&record.plan.guard, self.gateways);
         // A clock that was set back is no reason to hold on for longer.
         let heard = heard.min(now);
-        let seat = match twin {
+        let rollout = match twin {
             Some(twin) => {
                 let before = twin.share(now).0;
                 // What was learned of the versions stays true over the steps of one plan.
-                Seat { record, since: now, heard, before, braked, ..twin }
+                Rollout { record, since: now, heard, before, braked, ..twin }
             }
-            None => Seat {
+            None => Rollout {
                 judge: judge(),
                 record,
                 since: now,
@@ -193,24 +193,24 @@
                 compared_seen: [0; 2],
             },
         };
-        self.seats.insert(function, seat);
+        self.rollouts.insert(function, rollout);
     }
 
     /// The conductor of this very record was heard; true if that is the one held.
     pub fn renew(&mut self, now: Micros, function: &str, mark: Mark) -> bool {
-        let seat = self.seats.get_mut(function).filter(|seat| seat.record.mark() == mark);
-        seat.map(|seat| seat.heard = now).is_some()
+        let rollout = self.rollouts.get_mut(function).filter(|rollout| rollout.record.mark() == mark);
+        rollout.map(|rollout| rollout.heard = now).is_some()
     }
 
     /// When the conductor of a function was last heard.
     pub fn heard(&self, function: &str) -> Option<(&Record, Micros, Option<&str>)> {
-        self.seats.get(function).map(|seat| (&seat.record, seat.heard, seat.braked.as_deref()))
+        self.rollouts.get(function).map(|rollout| (&rollout.record, rollout.heard, rollout.braked.as_deref()))
     }
 
     /// The one version that a call gets, as it arrives. `None`: the function has no versions.
     pub fn choose(&self, now: Micros, function: &str, callers: &Callers) -> Option<Chosen> {
-        let seat = self.seats.get(function)?;
-        let (plan, share) = (&seat.record.plan, seat.share(now).0);
+        let rollout = self.rollouts.get(function)?;
+        let (plan, share) = (&rollout.record.plan, rollout.share(now).0);
         let takes = match plan.stick.key(callers) {
             Some(key) => share.takes(point(plan.salt, key)),
             None => share == Share::ALL,
@@ -221,38 +221,38 @@
 
     /// A call that was given a version has its final answer; `erred`: one of its attempts ended in an error.
     pub fn answered(&mut self, function: &str, side: Side, class: &str, end: End, erred: bool) {
-        let Some(seat) = self.seats.get_mut(function) else { return };
-        if !seat.answers.contains_key(class) {
-            seat.answers.insert(class.into(), Default::default());
+        let Some(rollout) = self.rollouts.get_mut(function) else { return };
+        if !rollout.answers.contains_key(class) {
+            rollout.answers.insert(class.into(), Default::default());
         }
-        let Some(both) = seat.answers.get_mut(class) else { return };
+        let Some(both) = rollout.answers.get_mut(class) else { return };
         let tally = &mut both[side as usize];
         tally.answered += 1;
         tally.errors += u64::from(end == End::NotServed);
         tally.late += u64::from(end == End::Late);
         tally.erred += u64::from(end == End::NotServed || erred);
-        seat.stood |= end != End::NotServed && side == Side::New;
+        rollout.stood |= end != End::NotServed && side == Side::New;
     }
 
     /// How answers of a function's versions are compared, and where the choice of calls comes from.
     pub fn compare(&self, function: &str) -> Option<(&Plan, Compare)> {
-        let plan = &self.seats.get(function)?.record.plan;
+        let plan = &self.rollouts.get(function)?.record.plan;
         plan.guard.compare.map(|compare| (plan, compare))
     }
 
     /// Both versions answered the same call.
     pub fn compared(&mut self, function: &str, same: bool) {
-        if let Some(seat) = self.seats.get_mut(function) {
-            seat.compared[0] += 1;
-            seat.compared[1] += u64::from(!same);
+        if let Some(rollout) = self.rollouts.get_mut(function) {
+            rollout.compared[0] += 1;
+            rollout.compared[1] += u64::from(!same);
         }
     }
 
     /// A worker's word for what it ran, and whether that was what it was asked for.
     pub fn ran(&mut self, function: &str, routed: &str, digest: &str, wrong: bool) {
-        let Some(seat) = self.seats.get_mut(function) else { return };
-        seat.wrong += u64::from(wrong);
-        let digests = seat.ran.entry(routed.into()).or_default();
+        let Some(rollout) = self.rollouts.get_mut(function) else { return };
+        rollout.wrong += u64::from(wrong);
+        let digests = rollout.ran.entry(routed.into()).or_default();
         if digests.len() < MOST_DIGESTS || digests.contains_key(digest) {
             *digests.entry(digest.into()).or_default() += 1;
         }
@@ -261,10 +261,10 @@
     /// A load order for a function, as routed, was answered.
     pub fn loaded(&mut self, routed: &str, stands: bool) {
         for function in self.routed.get(routed).into_iter().flatten() {
-            let Some(seat) = self.seats.get_mut(function) else { continue };
-            if seat.record.plan.routed(Side::New) == routed {
-                seat.stood |= stands;
-                seat.failed = !stands && !seat.stood;
+            let Some(rollout) = self.rollouts.get_mut(function) else { continue };
+            if rollout.record.plan.routed(Side::New) == routed {
+                rollout.stood |= stands;
+                rollout.failed = !stands && !rollout.stood;
             }
         }
     }
@@ -273,19 +273,19 @@
     /// the old one while a rollback may need it.
     pub fn expected(&self, now: Micros) -> Vec<Expected> {
         let mut expected = Vec::new();
-        for seat in self.seats.values() {
-            let plan = &seat.record.plan;
+        for rollout in self.rollouts.values() {
+            let plan = &rollout.record.plan;
             let (old, new) = (plan.routed(Side::Old), plan.routed(Side::New));
-            let young = now < seat.since.saturating_add(plan.keep_old);
+            let young = now < rollout.since.saturating_add(plan.keep_old);
             let is = |function: &String, like: &String| Expected {
                 function: function.clone(),
                 like: like.clone(),
             };
-            match seat.record.stage {
+            match rollout.record.stage {
                 Stage::RolledBack => {}
                 Stage::Promoted if young => expected.push(is(&old, &new)),
                 Stage::Promoted => {}
-                Stage::Step(_) => match seat.share(now) {
+                Stage::Step(_) => match rollout.share(now) {
                     (_, Some(Hold::Lapsed | Hold::Braked(_))) => {}
                     (Share::ALL, _) => expected.push(is(&old, &new)),
                     _ => expected.push(is(&new, &old)),
@@ -298,24 +298,24 @@
     /// Judges by own figures, if it is time to. A function that is told braked at once; the caller writes that down.
     pub fn look(&mut self, now: Micros) -> Vec<String> {
         let mut braked = Vec::new();
-        for (function, seat) in &mut self.seats {
-            if seat.record.is_over() || seat.braked.is_some() || now < seat.judged + LOOK_EVERY {
+        for (function, rollout) in &mut self.rollouts {
+            if rollout.record.is_over() || rollout.braked.is_some() || now < rollout.judged + LOOK_EVERY {
                 continue;
             }
-            seat.judged = now;
-            let settled = now >= seat.since.saturating_add(seat.record.plan.guard.settle);
-            for (class, [old, new]) in &seat.answers {
-                let [seen_old, seen_new] = seat.seen.get(class).copied().unwrap_or_default();
+            rollout.judged = now;
+            let settled = now >= rollout.since.saturating_add(rollout.record.plan.guard.settle);
+            for (class, [old, new]) in &rollout.answers {
+                let [seen_old, seen_new] = rollout.seen.get(class).copied().unwrap_or_default();
                 if settled {
-                    seat.judge.add(class, &old.since(&seen_old), &new.since(&seen_new));
+                    rollout.judge.add(class, &old.since(&seen_old), &new.since(&seen_new));
                 }
             }
-            seat.seen = seat.answers.clone();
-            let [pairs, differ] = seat.compared;
-            let [pairs_seen, differ_seen] = std::mem::replace(&mut seat.compared_seen, seat.compared);
-            seat.judge.compared(pairs - pairs_seen, differ - differ_seen);
-            if let Some(worse) = seat.judge.verdict() {
-                seat.braked = Some(worse.to_string());
+            rollout.seen = rollout.answers.clone();
+            let [pairs, differ] = rollout.compared;
+            let [pairs_seen, differ_seen] = std::mem::replace(&mut rollout.compared_seen, rollout.compared);
+            rollout.judge.compared(pairs - pairs_seen, differ - differ_seen);
+            if let Some(worse) = rollout.judge.verdict() {
+                rollout.braked = Some(worse.to_string());
                 braked.push(function.clone());
             }
         }
@@ -325,22 +325,22 @@
     /// What holds for one function, or for all.
     pub fn status(&self, now: Micros, function: Option<&str>) -> Vec<Status> {
         let wanted = |name: &&String| function.is_none_or(|function| function == *name);
-        let seats = self.seats.iter().filter(|(name, _)| wanted(name)).map(|(_, seat)| seat);
-        let status = |seat: &Seat| {
-            let (share, hold) = seat.share(now);
+        let rollouts = self.rollouts.iter().filter(|(name, _)| wanted(name)).map(|(_, rollout)| rollout);
+        let status = |rollout: &Rollout| {
+            let (share, hold) = rollout.share(now);
             Status {
                 gateway: self.gateway.clone(),
                 life: self.life,
-                record: seat.record.clone(),
+                record: rollout.record.clone(),
                 share,
                 hold,
-                unheard: now.saturating_sub(seat.heard),
-                answers: seat.answers.clone(),
-                ran: seat.ran.clone(),
-                wrong: seat.wrong,
-                compared: seat.compared,
+                unheard: now.saturating_sub(rollout.heard),
+                answers: rollout.answers.clone(),
+                ran: rollout.ran.clone(),
+                wrong: rollout.wrong,
+                compared: rollout.compared,
             }
         };
-        seats.map(status).collect()
+        rollouts.map(status).collect()
     }
 }
--- a/crates/versions/tests/conductor.rs
+++ b/crates/versions/tests/conductor.rs
@@ -1,4 +1,4 @@
-//! A conductor over real seats, without sockets: a small fleet in virtual time, with gateways out of reach.
+//! A conductor over real rollouts, without sockets: a small fleet in virtual time, with gateways out of reach.
 
 mod common;
 
