rehearsal: what clients call, and the troubles that change it, are types instead of tuples

Change: Callee, HotFunctions, HeavyCalls and Impatience in traffic.rs. Draws and their order are the same.

--- a/crates/rehearsal/src/traffic.rs
+++ b/crates/rehearsal/src/traffic.rs
@@ -39,9 +39,7 @@
 
 struct Open {
     trace: String,
-    class: usize,
-    function: usize,
-    hot: bool,
+    callee: Callee,
     deadline: Micros,
     /// The call's id, once it was accepted.
     id: Option<String>,
@@ -59,6 +57,40 @@
     Over(u64),
 }
 
+/// What is called.
+#[derive(Clone, Copy)]
+struct Callee {
+    class: usize,
+    /// Its number in the class, among the hot or the other functions.
+    function: usize,
+    hot: bool,
+}
+
+/// A share of the calls goes to a few new functions.
+#[derive(Default)]
+struct HotFunctions {
+    share: f64,
+    functions: usize,
+    until: Micros,
+}
+
+/// A share of a class's calls takes several times its work.
+#[derive(Default)]
+struct HeavyCalls {
+    class: usize,
+    share: f64,
+    times: f64,
+    until: Micros,
+}
+
+/// A share of the clients gives up after a part of its time.
+#[derive(Default)]
+struct Impatience {
+    share: f64,
+    part: f64,
+    until: Micros,
+}
+
 /// The clients.
 pub struct Clients {
     scene: Scene,
@@ -75,9 +107,9 @@
     next: u64,
     traces: u64,
     start: Micros,
-    hot: (f64, usize, Micros),
-    heavy: (usize, f64, f64, Micros),
-    give_up: (f64, f64, Micros),
+    hot: HotFunctions,
+    heavy: HeavyCalls,
+    impatience: Impatience,
     /// Cumulated shares of classes, and of ranks in a class by its number of functions.
     class_shares: Vec<f64>,
     ranks: BTreeMap<usize, Vec<f64>>,
@@ -123,9 +155,9 @@
             next: 0,
             traces: 0,
             start,
-            hot: (0.0, 0, 0),
-            heavy: (0, 0.0, 0.0, 0),
-            give_up: (0.0, 1.0, 0),
+            hot: HotFunctions::default(),
+            heavy: HeavyCalls::default(),
+            impatience: Impatience::default(),
             class_shares: cumulated(scene.classes.iter().map(|class| class.share)),
             ranks: scene.classes.iter().map(ranks).collect(),
             scene: scene.clone(),
@@ -195,8 +227,13 @@
     fn event(&mut self, event: &Event) {
         let now = self.hub.clock().now();
         match event {
-            Event::Hot { share, functions, ms } => self.hot = (*share, *functions, now + ms * MS),
-            Event::Heavy { class, share, times, ms } => self.heavy = (*class, *share, *times, now + ms * MS),
+            Event::Hot { share, functions, ms } => {
+                self.hot = HotFunctions { share: *share, functions: *functions, until: now + ms * MS };
+            }
+            Event::Heavy { class, share, times, ms } => {
+                let until = now + ms * MS;
+                self.heavy = HeavyCalls { class: *class, share: *share, times: *times, until };
+            }
             Event::Wake { share, ms } => {
                 let all: Vec<Connection> = self.idle.keys().copied().collect();
                 for connection in all {
@@ -206,7 +243,9 @@
                     }
                 }
             }
-            Event::GiveUp { share, part, ms } => self.give_up = (*share, *part, now + ms * MS),
+            Event::GiveUp { share, part, ms } => {
+                self.impatience = Impatience { share: *share, part: *part, until: now + ms * MS };
+            }
             _ => {}
         }
     }
@@ -285,33 +324,33 @@
     }
 
     fn repeat(&mut self, open: Open, harmless: bool) {
-        let safe = self.scene.classes[open.class].effect == "safe";
+        let safe = self.scene.classes[open.callee.class].effect == "safe";
         if open.tries_left > 0 && (safe || harmless) {
-            self.call(open.class, open.function, open.hot, open.tries_left - 1);
+            self.call(open.callee, open.tries_left - 1);
         }
     }
 
     fn call_next(&mut self, at: Micros) {
-        let (class, function, hot) = self.draw_call(at);
-        self.call(class, function, hot, self.scene.traffic.retries);
+        let callee = self.draw_callee(at);
+        self.call(callee, self.scene.traffic.retries);
     }
 
     /// What is called next.
-    fn draw_call(&mut self, at: Micros) -> (usize, usize, bool) {
+    fn draw_callee(&mut self, at: Micros) -> Callee {
         let drawn = self.uniform();
         let class = self.class_shares.iter().position(|sum| drawn < *sum).unwrap_or(0);
-        let hot = at < self.hot.2 && self.uniform() < self.hot.0;
+        let hot = at < self.hot.until && self.uniform() < self.hot.share;
         let function = if hot {
-            self.rng.next_u32() as usize % self.hot.1.max(1)
+            self.rng.next_u32() as usize % self.hot.functions.max(1)
         } else {
             let drawn = self.uniform();
             let ranks = &self.ranks[&self.scene.classes[class].functions];
             ranks.iter().position(|sum| drawn < *sum).unwrap_or(0)
         };
-        (class, function, hot)
+        Callee { class, function, hot }
     }
 
-    fn call(&mut self, class: usize, function: usize, hot: bool, tries_left: u32) {
+    fn call(&mut self, callee: Callee, tries_left: u32) {
         let now = self.hub.clock().now();
         let candidates: Vec<usize> = self
             .gateways
@@ -325,34 +364,27 @@
             0 => pick % self.gateways.len(),
             count => candidates[pick % count],
         };
-        self.call_on(gateway, self.gateways[gateway].connection, (class, function, hot), tries_left);
+        self.call_on(gateway, self.gateways[gateway].connection, callee, tries_left);
     }
 
     /// Sends a call on this connection, which is one to that gateway.
-    fn call_on(
-        &mut self,
-        gateway: usize,
-        connection: Option<Connection>,
-        (class, function, hot): (usize, usize, bool),
-        tries_left: u32,
-    ) {
+    fn call_on(&mut self, gateway: usize, connection: Option<Connection>, callee: Callee, tries_left: u32) {
+        let Callee { class, function, hot } = callee;
         let now = self.hub.clock().now();
         self.traces += 1;
         let trace = format!("{}-{}", self.scene.seed, self.traces);
         let spec = self.scene.classes[class].clone();
-        let short = now < self.give_up.2 && self.uniform() < self.give_up.0;
-        let part = self.scene.traffic.try_share * if short { self.give_up.1 } else { 1.0 };
+        let short = now < self.impatience.until && self.uniform() < self.impatience.share;
+        let part = self.scene.traffic.try_share * if short { self.impatience.part } else { 1.0 };
         let time = (spec.give_up_ms as f64 * part) as Micros * MS;
         let deferred = self.uniform() < self.scene.traffic.deferred;
         let hasty = !deferred && self.uniform() < self.scene.traffic.hasty;
         let leaves = hasty.then(|| (self.uniform() * time as f64) as Micros);
-        let heavy = now < self.heavy.3 && class == self.heavy.0 && self.uniform() < self.heavy.1;
-        let work = spec.work_ms * if heavy { self.heavy.2 } else { 1.0 };
+        let heavy = now < self.heavy.until && class == self.heavy.class && self.uniform() < self.heavy.share;
+        let work = spec.work_ms * if heavy { self.heavy.times } else { 1.0 };
         let open = Open {
             trace: trace.clone(),
-            class,
-            function,
-            hot,
+            callee,
             deadline: now + time,
             id: None,
             connection: connection.unwrap_or_default(),
@@ -451,8 +483,8 @@
                 }
                 Due::Wake(connection) => {
                     if let Some(gateway) = self.idle.get(&connection).copied() {
-                        let what = self.draw_call(now);
-                        self.call_on(gateway, Some(connection), what, self.scene.traffic.retries);
+                        let callee = self.draw_callee(now);
+                        self.call_on(gateway, Some(connection), callee, self.scene.traffic.retries);
                     }
                 }
                 // Nothing came: the auditor sees a call without an answer.
