--- a/crates/engine/examples/cold_start.rs
+++ b/crates/engine/examples/cold_start.rs
@@ -20,6 +20,7 @@
 //! workers that had an attempt or order within 15 s. Processor time is of the engine and the module together.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Range;
 
 use cresswheel::{Class, Effect, OrderRation, Settings, WhenAbsent, WorkerId};
 use cresswheel_engine::{
@@ -67,6 +68,7 @@
 #[derive(Default)]
 struct Parts {
     arrived: u64,
+    is_rare: bool,
     /// An order for its function left.
     ordered: Option<u64>,
     /// The order reached the worker: a connection stood by then.
@@ -109,7 +111,10 @@
     /// When each cold call came, and its parts.
     cold: Vec<(u64, [f64; 6])>,
     warm: u64,
-    refused: u64,
+    /// Not served: when each came, whether its function is a rare one, and the reason.
+    lost: Vec<(u64, bool, &'static str)>,
+    /// Calls of rare functions, by when they came.
+    rare_calls: Vec<u64>,
     sent: BTreeMap<&'static str, (u64, u64)>,
     touched: BTreeSet<WorkerId>,
     touched_since: u64,
@@ -186,7 +191,8 @@
             open: HashMap::new(),
             cold: Vec::new(),
             warm: 0,
-            refused: 0,
+            lost: Vec::new(),
+            rare_calls: Vec::new(),
             sent: BTreeMap::new(),
             touched: BTreeSet::new(),
             touched_since: START,
@@ -302,7 +308,7 @@
     fn answered(&mut self, number: u64, answer: &cresswheel_engine::Answer) {
         let Some(parts) = self.open.remove(&number) else { return };
         if answer.status != cresswheel_protocol::Status::Served {
-            self.refused += 1;
+            self.lost.push((parts.arrived, parts.is_rare, answer.reason));
             return;
         }
         let (Some(ordered), Some(reached), Some(loaded), Some(sent)) =
@@ -345,7 +351,10 @@
             account: None,
             route: None,
         };
-        let parts = Parts { arrived: self.now, ..Parts::default() };
+        let parts = Parts { arrived: self.now, is_rare, ..Parts::default() };
+        if is_rare {
+            self.rare_calls.push(self.now);
+        }
         self.open.insert(self.asked, parts);
         self.give(Input::Call(Client { connection: self.asked % 100, number: self.asked }, call));
         let gap = (-(1.0 - self.lots.next()).ln() / RATE * 1e6) as u64;
@@ -429,9 +438,25 @@
     }
 }
 
+/// Calls that were not served, of rare functions and of those called often.
+fn print_lost(when: &str, simulation: &Simulation, span: Range<u64>) {
+    let rare = simulation.rare_calls.iter().filter(|came| span.contains(came)).count();
+    let mut lost = BTreeMap::<(bool, &str), usize>::new();
+    for (_, is_rare, reason) in simulation.lost.iter().filter(|(came, ..)| span.contains(came)) {
+        *lost.entry((*is_rare, reason)).or_default() += 1;
+    }
+    println!("{when}: {rare} calls of rare functions");
+    for ((is_rare, reason), count) in lost {
+        println!(
+            "  not served: {count} of {} functions, {reason}",
+            if is_rare { "rare" } else { "often called" }
+        );
+    }
+}
+
 fn print(simulation: &Simulation, seconds: f64, used: f64) {
-    let (warm, refused) = (simulation.warm, simulation.refused);
-    println!("calls: {warm} warm, {} cold, {refused} not served", simulation.cold.len());
+    let (warm, lost) = (simulation.warm, simulation.lost.len());
+    println!("calls: {warm} warm, {} cold, {lost} not served", simulation.cold.len());
     let gone = simulation.zone_gone.unwrap_or(u64::MAX);
     // Until the module has met the often called functions all of them count as cold.
     let began = START + WARM_UP;
@@ -440,8 +465,10 @@
         cold.map(|(_, parts)| *parts).collect()
     };
     print_cold("after the first 20 s", &within(began, gone));
+    print_lost("after the first 20 s", simulation, began..gone);
     if simulation.zone_gone.is_some() {
         print_cold("within 10 s after the zone went", &within(gone, gone + 10 * S));
+        print_lost("within 10 s after the zone went", simulation, gone..gone + 10 * S);
     }
     println!("sent to workers, a second");
     for (kind, (count, bytes)) in &simulation.sent {
