--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -197,7 +197,11 @@
     pub fn send(&mut self, message: &Message) {
         let mut bytes = Vec::new();
         encode(message, &mut bytes);
-        self.socket.write_all(&bytes).unwrap();
+        self.send_bytes(&bytes);
+    }
+
+    pub fn send_bytes(&mut self, bytes: &[u8]) {
+        self.socket.write_all(bytes).unwrap();
     }
 
     pub fn ran(&mut self, attempt: u64, ending: Ending) {
--- a/crates/clients/src/clients.rs
+++ b/crates/clients/src/clients.rs
@@ -2,13 +2,14 @@
 
 use std::collections::VecDeque;
 
-use cresswheel_admission::{Act, Arrival, Door, DoorCounts, Sign};
+use cresswheel_admission::{Arrival, Door, DoorCounts, Sign};
 use cresswheel_protocol::http::Request;
 use cresswheel_protocol::{Message, Micros, Role, Status};
 use cresswheel_transport::{Connection, Hub, Notice, slot};
 
 use crate::ClientTerms;
 use crate::http::{self, Asked};
+use crate::owed::{Owed, Slot, answered_number};
 
 /// What a client asks of the gateway: a `Call`, `Await`, `Cancel`, `Page` or `Versions`; or `Bye`: it is gone.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,45 +24,52 @@
 
 /// A client's connection. Small: most are idle.
 #[derive(Default)]
-struct State {
+pub(crate) struct State {
     /// Who is here, if the slot is taken. Notices come in order, so a slot that the hub has given to the next
     /// connection is still the former's until its end was told.
-    connection: Option<Connection>,
-    http: bool,
-    greeted: bool,
+    pub connection: Option<Connection>,
+    pub http: bool,
+    pub greeted: bool,
     /// It is to leave: its next response is the last.
-    leaving: bool,
-    /// Responses that are owed.
-    owed: Option<Box<Owed>>,
+    pub leaving: bool,
+    /// It is closed once all that was written to it has left.
+    pub finishing: bool,
+    /// What is owed to it, if anything is.
+    pub owed: Option<Box<Owed>>,
 }
 
-/// Responses leave in the order of their requests.
-#[derive(Default)]
-struct Owed {
-    next: u64,
-    slots: VecDeque<Slot>,
-}
+impl State {
+    /// Calls, awaits or pages without their answer.
+    pub fn has_open(&self) -> bool {
+        self.owed.as_ref().is_some_and(|owed| !owed.open.is_empty())
+    }
 
-struct Slot {
-    number: u64,
-    fetched: bool,
-    keep_alive: bool,
-    response: Option<Vec<u8>>,
+    /// Nothing more that it asks is looked at.
+    pub fn is_ending(&self) -> bool {
+        self.owed.as_ref().is_some_and(|owed| owed.ending.is_some())
+    }
+
+    /// Gives back what an idle connection need not hold.
+    pub fn tidy(&mut self) {
+        if self.owed.as_ref().is_some_and(|owed| owed.is_settled()) {
+            self.owed = None;
+        }
+    }
 }
 
 /// All clients of one hub.
 pub struct Clients {
-    terms: ClientTerms,
-    door: Door,
+    pub(crate) terms: ClientTerms,
+    pub(crate) door: Door,
     /// By slot.
-    states: Vec<State>,
+    pub(crate) states: Vec<State>,
     asks: VecDeque<Ask>,
     http_listener: Option<u32>,
     /// All are to leave.
-    leaving: bool,
+    pub(crate) leaving: bool,
     /// Calls and awaits that are owed an answer.
     open: u32,
-    listening: bool,
+    pub(crate) listening: bool,
 }
 
 impl Clients {
@@ -93,9 +101,12 @@
         self.door.room_elsewhere(room);
     }
 
-    /// Takes no more connections, and asks all to leave, spread over the time that the terms give.
+    /// Takes no more connections after those that wait to be accepted, and asks all to leave, spread over the time
+    /// that the terms give.
     pub fn leave(&mut self, hub: &mut Hub) {
         self.leaving = true;
+        hub.accept_waiting();
+        hub.stop_listening();
         self.door.leave(hub.clock().now());
     }
 
@@ -126,11 +137,15 @@
             Notice::Opened(connection, listener) => self.opened(hub, connection, listener),
             Notice::Message(connection, message) if self.is_here(connection) => {
                 self.door.whole(now, slot(connection));
-                self.message(hub, connection, message);
+                if !self.states[slot(connection)].is_ending() {
+                    self.message(hub, connection, message);
+                }
             }
             Notice::Request(connection, request) if self.is_here(connection) => {
                 self.door.whole(now, slot(connection));
-                self.request(hub, connection, request);
+                if !self.states[slot(connection)].is_ending() {
+                    self.request(hub, connection, request);
+                }
             }
             Notice::BadRequest(connection, error) if self.is_here(connection) => {
                 self.door.whole(now, slot(connection));
@@ -138,19 +153,18 @@
                 self.respond_now(hub, connection, response, false);
             }
             Notice::Half(connection, held) if self.is_here(connection) => {
-                self.door.sign(now, slot(connection), Sign::Heard(held))
-            }
-            Notice::Flushed(connection) if self.is_here(connection) => {
-                self.door.sign(now, slot(connection), Sign::Reads);
-                hub.pause(connection, false);
+                if !self.states[slot(connection)].is_ending() {
+                    self.door.sign(now, slot(connection), Sign::Heard(held));
+                }
             }
+            Notice::Flushed(connection) if self.is_here(connection) => self.reads_again(hub, connection),
             Notice::Closed { connection, guest: true, .. } => {
                 // One that was turned away at the door is closed as well, and was never here.
                 if self.is_here(connection) {
                     self.open = self.open.saturating_sub(self.door.open(slot(connection)));
                     self.door.left(slot(connection));
                     self.states[slot(connection)] = State::default();
-                    self.ask(hub, connection, Message::Bye { reason: String::new() });
+                    self.ask(hub.came(), connection, Message::Bye { reason: String::new() });
                 }
             }
             other => return Some(other),
@@ -185,53 +199,81 @@
         self.states[slot] = State { connection: Some(connection), http, ..State::default() };
     }
 
-    fn ask(&mut self, hub: &Hub, connection: Connection, message: Message) {
-        self.asks.push_back(Ask { connection, came: hub.came(), message });
+    fn ask(&mut self, came: Micros, connection: Connection, message: Message) {
+        self.asks.push_back(Ask { connection, came, message });
     }
 
     /// An answer will be owed for this. One connection may not fill what all calls wait in.
-    fn ask_for_answer(&mut self, hub: &mut Hub, connection: Connection, tenant: &str, message: Message) {
+    fn ask_for_answer(
+        &mut self,
+        hub: &mut Hub,
+        came: Micros,
+        connection: Connection,
+        tenant: &str,
+        message: Message,
+    ) {
+        let (Message::Call { number, .. }
+        | Message::Await { number, .. }
+        | Message::Page { number, .. }
+        | Message::Versions { number, .. }) = message
+        else {
+            return;
+        };
         if self.door.open(slot(connection)) as usize >= self.terms.per_connection {
-            let (Message::Call { number, .. }
-            | Message::Await { number, .. }
-            | Message::Page { number, .. }
-            | Message::Versions { number, .. }) = message
-            else {
-                return;
-            };
             self.door.refused();
             let (status, reason) = (Status::Refused, "connection-full".into());
             let answer =
                 Message::Answer { number, status, reason, retry_after: 0, body: Vec::new(), origin: None };
             return self.give(hub, connection, &answer);
         }
-        self.open += 1;
-        self.door.asks(hub.clock().now(), slot(connection), tenant);
-        self.ask(hub, connection, message);
+        let owed = self.states[slot(connection)].owed.get_or_insert_default();
+        // A number that is used twice is the gateway's to complain of.
+        if owed.open.insert(number) {
+            self.open += 1;
+            self.door.asks(hub.clock().now(), slot(connection), tenant);
+        }
+        self.ask(came, connection, message);
     }
 
-    fn settle(&mut self, hub: &Hub, connection: Connection) {
-        if self.door.open(slot(connection)) > 0 {
-            self.open = self.open.saturating_sub(1);
-            self.door.answered(hub.clock().now(), slot(connection));
+    /// Nothing is owed for this number any more. False: nothing was, so a cancel and an answer that crossed count once.
+    fn settle(&mut self, hub: &Hub, connection: Connection, number: u64) -> bool {
+        let state = &mut self.states[slot(connection)];
+        if !state.owed.as_mut().is_some_and(|owed| owed.open.remove(&number)) {
+            return false;
         }
+        state.tidy();
+        self.open = self.open.saturating_sub(1);
+        self.door.answered(hub.clock().now(), slot(connection));
+        true
     }
 
     fn message(&mut self, hub: &mut Hub, connection: Connection, message: Message) {
+        let came = hub.came();
+        match message {
+            Message::Cancel { number } => self.canceled(hub, came, connection, number),
+            message => match self.read_ahead(connection) {
+                // What a client asks that does not read waits in its turn. What it takes back does not.
+                Some(unread) if !matches!(message, Message::Bye { .. }) => {
+                    if unread.push(came, message) {
+                        hub.pause(connection, true);
+                    }
+                }
+                _ => self.frame(hub, came, connection, message),
+            },
+        }
+    }
+
+    pub(crate) fn frame(&mut self, hub: &mut Hub, came: Micros, connection: Connection, message: Message) {
         let greeted = std::mem::replace(&mut self.states[slot(connection)].greeted, true);
         match message {
             Message::Hello { role: Role::Client, .. } if !greeted => {}
             _ if !greeted => self.refuse(hub, connection, "a connection begins with Hello as a client"),
             Message::Call { ref tenant, .. } => {
                 let tenant = tenant.clone();
-                self.ask_for_answer(hub, connection, &tenant, message);
+                self.ask_for_answer(hub, came, connection, &tenant, message);
             }
             Message::Await { .. } | Message::Versions { .. } => {
-                self.ask_for_answer(hub, connection, "", message)
-            }
-            Message::Cancel { .. } => {
-                self.settle(hub, connection);
-                self.ask(hub, connection, message);
+                self.ask_for_answer(hub, came, connection, "", message)
             }
             Message::Probe { number } => {
                 hub.send(connection, &Message::Probed { number, held: self.open, queued: 0 }, None);
@@ -245,10 +287,21 @@
         }
     }
 
+    fn canceled(&mut self, hub: &mut Hub, came: Micros, connection: Connection, number: u64) {
+        if !self.states[slot(connection)].greeted {
+            return self.refuse(hub, connection, "a connection begins with Hello as a client");
+        }
+        let still_unasked = self.read_ahead(connection).is_some_and(|unread| unread.cancel(number));
+        if !still_unasked && self.settle(hub, connection, number) {
+            self.ask(came, connection, Message::Cancel { number });
+            self.end_if_settled(hub, connection);
+        }
+    }
+
     fn refuse(&mut self, hub: &mut Hub, connection: Connection, reason: &str) {
         hub.send(connection, &Message::Bye { reason: reason.into() }, None);
         hub.finish(connection);
-        self.ask(hub, connection, Message::Bye { reason: String::new() });
+        self.ask(hub.came(), connection, Message::Bye { reason: String::new() });
     }
 
     fn request(&mut self, hub: &mut Hub, connection: Connection, request: Request) {
@@ -265,7 +318,7 @@
                     Message::Call { tenant, .. } => tenant.clone(),
                     _ => String::new(),
                 };
-                self.ask_for_answer(hub, connection, &tenant, message);
+                self.ask_for_answer(hub, hub.came(), connection, &tenant, message);
             }
             Asked::Health => {
                 self.respond_now(hub, connection, http::words(200, "alive", keep_alive), keep_alive);
@@ -306,10 +359,7 @@
             let Some(state) = self.states.get_mut(slot(connection)) else { return };
             let Some(owed) = &mut state.owed else { return };
             if owed.slots.front().is_none_or(|slot| slot.response.is_none()) {
-                if owed.slots.is_empty() {
-                    state.owed = None;
-                }
-                return;
+                return state.tidy();
             }
             let Some(slot) = owed.slots.pop_front() else { return };
             hub.send_bytes(connection, &slot.response.unwrap_or_default());
@@ -327,8 +377,11 @@
         if let Message::Bye { reason } = message {
             return self.refuse(hub, connection, reason);
         }
-        self.settle(hub, connection);
-        self.give(hub, connection, message);
+        // What was canceled as its answer was on the way gets none.
+        if answered_number(message).is_some_and(|number| self.settle(hub, connection, number)) {
+            self.give(hub, connection, message);
+            self.end_if_settled(hub, connection);
+        }
     }
 
     fn give(&mut self, hub: &mut Hub, connection: Connection, message: &Message) {
@@ -355,61 +408,6 @@
         } else {
             hub.send(connection, message, None);
         }
-        if hub.backlog(connection) > self.terms.backlog {
-            hub.pause(connection, true);
-            self.door.sign(hub.clock().now(), slot(connection), Sign::Stalled);
-        }
-    }
-
-    /// Does what is due at the door, and opens or closes it.
-    pub fn tick(&mut self, hub: &mut Hub) {
-        let now = hub.clock().now();
-        while let Some(act) = self.door.act(now) {
-            match act {
-                Act::Close(slot, why) => {
-                    if let Some(connection) = self.states[slot].connection {
-                        tracing::debug!(connection, why, "closed");
-                        hub.close(connection, why);
-                    }
-                }
-                Act::Ping(slot) => {
-                    let Some(connection) = self.states[slot].connection else { continue };
-                    if hub.backlog(connection) > 0 {
-                        hub.close(connection, "does-not-read");
-                    } else {
-                        hub.send(connection, &Message::Probe { number: 0 }, None);
-                    }
-                }
-                Act::AskToLeave(slot) => self.ask_to_leave(hub, slot),
-            }
-        }
-        let room = self.door.may_accept(now);
-        if room.is_ok() {
-            hub.accept_at_once(self.terms.door.connections.saturating_sub(self.door.here()));
-        }
-        let listens = room.is_ok() && !self.leaving;
-        if std::mem::replace(&mut self.listening, listens) != listens {
-            if !listens && !self.leaving && self.door.here() >= self.terms.door.connections {
-                tracing::warn!(connections = self.door.here(), "accepting pauses: all places are taken");
-            }
-            hub.pause_listening(!listens);
-        }
-    }
-
-    fn ask_to_leave(&mut self, hub: &mut Hub, slot: usize) {
-        let state = &mut self.states[slot];
-        let Some(connection) = state.connection else { return };
-        state.leaving = true;
-        if !state.http {
-            hub.send(connection, &Message::GoingAway { reason: "stopping".into() }, None);
-        } else if state.owed.is_none() && !hub.midway(connection) {
-            hub.finish(connection);
-        }
-    }
-
-    /// When [`Clients::tick`] is wanted next, at the latest.
-    pub fn next_due(&self, now: Micros) -> Option<Micros> {
-        let accept = if self.leaving { None } else { self.door.may_accept(now).err() };
-        self.door.next_due(now).into_iter().chain(accept).min()
+        self.watch_backlog(hub, connection);
     }
 }
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -11,9 +11,12 @@
 //! dies alone, nothing but the connections that it held.
 
 mod clients;
+mod closing;
 mod http;
+mod owed;
 mod terms;
 pub mod trunk;
 
 pub use clients::{Ask, Clients};
+pub use owed::{answered_number, asked_number};
 pub use terms::ClientTerms;
--- a/crates/clients/src/trunk.rs
+++ b/crates/clients/src/trunk.rs
@@ -28,6 +28,8 @@
     pub http: bool,
     /// Another holder has places.
     pub room_elsewhere: bool,
+    /// All calls are answered: connections are ended as what waits for them has left, and then the holder ends.
+    pub finish: bool,
 }
 
 /// Most listeners that are handed over.
@@ -37,6 +39,8 @@
 const TRUNK_ROOM: usize = 64 << 10;
 /// After the gateway's end, how long answers may take to leave.
 const LEAVE_WITHIN: Micros = 500_000;
+/// How often it is looked what has left, once all is answered.
+const FLUSH_LOOK: Micros = 5_000;
 /// How often counts are sent, if they changed.
 const COUNT_EVERY: Micros = 1_000_000;
 
@@ -99,7 +103,7 @@
     let mut clients = Clients::new(&mut hub, told.terms, http);
     clients.room_elsewhere(told.room_elsewhere);
     let counted = (0, Vec::new());
-    Holder { hub, clients, trunk, of: None, counted, ends: None, asking: false }.run()
+    Holder { hub, clients, trunk, of: None, counted, ends: None, asking: false, finishing: false }.run()
 }
 
 struct Holder {
@@ -111,6 +115,8 @@
     /// When counts were last looked at, and what was sent.
     counted: (Micros, Vec<u8>),
     ends: Option<Micros>,
+    /// It ends once no connection is left.
+    finishing: bool,
     /// Clients were still being asked to leave at the last look.
     asking: bool,
 }
@@ -122,9 +128,15 @@
             if self.ends.is_some_and(|at| at <= now || !self.clients.owes(&self.hub)) {
                 return Ok(());
             }
+            // Whoever is still to be asked to leave hears so first.
+            let may_finish = self.finishing && !self.clients.is_asking();
+            if may_finish && self.clients.finish_all(&mut self.hub) && self.hub.backlog(self.trunk) == 0 {
+                return Ok(());
+            }
             // Counts are looked at when something happens, and once more a second after.
             let count = (self.counted.0 + COUNT_EVERY).max(now);
             let due = self.clients.next_due(now).into_iter().chain(self.ends.map(|_| now + 1_000));
+            let due = due.chain(self.finishing.then_some(now + FLUSH_LOOK));
             let due = due.chain((self.counted.0 > 0).then_some(count)).min();
             self.hub.wait(due)?;
             while let Some(notice) = self.hub.take_notice() {
@@ -183,6 +195,7 @@
                 let told: Told = serde_json::from_slice(&json)?;
                 self.clients.change(&mut self.hub, told.terms);
                 self.clients.room_elsewhere(told.room_elsewhere);
+                self.finishing |= told.finish;
             }
             Message::Leave {} => {
                 self.clients.leave(&mut self.hub);
--- a/crates/gateway/src/holders.rs
+++ b/crates/gateway/src/holders.rs
@@ -4,14 +4,14 @@
 //! held and none that still wait to be accepted. Calls of its connections are called off as those of any client
 //! that leaves.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 use std::process::{Child, Command, Stdio};
 
 use cresswheel_admission::DoorCounts;
-use cresswheel_clients::{Ask, ClientTerms, trunk};
+use cresswheel_clients::{Ask, ClientTerms, answered_number, asked_number, trunk};
 use cresswheel_protocol::{Message, Micros};
 use cresswheel_transport::{Connection, Hub, Notice, Wire};
 
@@ -29,19 +29,19 @@
     since: Micros,
     /// The next message on the trunk is this connection's, and came then.
     of: Option<(Connection, Micros)>,
-    /// Connections that are owed answers, and how many.
-    owed: BTreeMap<Connection, u32>,
+    /// Connections that are owed answers, and to which numbers.
+    owed: BTreeMap<Connection, BTreeSet<u64>>,
     counts: DoorCounts,
     /// What it was told last.
     room_elsewhere: bool,
 }
 
 impl Holder {
-    /// One answer less is owed.
-    fn settled(&mut self, connection: Connection) {
+    /// Nothing is owed for this number any more.
+    fn settled(&mut self, connection: Connection, number: u64) {
         if let Some(owed) = self.owed.get_mut(&connection) {
-            *owed -= 1;
-            if *owed == 0 {
+            owed.remove(&number);
+            if owed.is_empty() {
                 self.owed.remove(&connection);
             }
         }
@@ -71,6 +71,8 @@
 pub struct Holders {
     command: HolderCommand,
     listeners: Vec<socket2::Socket>,
+    /// The second listener speaks HTTP.
+    http: bool,
     terms: ClientTerms,
     places: Vec<Place>,
     /// Lives so far; each names its connections with its own.
@@ -79,6 +81,8 @@
     /// Ended, but not yet buried.
     ended: Vec<Child>,
     leaving: bool,
+    /// All calls are answered.
+    finishing: bool,
     paused: bool,
     /// Holders started after the first ones.
     pub restarts: u64,
@@ -103,6 +107,7 @@
     ) -> Self {
         Self {
             command,
+            http: listeners.len() > 1,
             listeners,
             terms,
             places: (0..count).map(|_| Place::Free(0, AGAIN_FIRST)).collect(),
@@ -110,6 +115,7 @@
             by_life: BTreeMap::new(),
             ended: Vec::new(),
             leaving: false,
+            finishing: false,
             paused: false,
             restarts: 0,
         }
@@ -138,8 +144,8 @@
     }
 
     fn told(&self, hub: &Hub, room_elsewhere: bool) -> Message {
-        let (clock, http) = (hub.clock().base(), self.listeners.len() > 1);
-        let told = trunk::Told { clock, terms: self.terms, http, room_elsewhere };
+        let (clock, http, finish) = (hub.clock().base(), self.http, self.finishing);
+        let told = trunk::Told { clock, terms: self.terms, http, room_elsewhere, finish };
         Message::Terms { json: serde_json::to_vec(&told).unwrap_or_default() }
     }
 
@@ -171,9 +177,11 @@
         self.taken().for_each(|holder| _ = hub.send(holder.trunk, message, None));
     }
 
-    /// No more connections; all are asked to leave.
+    /// No more connections after those that wait to be accepted; all are asked to leave.
     pub fn leave(&mut self, hub: &mut Hub) {
         self.leaving = true;
+        // Whoever holds a listener last has taken all that waited there.
+        self.listeners.clear();
         for place in &mut self.places {
             if let Place::Taken(holder) = place {
                 holder.counts.asking = holder.counts.connections > 0;
@@ -189,9 +197,10 @@
         }
     }
 
-    /// Whether answers still wait to be written to a holder.
-    pub fn owes(&self, hub: &Hub) -> bool {
-        self.taken().any(|holder| hub.backlog(holder.trunk) > 0)
+    /// All calls are answered: each holder ends once its connections have.
+    pub fn finish(&mut self, hub: &mut Hub) {
+        self.finishing = true;
+        self.tell_of_room(hub, true);
     }
 
     /// Starts those that are due, and buries those that ended.
@@ -291,16 +300,14 @@
             }
             message => {
                 let (connection, came) = holder.of.take()?;
-                match message {
-                    Message::Call { .. }
-                    | Message::Await { .. }
-                    | Message::Page { .. }
-                    | Message::Versions { .. } => {
-                        *holder.owed.entry(connection).or_default() += 1;
-                    }
-                    Message::Cancel { .. } => holder.settled(connection),
+                match &message {
+                    Message::Cancel { number } => holder.settled(connection, *number),
                     Message::Bye { .. } => _ = holder.owed.remove(&connection),
-                    _ => {}
+                    asked => {
+                        if let Some(number) = asked_number(asked) {
+                            holder.owed.entry(connection).or_default().insert(number);
+                        }
+                    }
                 }
                 let key = u64::from(life) << LIFE | connection;
                 return Some(FromHolder::Ask(key, Ask { connection, came, message }));
@@ -331,7 +338,7 @@
         let Some(place) = self.by_life.get(&life(key)) else { return };
         let Place::Taken(holder) = &mut self.places[*place] else { return };
         let connection = key & ((1 << LIFE) - 1);
-        holder.settled(connection);
+        answered_number(message).into_iter().for_each(|number| holder.settled(connection, number));
         hub.send(holder.trunk, &Message::Of { connection, came: 0 }, None);
         hub.send(holder.trunk, message, None);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod shell;
 mod version_store;
 mod versions;
+mod workers;
 
 pub use holders::HolderCommand;
 pub use settings::{GatewaySettings, ShellLimits, VersionSettings};
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -7,14 +7,14 @@
 
 use anyhow::Context;
 use calloop::signals::Signal;
-use cresswheel::{Effect, WorkerId};
+use cresswheel::Effect;
 use cresswheel_admission::{Budget, Intake, Parts, Verdict};
-use cresswheel_carriers::{Cargo, CarrierLimits, Carriers};
+use cresswheel_carriers::{Cargo, CarrierLimits};
 use cresswheel_clients::{Ask, ClientTerms, Clients};
 use cresswheel_engine::{Answer, Attempt, AttemptEnd, Call, Client, Engine, Input, OrderEnd, Output};
-use cresswheel_protocol::{Listed, Message, Micros, Origin, Role, Status, encode};
+use cresswheel_protocol::{Listed, Message, Micros, Origin, Role, Status};
 use cresswheel_transport::{Connection, Hub, Notice, Wire, listener};
-use foldhash::{HashMap, HashMapExt};
+use foldhash::HashMap;
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 
 use crate::holders::{self, FromHolder, HolderCommand, Holders, Key};
@@ -22,6 +22,7 @@
 use crate::saved_list::SavedList;
 use crate::settings::GatewaySettings;
 use crate::versions::{Desk, EXPECTED_FOR};
+use crate::workers::Workers;
 
 /// Reads the settings again, for HUP.
 pub type Reload = Box<dyn FnMut() -> Result<GatewaySettings, String>>;
@@ -40,7 +41,7 @@
     Running,
     /// Calls may finish until then.
     Stopping(Micros),
-    /// All is answered; what waits to be written may leave until then.
+    /// All is answered; what waits to be written may leave until then, and clients may close their connections.
     Leaving(Micros),
 }
 
@@ -50,7 +51,7 @@
     reload: Reload,
     hub: Hub,
     engine: Engine,
-    carriers: Carriers,
+    workers: Workers,
     ready: Ready,
     clients: Clients,
     holders: Holders,
@@ -62,7 +63,6 @@
     busy: Vec<u64>,
     classes: HashMap<String, usize>,
     tenants: HashMap<String, usize>,
-    addresses: HashMap<WorkerId, SocketAddr>,
     list: Option<Connection>,
     list_turn: usize,
     list_retry: Option<Micros>,
@@ -75,8 +75,10 @@
     life: Life,
 }
 
-/// After the last answer, how long it may take to leave.
+/// After the last time for answers, how long they may take to leave.
 const LEAVE_WITHIN: Micros = 500_000;
+/// Meanwhile it is looked that often what has left.
+const FLUSH_LOOK: Micros = 1_000;
 /// Descriptors are set aside for so many workers at least, since a list may name them later.
 const WORKERS_EXPECTED: usize = 64;
 
@@ -164,7 +166,7 @@
             reload,
             hub,
             engine,
-            carriers: Carriers::default(),
+            workers: Workers::new(worker_limits(&settings), hello(&settings)),
             clients,
             holders,
             budget,
@@ -173,7 +175,6 @@
             busy: vec![0; settings.engine.module.classes.len()],
             classes,
             tenants,
-            addresses: HashMap::new(),
             list: None,
             list_turn: 0,
             list_retry: (!settings.list.is_empty()).then_some(now),
@@ -215,11 +216,12 @@
             match self.life {
                 Life::Stopping(until) if until <= now || self.is_done() => {
                     self.give(Input::Stop);
-                    self.life = Life::Leaving(now + LEAVE_WITHIN);
+                    self.holders.finish(&mut self.hub);
+                    self.life = Life::Leaving(until + LEAVE_WITHIN);
                 }
                 Life::Leaving(until) => {
-                    let waiting = self.clients.owes(&self.hub) || self.holders.owes(&self.hub);
-                    if until <= now || !waiting {
+                    let have_left = self.clients.finish_all(&mut self.hub) && self.holders.alive() == 0;
+                    if until <= now || have_left {
                         tracing::info!("stopped");
                         return Ok(());
                     }
@@ -274,7 +276,7 @@
             Life::Running => None,
             Life::Stopping(at) => Some(at),
             // What is left is on its way out.
-            Life::Leaving(at) => Some(at.min(self.hub.clock().now() + 1_000)),
+            Life::Leaving(at) => Some(at.min(self.hub.clock().now() + FLUSH_LOOK)),
         };
         let now = self.hub.clock().now();
         let waits = (!self.intake.is_empty()).then_some(now);
@@ -304,7 +306,7 @@
                 }
             }
             Notice::Connected(connection) if Some(connection) != self.list => {
-                self.carriers.stands(connection)
+                self.workers.stands(&self.hub, connection)
             }
             Notice::Message(connection, message) => self.message(connection, message),
             Notice::Closed { connection, never_stood, unsent, why, .. } => {
@@ -322,7 +324,6 @@
             return;
         }
         tracing::info!(?signal, open = self.engine.open_calls(), "stopping");
-        self.hub.pause_listening(true);
         self.give(Input::Drain);
         // Those that wait to be started are refused as those that come from now on.
         while let Some((_, came, asked)) = self.intake.take() {
@@ -361,7 +362,12 @@
                 self.intake.change(&new.class_terms(), new.shell.intake);
                 if self.settings.list != new.list {
                     self.list.take().into_iter().for_each(|list| self.hub.close(list, "another list"));
+                    // The new one is asked at once.
+                    self.list_turn = 0;
+                    self.list_retry = (!new.list.is_empty()).then(|| self.hub.clock().now());
+                    self.list_stale = !new.list.is_empty();
                 }
+                self.workers.change(worker_limits(&new), hello(&new));
                 self.settings = new;
                 tracing::info!("new settings are in force");
             }
@@ -381,32 +387,10 @@
                 _ => {}
             };
         }
-        if self.carriers.is_ours(connection) {
-            self.worker_message(connection, message);
-        }
-    }
-
-    fn worker_message(&mut self, connection: Connection, message: Message) {
-        match message {
-            Message::Ran { attempt, ending, crowd, body, origin } => {
-                // An answer on another connection than the attempt's is an answer to nothing.
-                let number = if self.carriers.carries(connection, attempt) { attempt } else { 0 };
-                self.carriers.done(&self.hub, number);
-                self.give(Input::AttemptEnded(number, AttemptEnd::Answered(ending, crowd), body, origin));
-            }
-            Message::Held { order, ending, standing } => {
-                let number = if self.carriers.carries(connection, order) { order } else { 0 };
-                self.carriers.done(&self.hub, number);
-                self.give(Input::OrderEnded(number, OrderEnd::Answered(ending), standing));
-            }
-            Message::Probed { .. } => {
-                if let Some(worker) = self.carriers.worker(connection) {
-                    self.give(Input::Probed(worker));
-                }
-            }
-            Message::GoingAway { .. } => self.carriers.leaving(connection),
-            Message::Bye { reason } => tracing::warn!(%reason, "a worker refuses"),
-            _ => {}
+        if self.workers.is_ours(connection)
+            && let Some(input) = self.workers.message(&self.hub, connection, message)
+        {
+            self.give(input);
         }
     }
 
@@ -446,6 +430,7 @@
                 self.give(Input::Await(Client { connection: key, number }, id, wait));
             }
             Message::Cancel { number } => {
+                tracing::debug!(connection = key, number, "call canceled");
                 if !self.intake.call_off((key, number)) {
                     self.give(Input::Cancel(Client { connection: key, number }));
                 }
@@ -465,6 +450,7 @@
     }
 
     fn left(&mut self, key: Key) {
+        tracing::debug!(connection = key, "client left");
         self.intake.left(key);
         self.give(Input::Left(key));
     }
@@ -563,7 +549,7 @@
             busy: self.busy.clone(),
             waiting: self.intake.len(),
             intake_rate: self.intake.rate(),
-            worker_connections: self.carriers.connections(),
+            worker_connections: self.workers.connections(),
             accept_starved: self.hub.starved,
             list_stale: self.list_stale,
             versions: self.desk.status(self.hub.clock().now()),
@@ -579,30 +565,14 @@
             self.list_retry = Some(self.hub.clock().now() + self.settings.shell.list_retry);
             return self.give(Input::ListLost);
         }
-        let ended = self.carriers.closed(connection, never_stood, unsent);
-        if !ended.is_empty() {
-            tracing::info!(%why, never_stood, ended = ended.len(), "a worker connection ended");
-        }
+        let ended = self.workers.closed(connection, never_stood, unsent, why);
         ended.into_iter().for_each(|input| self.give(input));
     }
 
     fn take_list(&mut self, whole: bool, workers: Vec<Listed>) {
-        if whole {
-            self.addresses.clear();
-        }
-        for worker in &workers {
-            let id = WorkerId::from(worker.id.as_str());
-            match worker.address.parse() {
-                Ok(address) => {
-                    self.addresses.insert(id, address);
-                }
-                Err(_) => {
-                    tracing::warn!(worker = %id, address = %worker.address, "the list gives no usable address");
-                    self.addresses.remove(&id);
-                }
-            }
-        }
+        let ended = self.workers.take_list(&mut self.hub, whole, &workers);
         self.give(Input::List { whole, workers });
+        ended.into_iter().for_each(|input| self.give(input));
     }
 
     /// A disk that is full or gone costs the list at the next start, nothing else.
@@ -640,29 +610,28 @@
             Output::Close(connection, reason) => self.end(connection, reason),
             Output::Run(attempt) => self.run_attempt(attempt),
             Output::Withdraw(_, attempt) | Output::Overdue(_, attempt) => {
-                if self.carriers.withdraw(&mut self.hub, attempt) {
+                if self.workers.withdraw(&mut self.hub, attempt) {
                     let end = AttemptEnd::TakenBack;
                     self.inputs.push_back(Input::AttemptEnded(attempt, end, Vec::new(), None));
                 }
             }
             Output::CancelRun(_, attempt) => {
-                let message = Message::CancelRun { attempt };
-                self.carriers.call_off(&mut self.hub, attempt, |out| encode(&message, out));
+                self.workers.call_off(&mut self.hub, attempt);
             }
             Output::Hold { worker, order, function, count, shape } => {
                 tracing::debug!(%worker, %function, count, "hold");
                 let message = Message::Hold { order, function: function.to_string(), count, shape };
-                if !self.hand_to(&worker, Cargo::Order(order), &message) {
+                if !self.workers.hand(&mut self.hub, &worker, Cargo::Order(order), &message) {
                     self.inputs.push_back(Input::OrderEnded(order, OrderEnd::NotConnected, 0));
                 }
             }
             Output::Drop(worker, function) => {
                 let message = Message::Drop { function: function.to_string() };
-                self.carriers.tell(&mut self.hub, &worker, |out| encode(&message, out));
+                self.workers.tell(&mut self.hub, &worker, &message);
             }
             Output::Probe(worker) => {
                 let message = Message::Probe { number: 0 };
-                self.carriers.tell(&mut self.hub, &worker, |out| encode(&message, out));
+                self.workers.tell(&mut self.hub, &worker, &message);
             }
             // The list is followed from the start, and again whenever its connection was lost.
             Output::Follow => {}
@@ -704,30 +673,13 @@
             shape: call.shape.clone(),
             body: call.body.clone(),
         };
-        if !self.hand_to(&attempt.worker, Cargo::Attempt(attempt.number), &message) {
+        let cargo = Cargo::Attempt(attempt.number);
+        if !self.workers.hand(&mut self.hub, &attempt.worker, cargo, &message) {
             let end = AttemptEnd::NotConnected;
             self.inputs.push_back(Input::AttemptEnded(attempt.number, end, Vec::new(), None));
         }
     }
 
-    fn hand_to(&mut self, worker: &WorkerId, cargo: Cargo, message: &Message) -> bool {
-        let Some(address) = self.addresses.get(worker).copied() else { return false };
-        let streams = self.settings.shell.worker_streams;
-        let limits = CarrierLimits {
-            wire: Wire::Frames,
-            connections: self.settings.shell.worker_connections,
-            streams,
-            spread: streams,
-            connect_timeout: self.settings.engine.module.connect_timeout,
-            idle: self.settings.shell.worker_idle,
-        };
-        let hello = hello(&self.settings);
-        let (begin, frame) =
-            (|out: &mut Vec<u8>| encode(&hello, out), |out: &mut Vec<u8>| encode(message, out));
-        let to = (worker, address);
-        self.carriers.give(&mut self.hub, &limits, to, (cargo, frame), |_| true, begin).is_some()
-    }
-
     /// Tells the engine which functions are to be kept loaded, when it is time to.
     fn expect(&mut self) {
         for expected in self.desk.look(self.hub.clock().now()) {
@@ -750,13 +702,24 @@
             }
         }
         if self.pool_look <= now {
-            let idle = self.settings.shell.worker_idle;
-            self.carriers.close_idle(&mut self.hub, idle);
-            self.pool_look = now + idle.max(1_000) / 4;
+            self.workers.close_idle(&mut self.hub);
+            self.pool_look = now + self.settings.shell.worker_idle.max(1_000) / 4;
         }
     }
 }
 
+fn worker_limits(settings: &GatewaySettings) -> CarrierLimits {
+    let shell = &settings.shell;
+    CarrierLimits {
+        wire: Wire::Frames,
+        connections: shell.worker_connections,
+        streams: shell.worker_streams,
+        spread: shell.worker_streams,
+        connect_timeout: settings.engine.module.connect_timeout,
+        idle: shell.worker_idle,
+    }
+}
+
 fn hello(settings: &GatewaySettings) -> Message {
     let (name, zone) = (settings.name.clone(), settings.engine.module.zone.clone());
     Message::Hello { role: Role::Gateway, name, zone }
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -16,7 +16,7 @@
 
 use crate::Clock;
 use crate::out::Out;
-use crate::watch::{Ready, Seen, Watch};
+use crate::watch::{Ready, Seen, Wanted, Watch};
 
 /// Names a connection: its slot (20 bits) and how often one was opened before it (28 bits), so that it is not used
 /// again before 268 million others. The upper 16 bits are 0, for programs that bring several hubs together.
@@ -148,7 +148,7 @@
     /// It is among those that have their turn next.
     queued: bool,
     /// What it is watched for.
-    interest: (bool, bool),
+    interest: Wanted,
     /// The earliest time at which what is read next can have come.
     since: Micros,
     /// The other side has ended it, or it broke: behind what can be read is its end.
@@ -169,6 +169,12 @@
         self.readable && self.wants_to_read()
     }
 
+    /// What it is to be watched for. The end of a paused one is seen: whoever left no longer waits for what it asked.
+    fn wanted(&self) -> Wanted {
+        let end = self.paused && !self.connecting && !self.close_when_flushed;
+        Wanted { read: self.wants_to_read(), write: !self.writable, end }
+    }
+
     fn work(&mut self, limits: &HubLimits) -> &mut Work {
         self.work.get_or_insert_with(|| {
             let decode = match self.wire {
@@ -545,7 +551,8 @@
         }
         let id = named(serial, slot);
         let watch = if accepted { &self.guests } else { &self.own };
-        watch.add(&socket, id, !connecting, connecting)?;
+        let interest = Wanted { read: !connecting, write: connecting, end: false };
+        watch.add(&socket, id, interest)?;
         entry.insert(Conn {
             socket,
             serial,
@@ -559,7 +566,7 @@
             tell_flushed: false,
             close_when_flushed: false,
             queued: false,
-            interest: (!connecting, connecting),
+            interest,
             since: self.clock.now(),
             ended: false,
             drained: false,
@@ -772,9 +779,11 @@
     fn look(&mut self) -> io::Result<usize> {
         let now = self.clock.now();
         let mut found = self.own.look(now, &mut self.seen)?;
-        if !self.held {
-            found += self.guests.look(now, &mut self.seen)?;
-        }
+        // Whoever left no longer waits for what it asked, however long the others are left waiting.
+        found += match self.held {
+            true => self.guests.look_for_ends(now, &mut self.seen)?,
+            false => self.guests.look(now, &mut self.seen)?,
+        };
         Ok(found)
     }
 
@@ -788,8 +797,8 @@
             Seen::Datagrams(number) => return self.read_datagrams(number),
         };
         let Some(conn) = self.get(id) else { return };
-        if !conn.interest.0 && broken && !conn.connecting {
-            // Not watched for bytes, so it is the end: both sides are closed, or it broke.
+        if !conn.interest.read && (broken || conn.interest.end && ended) && !conn.connecting {
+            // Not watched for bytes, so it is the end: the other side has left, or it broke.
             return self.close(id, "hung up");
         }
         if std::mem::take(&mut conn.drained) {
@@ -882,13 +891,13 @@
         if conn.work.as_ref().is_some_and(|work| work.is_idle()) {
             conn.work = None;
         }
-        let wanted = (conn.wants_to_read(), !conn.writable);
+        let wanted = conn.wanted();
         if conn.interest == wanted {
             return;
         }
         conn.interest = wanted;
         let watch = if conn.accepted { &self.guests } else { &self.own };
-        if let Err(error) = watch.change(&conn.socket, id, wanted.0, wanted.1) {
+        if let Err(error) = watch.change(&conn.socket, id, wanted) {
             self.close(id, &error.to_string());
         }
     }
--- a/crates/transport/src/watch.rs
+++ b/crates/transport/src/watch.rs
@@ -43,11 +43,23 @@
     pub drained: Micros,
 }
 
-fn flags(read: bool, write: bool) -> EventFlags {
-    let mut flags = EventFlags::empty();
-    flags.set(EventFlags::IN | EventFlags::RDHUP, read);
-    flags.set(EventFlags::OUT, write);
-    flags
+/// What a socket is watched for, beside its being broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    pub read: bool,
+    pub write: bool,
+    /// That the other side ends it, though its bytes are not read.
+    pub end: bool,
+}
+
+impl Wanted {
+    fn flags(self) -> EventFlags {
+        let mut flags = EventFlags::empty();
+        flags.set(EventFlags::IN, self.read);
+        flags.set(EventFlags::RDHUP, self.read || self.end);
+        flags.set(EventFlags::OUT, self.write);
+        flags
+    }
 }
 
 impl Watch {
@@ -61,12 +73,12 @@
         self.epoll.try_clone()
     }
 
-    pub fn add(&self, socket: impl AsFd, id: u64, read: bool, write: bool) -> io::Result<()> {
-        Ok(epoll::add(&self.epoll, socket, EventData::new_u64(id), flags(read, write))?)
+    pub fn add(&self, socket: impl AsFd, id: u64, interest: Wanted) -> io::Result<()> {
+        Ok(epoll::add(&self.epoll, socket, EventData::new_u64(id), interest.flags())?)
     }
 
-    pub fn change(&self, socket: impl AsFd, id: u64, read: bool, write: bool) -> io::Result<()> {
-        Ok(epoll::modify(&self.epoll, socket, EventData::new_u64(id), flags(read, write))?)
+    pub fn change(&self, socket: impl AsFd, id: u64, interest: Wanted) -> io::Result<()> {
+        Ok(epoll::modify(&self.epoll, socket, EventData::new_u64(id), interest.flags())?)
     }
 
     pub fn remove(&self, socket: impl AsFd) {
@@ -116,6 +128,16 @@
         Ok(count)
     }
 
+    /// Looks only for connections that the other side has ended; all else that is ready stays unseen.
+    pub fn look_for_ends(&mut self, now: Micros, seen: &mut Vec<(Micros, Seen)>) -> io::Result<usize> {
+        let (drained, before) = (self.drained, seen.len());
+        self.look(now, seen)?;
+        self.drained = drained;
+        let ends = seen.split_off(before).into_iter();
+        seen.extend(ends.filter(|(_, what)| matches!(what, Seen::Connection(_, ready) if ready.ended)));
+        Ok(seen.len() - before)
+    }
+
     /// The loop slept until now with nothing ready here: what ended the sleep came at its end.
     pub fn slept(&mut self, until: Micros) {
         self.drained = self.drained.max(until.saturating_sub(WAKING));
--- a/crates/transport/tests/hub.rs
+++ b/crates/transport/tests/hub.rs
@@ -224,3 +224,56 @@
     drop(other);
     assert!(matches!(next(&mut hub), Notice::Closed { guest: false, never_stood: false, .. }));
 }
+
+/// The peer's connection to a new hub, as each of them sees it.
+fn guest() -> (Hub, TcpStream, u64) {
+    let mut hub = Hub::new(HubLimits::default()).unwrap();
+    let (_, at) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Frames).unwrap();
+    let peer = TcpStream::connect(at).unwrap();
+    let Notice::Opened(connection, _) = next(&mut hub) else { panic!() };
+    (hub, peer, connection)
+}
+
+#[test]
+fn the_end_of_a_guest_is_told_though_guests_are_held_and_what_others_sent_waits() {
+    let (mut hub, mut peer, connection) = guest();
+    let mut other = TcpStream::connect(peer.peer_addr().unwrap()).unwrap();
+    let Notice::Opened(..) = next(&mut hub) else { panic!() };
+    hub.hold_guests(true);
+    send(&mut other, &probe(1));
+    send(&mut peer, &probe(2));
+    peer.shutdown(std::net::Shutdown::Write).unwrap();
+    let mut seen = Vec::new();
+    for _ in 0..200 {
+        hub.wait(Some(hub.clock().now() + 5_000)).unwrap();
+        seen.extend(std::iter::from_fn(|| hub.take_notice()));
+        if seen.len() == 2 {
+            break;
+        }
+    }
+    assert!(
+        matches!(seen[..], [
+        Notice::Message(from, Message::Probe { number: 2 }),
+        Notice::Closed { connection: gone, .. }
+    ] if from == connection && gone == connection),
+        "{seen:?}"
+    );
+    hub.hold_guests(false);
+    assert!(matches!(next(&mut hub), Notice::Message(_, Message::Probe { number: 1 })));
+}
+
+#[test]
+fn the_end_of_a_paused_guest_that_closes_one_side_is_told() {
+    let (mut hub, mut peer, connection) = guest();
+    hub.pause(connection, true);
+    send(&mut peer, &probe(1));
+    peer.shutdown(std::net::Shutdown::Write).unwrap();
+    for _ in 0..200 {
+        hub.wait(Some(hub.clock().now() + 5_000)).unwrap();
+        if let Some(notice) = hub.take_notice() {
+            assert!(matches!(notice, Notice::Closed { connection: gone, .. } if gone == connection));
+            return;
+        }
+    }
+    panic!("its end was not told");
+}
