The tests' stand-in client reads on when a read was interrupted

Observed: in one of twenty runs under load two tests ended with 'Interrupted system call' in the stand-in's own read, which says nothing of the gateway. It reads on, as a client does; every other error fails the test as before.

--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -432,6 +432,7 @@
                 Ok(0) => return None,
                 Ok(count) => self.held.extend_from_slice(&part[..count]),
                 Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(error) => panic!("{error}"),
             }
         }
