--- a/crates/cli/tests/scale_run.rs
+++ b/crates/cli/tests/scale_run.rs
@@ -83,7 +83,7 @@
     let fit = |figure: &str| report["fits"][figure].clone();
     // A gateway gets one whole list; its time at the last gateway grows with the list's bytes.
     let list = fit("whole list at the last gateway, us");
-    assert_eq!(list["is_line"], true, "{list}");
+    assert_eq!(list["verdict"], "Line", "{list}");
     assert!(list["slope"].as_f64().unwrap() > 0.0, "{list}");
     assert_eq!(list["residuals"].as_array().unwrap().len(), 3);
     assert_eq!(left_running(folder.0.path()), Vec::<String>::new());
--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -1,8 +1,10 @@
 //! A line through measured points by least squares, and whether a line describes them.
 //!
-//! Points are no line if a parabola departs from the line by more than [`MOST_BEND`] of what the points rise, and the
+//! Points are curved if a parabola departs from the line by more than [`MOST_BEND`] of what the points rise, and the
 //! parabola's own term is beyond chance (Student's t at 95%, which needs four points at least). With three points
-//! chance can't be told from a bend, and [`MOST_BEND_OF_THREE`] of the greatest value is the bound.
+//! chance can't be told from a bend, and the bound is [`MOST_BEND`] of the greatest value. Points are scattered if one
+//! of four or more is further from the line than [`MOST_SCATTER`] of what they rise: noise, or a curve that is no
+//! parabola. Points that rise by less than [`FLAT`] of the greatest value are a line, without a slope to speak of.
 
 use serde::{Deserialize, Serialize};
 
@@ -30,14 +32,29 @@
     pub residuals: Vec<f64>,
     /// The parabola's greatest distance from the line within the points, over their rise.
     pub bend: f64,
-    /// A line describes the points.
-    pub is_line: bool,
+    /// The greatest residual, over what the points rise.
+    pub scatter: f64,
+    /// Whether a line describes the points.
+    pub verdict: Verdict,
+}
+
+/// Whether a line describes points.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It does.
+    Line,
+    /// They bend away from it.
+    Curved,
+    /// They are too far from it, without being a parabola.
+    Scattered,
 }
 
 /// Greatest bend of a line.
 pub const MOST_BEND: f64 = 0.05;
-/// Greatest bend of a line through three points, over the greatest value.
-pub const MOST_BEND_OF_THREE: f64 = 0.05;
+/// Greatest distance of a point from the line, over what the points rise.
+pub const MOST_SCATTER: f64 = 0.1;
+/// Points that rise less than this part of the greatest value are flat.
+pub const FLAT: f64 = 0.05;
 /// Student's t for 95%, two-sided, by degrees of freedom from 1.
 const STUDENT: [f64; 10] = [12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228];
 
@@ -75,7 +92,7 @@
     let squares: f64 = residuals.iter().map(|residual| residual * residual).sum();
     let freedom = points.len() - 2;
     let slope_error = (squares / freedom as f64 / spread).sqrt();
-    let (bend, is_line) = judge(&scaled, &line, &parabola);
+    let (bend, scatter, verdict) = judge(&scaled, &line, &parabola);
     Ok(Fit {
         fixed,
         slope,
@@ -83,7 +100,8 @@
         points: points.to_vec(),
         residuals,
         bend,
-        is_line,
+        scatter,
+        verdict,
     })
 }
 
@@ -91,25 +109,37 @@
     points.iter().map(|p| p.x).sum::<f64>() / points.len() as f64
 }
 
-/// The bend, and whether it is small or no more than chance.
-fn judge(scaled: &[Point], line: &[f64; 3], parabola: &[f64; 3]) -> (f64, bool) {
+/// The bend, the scatter, and what they say.
+fn judge(scaled: &[Point], line: &[f64; 3], parabola: &[f64; 3]) -> (f64, f64, Verdict) {
     const STEPS: i32 = 50;
     let distance = |x: f64| (at(parabola, x) - at(line, x)).abs();
-    let greatest = (-STEPS..=STEPS).map(|n| distance(f64::from(n) / f64::from(STEPS))).fold(0.0, f64::max);
+    let furthest = (-STEPS..=STEPS).map(|n| distance(f64::from(n) / f64::from(STEPS))).fold(0.0, f64::max);
+    let residual = scaled.iter().map(|p| (p.y - at(line, p.x)).abs()).fold(0.0, f64::max);
     let ys = || scaled.iter().map(|p| p.y);
     let rise = ys().fold(f64::MIN, f64::max) - ys().fold(f64::MAX, f64::min);
     let tallest = ys().map(f64::abs).fold(0.0, f64::max);
-    let over = |whole: f64| if whole > 0.0 { greatest / whole } else { 0.0 };
-    let bend = over(rise);
-    if scaled.len() == 3 {
-        return (bend, over(tallest) <= MOST_BEND_OF_THREE);
-    }
+    let over = |part: f64, whole: f64| if whole > 0.0 { part / whole } else { 0.0 };
+    let (bend, scatter) = (over(furthest, rise), over(residual, rise));
+    let verdict = if rise <= FLAT * tallest {
+        Verdict::Line
+    } else if scaled.len() == 3 {
+        if over(furthest, tallest) <= MOST_BEND { Verdict::Line } else { Verdict::Curved }
+    } else if bend > MOST_BEND && is_beyond_chance(scaled, parabola) {
+        Verdict::Curved
+    } else if scatter > MOST_SCATTER {
+        Verdict::Scattered
+    } else {
+        Verdict::Line
+    };
+    (bend, scatter, verdict)
+}
+
+/// Whether the parabola's own term is more than its points' noise can make.
+fn is_beyond_chance(scaled: &[Point], parabola: &[f64; 3]) -> bool {
     let squares: f64 = scaled.iter().map(|p| (p.y - at(parabola, p.x)).powi(2)).sum();
     let freedom = scaled.len() - 3;
     let error = (squares / freedom as f64 * inverse_corner(scaled)).sqrt();
-    // What no measurement could tell from a line is one, however exact the points.
-    let is_chance = parabola[2].abs() <= student(freedom) * error;
-    (bend, is_chance || bend <= MOST_BEND)
+    parabola[2].abs() > student(freedom) * error
 }
 
 fn at(coefficients: &[f64; 3], x: f64) -> f64 {
--- a/crates/scale/src/size.rs
+++ b/crates/scale/src/size.rs
@@ -1,5 +1,7 @@
 //! The memory that a run will need, from a trial with a few gateways, and the refusal of what is too much.
 
+use std::ops::Range;
+
 use cresswheel_engine::{AttemptEnd, Call, Client, Engine, Input, Output};
 use cresswheel_gateway::GatewaySettings;
 use cresswheel_protocol::{Ending, Listed, Micros};
@@ -67,10 +69,14 @@
 const FUNCTION_AT_WORKER: u64 = 400;
 /// Workers on which a function comes to stand.
 const HOMES: u64 = 4;
-/// Functions and gateways of the trial.
-const TRIAL_FUNCTIONS: usize = 64;
-const TRIAL_ENTRIES: usize = 4_000;
+/// Entries of the worker list that the gateways of the trial hold in all, and the most gateways.
+const TRIAL_ENTRIES: usize = 16_000;
 const MOST_TRIAL_GATEWAYS: usize = 64;
+/// Gateways among them that are called.
+const CALLED_GATEWAYS: usize = 2;
+/// Functions that each of those is called for, by the entries that it may keep for each, and the bounds of it.
+const TRIAL_ORDERS: usize = 2_000_000;
+const TRIAL_FUNCTIONS: (usize, usize) = (16, 256);
 /// Keep-alives after which the decision module forgets a function.
 const FORGET: Micros = 16;
 
@@ -98,46 +104,55 @@
 }
 
 /// Resident bytes of one gateway that knows all workers, and of one function at it.
+///
+/// The first gateway and the first functions are not measured: they fill what was given back by then.
 fn trial(scenario: &ScaleScenario, settings: &GatewaySettings) -> anyhow::Result<(u64, u64)> {
     let network = Network::new(scenario);
-    let count = (TRIAL_ENTRIES / scenario.workers).clamp(1, MOST_TRIAL_GATEWAYS);
     let list: Vec<Listed> =
         (0..scenario.workers).map(|n| entry(n, network.zone_name(network.zone(n)))).collect();
-    let before = memory::resident()?;
-    let mut gateways = Vec::with_capacity(count);
-    let mut out = Vec::new();
-    for number in 0..count {
+    let gateway = |number: usize| -> anyhow::Result<Engine> {
         let own = settings_of(settings, number, &network.zone_name(0), scenario.gateways)?;
         let mut gateway = Engine::new(own.engine, number as u64)?;
-        gateway.handle(1, Input::List { whole: true, workers: list.clone() }, &mut out);
-        out.clear();
-        gateways.push(gateway);
+        gateway.handle(1, Input::List { whole: true, workers: list.clone() }, &mut Vec::new());
+        Ok(gateway)
+    };
+    let mut gateways = vec![gateway(0)?];
+    let before = memory::resident()?;
+    let count = (TRIAL_ENTRIES / scenario.workers).clamp(1, MOST_TRIAL_GATEWAYS);
+    for number in 1..=count {
+        gateways.push(gateway(number)?);
     }
     let listed = memory::resident()?;
-    for gateway in &mut gateways {
-        let class = settings.engine.module.classes.first().map_or("", |class| class.name.as_str());
-        call_functions(gateway, class, scenario, &mut out);
-    }
-    let called = memory::resident()?;
+    let class = settings.engine.module.classes.first().map_or("", |class| class.name.as_str());
+    let (least, most) = TRIAL_FUNCTIONS;
+    let functions = (TRIAL_ORDERS / scenario.workers).clamp(least, most);
+    let mut call_all = |from: usize| {
+        let called = gateways.iter_mut().take(CALLED_GATEWAYS);
+        called.for_each(|gateway| call_functions(gateway, class, scenario, from..from + functions));
+        memory::resident()
+    };
+    let first = call_all(0)?;
+    let second = call_all(functions)?;
     let gateway = listed.saturating_sub(before) / count as u64;
-    let function = called.saturating_sub(listed) / (count * TRIAL_FUNCTIONS) as u64;
+    let function = second.saturating_sub(first) / (CALLED_GATEWAYS * functions) as u64;
     Ok((gateway.max(LEAST_GATEWAY), function.max(LEAST_FUNCTION)))
 }
 
 /// One call of each of some functions, answered at once.
-fn call_functions(gateway: &mut Engine, class: &str, scenario: &ScaleScenario, out: &mut Vec<Output>) {
-    for number in 0..TRIAL_FUNCTIONS {
+fn call_functions(gateway: &mut Engine, class: &str, scenario: &ScaleScenario, functions: Range<usize>) {
+    let mut out = Vec::new();
+    for number in functions {
         let now = 1_000 + number as u64 * 1_000;
         let client = Client { connection: 1, number: number as u64 };
         let call = call(function_name(number), class.to_owned(), scenario);
-        gateway.handle(now, Input::Call(client, call), out);
+        gateway.handle(now, Input::Call(client, call), &mut out);
         let runs = out.drain(..).filter_map(|output| match output {
             Output::Run(attempt) => Some(attempt.number),
             _ => None,
         });
         for attempt in runs.collect::<Vec<_>>() {
             let end = AttemptEnd::Answered(Ending::Ok, 0);
-            gateway.handle(now + 500, Input::AttemptEnded(attempt, end, Vec::new(), None), out);
+            gateway.handle(now + 500, Input::AttemptEnded(attempt, end, Vec::new(), None), &mut out);
         }
         out.clear();
     }
--- a/crates/scale/src/sweep.rs
+++ b/crates/scale/src/sweep.rs
@@ -6,7 +6,7 @@
 use cresswheel_settings::QUANTITIES;
 use serde::{Deserialize, Serialize};
 
-use crate::fit::{Fit, Point, fit};
+use crate::fit::{Fit, Point, Verdict, fit};
 use crate::report::Report;
 
 /// A quantity and the values that it is to have.
@@ -91,16 +91,21 @@
             }
         }
         for (figure, fit) in &self.fits {
-            let Fit { fixed, slope, slope_within, points, residuals, bend, is_line } = fit;
-            let verdict = if *is_line { "" } else { "  NOT A LINE" };
+            let Fit { fixed, slope, slope_within, points, residuals, bend, scatter, verdict } = fit;
+            let verdict = match verdict {
+                Verdict::Line => "",
+                Verdict::Curved => "  NOT A LINE: it bends",
+                Verdict::Scattered => "  NOT A LINE: points are far from it",
+            };
             writeln!(
                 f,
-                "{figure}: {} + {} (± {}) x {}{verdict} (bend {:.1}%)",
+                "{figure}: {} + {} (± {}) x {}{verdict} (bend {:.1}%, scatter {:.1}%)",
                 short(*fixed),
                 short(*slope),
                 short(*slope_within),
                 self.quantity,
-                bend * 100.0
+                bend * 100.0,
+                scatter * 100.0
             )?;
             for (Point { x, y }, residual) in points.iter().zip(residuals) {
                 writeln!(f, "    {x:>12}: {} (residual {})", short(*y), short(*residual))?;
--- a/crates/scale/tests/fits.rs
+++ b/crates/scale/tests/fits.rs
@@ -1,7 +1,7 @@
 //! Lines through planted points: a parabola is told from a line, with noise and without.
 
 use cresswheel_scale::Sweep;
-use cresswheel_scale::fit::{Fit, Point, TooFewPoints, fit};
+use cresswheel_scale::fit::{Fit, Point, TooFewPoints, Verdict, fit};
 
 fn through(xs: &[f64], y: impl Fn(f64) -> f64) -> Fit {
     let points: Vec<Point> = xs.iter().map(|x| Point { x: *x, y: y(*x) }).collect();
@@ -20,7 +20,7 @@
 fn a_planted_line_is_found_with_its_slope() {
     for xs in [&THREE[..], &SIX[..]] {
         let found = through(xs, |x| 250.0 + 0.125 * x);
-        assert!(found.is_line, "{found:?}");
+        assert!(found.verdict == Verdict::Line, "{found:?}");
         assert!((found.fixed - 250.0).abs() < 1e-6 && (found.slope - 0.125).abs() < 1e-9, "{found:?}");
         assert!(found.residuals.iter().all(|residual| residual.abs() < 1e-6), "{found:?}");
     }
@@ -30,22 +30,33 @@
 fn a_planted_parabola_is_no_line() {
     for xs in [&THREE[..], &SIX[..]] {
         let found = through(xs, |x| 250.0 + 1e-5 * x * x);
-        assert!(!found.is_line, "{found:?}");
+        assert!(found.verdict == Verdict::Curved, "{found:?}");
     }
     let noisy = through(&SIX, |x| (250.0 + 1e-5 * x * x) * noise(x, 0.03));
-    assert!(!noisy.is_line, "{noisy:?}");
+    assert!(noisy.verdict == Verdict::Curved, "{noisy:?}");
 }
 
 #[test]
 fn a_noisy_line_and_a_flat_one_are_lines() {
     let noisy = through(&SIX, |x| (250.0 + 0.125 * x) * noise(x, 0.05));
-    assert!(noisy.is_line, "{noisy:?}");
+    assert!(noisy.verdict == Verdict::Line, "{noisy:?}");
     assert!((noisy.slope - 0.125).abs() <= noisy.slope_within, "{noisy:?}");
     for xs in [&THREE[..], &SIX[..]] {
         let flat = through(xs, |x| 400.0 * noise(x, 0.02));
-        assert!(flat.is_line, "{flat:?}");
+        assert!(flat.verdict == Verdict::Line, "{flat:?}");
     }
-    assert!(through(&THREE, |_| 0.0).is_line);
+    assert_eq!(through(&THREE, |_| 0.0).verdict, Verdict::Line);
+}
+
+#[test]
+fn a_curve_that_is_no_parabola_is_no_line() {
+    let levelling = through(&SIX, |x| 8e6 * (1.0 - (-x / 3_000.0).exp()));
+    assert_ne!(levelling.verdict, Verdict::Line, "{levelling:?}");
+    // Five points of a run that rose and fell.
+    let hump = [7_809.0, 29_176.0, 25_925.0, 11_993.0, 8_694.0];
+    let xs = [1_000.0, 2_000.0, 4_000.0, 8_000.0, 18_000.0];
+    let points: Vec<Point> = xs.into_iter().zip(hump).map(|(x, y)| Point { x, y }).collect();
+    assert_eq!(fit(&points).unwrap().verdict, Verdict::Scattered);
 }
 
 #[test]
