--- a/crates/scale/src/size.rs
+++ b/crates/scale/src/size.rs
@@ -29,7 +29,7 @@
     pub workers: u64,
     /// The process itself, before the run.
     pub process: u64,
-    /// All of it, with [`MARGIN`] for what is simulated.
+    /// All of it, with a quarter more for what is simulated.
     pub all: u64,
     /// What it may take.
     pub most: u64,
@@ -60,7 +60,7 @@
 impl std::error::Error for Refused {}
 
 /// What a run takes beyond the trial's figures: growth of tables, events under way, the allocator.
-pub const MARGIN: f64 = 1.25;
+const MARGIN: f64 = 1.25;
 /// A trial below this tells nothing, as memory comes in pages.
 const LEAST_GATEWAY: u64 = 100 << 10;
 const LEAST_FUNCTION: u64 = 500;
