--- a/crates/rehearsal/examples/cold_parts.rs
+++ b/crates/rehearsal/examples/cold_parts.rs
@@ -13,7 +13,7 @@
 use std::path::Path;
 
 use cresswheel_rehearsal::read_records;
-use cresswheel_standins::{Record, What};
+use cresswheel_standins::{Record, RecordedEvent};
 
 const PARTS: [&str; 5] = [
     "until the order is at the worker",
@@ -55,17 +55,17 @@
     let mut calls = HashMap::<String, Call>::new();
     for record in records {
         match &record.what {
-            What::Asked { trace, gateway, .. } => {
+            RecordedEvent::Asked { trace, gateway, .. } => {
                 let call = calls.entry(trace.clone()).or_default();
                 (call.asked, call.gateway) = (Some(record.at), gateway.clone());
             }
-            What::Run { trace, function, .. } => {
+            RecordedEvent::Run { trace, function, .. } => {
                 let call = calls.entry(trace.clone()).or_default();
                 (call.function, call.worker) = (function.clone(), record.by.clone());
                 (call.reached, call.runs) = (record.at, call.runs + 1);
             }
-            What::Began { trace, .. } => calls.entry(trace.clone()).or_default().began = record.at,
-            What::Answered { trace, status, .. } if status == "served" => {
+            RecordedEvent::Began { trace, .. } => calls.entry(trace.clone()).or_default().began = record.at,
+            RecordedEvent::Answered { trace, status, .. } if status == "served" => {
                 calls.entry(trace.clone()).or_default().answered = Some(record.at);
             }
             _ => {}
@@ -78,7 +78,7 @@
 fn orders(records: &[Record]) -> HashMap<(&str, &str, &str), Vec<u64>> {
     let mut orders = HashMap::<_, Vec<u64>>::new();
     for record in records {
-        if let What::Hold { gateway, function, .. } = &record.what {
+        if let RecordedEvent::Hold { gateway, function, .. } = &record.what {
             let place = (gateway.as_str(), record.by.as_str(), function.as_str());
             orders.entry(place).or_default().push(record.at);
         }
