The test of a host that never answers waits for the host to read the abort

Observed: `a_request_that_a_host_never_answers_is_given_up_there_and_sent_elsewhere` failed once in a few runs under load: the list of what the silent host saw lacked `abort`. Cause: a race in the test. The abort goes to one host and the next attempt to another, each read by a thread of its own; the test read the lists right after the client's answer. With that thread held up by 300 ms before it notes the abort (a trial), the old test fails with the same lists and this one passes.

Change: the test waits for the abort (bounded by `PATIENCE`), then asserts the same lists as before.

Measured: 20 of 20 runs beside 4 busy loops.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -210,10 +210,16 @@
     let mut client = node.client();
     client.ask_as(1, "00000000000000aa", "check", "5000");
     assert_eq!(client.answer(), (1, 0), "{}", std::fs::read_to_string(node.log()).unwrap());
+    let line = |word: &str| format!("{word} 00000000000000aa");
+    // The silent host reads on a connection and thread of its own, maybe after the client has its answer.
+    let is_aborted = || hosts.iter().any(|host| host.seen.lock().unwrap().contains(&line("abort")));
+    let end = Instant::now() + peers::PATIENCE;
+    while !is_aborted() && Instant::now() < end {
+        std::thread::sleep(Duration::from_millis(5));
+    }
     let mut seen: Vec<Vec<String>> = hosts.iter().map(|host| host.seen.lock().unwrap().clone()).collect();
     seen.iter_mut().for_each(|lines| lines.retain(|line| line.ends_with("00000000000000aa")));
     seen.sort_by_key(Vec::len);
-    let line = |word: &str| format!("{word} 00000000000000aa");
     assert_eq!(seen, [vec![line("invoke")], vec![line("invoke"), line("abort")]]);
 }
 
