The log of a gateway that a failing test had started is printed

Need: a failure of the crossings' tests that comes once in many runs left no log to find its cause by, as the folder goes with the test. Change: `Node` prints its log when it is dropped by a panic. No check changes.

--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -179,6 +179,9 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            eprintln!("{}", std::fs::read_to_string(self.log()).unwrap_or_default());
+        }
     }
 }
 
