What a worker is sent for an attempt is made in one place, in the engine

The scale run wrote the gateway's own Message::Run again, though what it counts has to be what runs. Attempt::message serves both now; the message is as it was.

--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cresswheel::{FunctionId, Micros, WorkerId};
-use cresswheel_protocol::{Listed, Origin, Shape, Status};
+use cresswheel_protocol::{Listed, Message, Origin, Shape, Status};
 
 use crate::{AdmissionLimits, AttemptEnd, OrderEnd, ResultLimits};
 
@@ -166,6 +166,25 @@
     pub call: Arc<Call>,
 }
 
+impl Attempt {
+    /// What the worker is sent. A call without a trace or a key of its own goes by the attempt's id.
+    pub fn message(&self) -> Message {
+        let call = &self.call;
+        let or_id = |text: &str| if text.is_empty() { self.id.clone() } else { text.to_owned() };
+        Message::Run {
+            attempt: self.number,
+            trace: or_id(&call.trace),
+            before: self.before,
+            function: call.routed().to_owned(),
+            class: call.class.clone(),
+            key: or_id(&call.key),
+            time_left: self.time_left,
+            shape: call.shape.clone(),
+            body: call.body.clone(),
+        }
+    }
+}
+
 /// What is to be done, in order.
 #[derive(Clone, Debug)]
 pub enum Output {
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -660,19 +660,7 @@
         let span = tracing::debug_span!("call", id = %attempt.id, trace = %attempt.call.trace);
         let _in = span.enter();
         tracing::debug!(worker = %attempt.worker, attempt = attempt.number, before = attempt.before, "run");
-        let call = &attempt.call;
-        let or_id = |text: &String| if text.is_empty() { attempt.id.clone() } else { text.clone() };
-        let message = Message::Run {
-            attempt: attempt.number,
-            trace: or_id(&call.trace),
-            before: attempt.before,
-            function: call.routed().to_owned(),
-            class: call.class.clone(),
-            key: or_id(&call.key),
-            time_left: attempt.time_left,
-            shape: call.shape.clone(),
-            body: call.body.clone(),
-        };
+        let message = attempt.message();
         let cargo = Cargo::Attempt(attempt.number);
         if !self.workers.hand(&mut self.hub, &attempt.worker, cargo, &message) {
             let end = AttemptEnd::NotConnected;
--- a/crates/scale/src/run/gateways.rs
+++ b/crates/scale/src/run/gateways.rs
@@ -135,18 +135,7 @@
 
     fn run_attempt(&mut self, gateway: usize, attempt: &Attempt) {
         let call = &attempt.call;
-        let or_id = |text: &str| if text.is_empty() { attempt.id.clone() } else { text.to_owned() };
-        let message = Message::Run {
-            attempt: attempt.number,
-            trace: or_id(&call.trace),
-            before: attempt.before,
-            function: call.routed().to_owned(),
-            class: call.class.clone(),
-            key: or_id(&call.key),
-            time_left: attempt.time_left,
-            shape: call.shape.clone(),
-            body: call.body.clone(),
-        };
+        let message = attempt.message();
         let request = WorkerRequest::Run {
             function: call.routed().to_owned(),
             shape: call.shape.clone(),
