--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -103,6 +103,7 @@
     pub list: List,
     most: Arc<AtomicUsize>,
     started: Arc<AtomicU64>,
+    delay_ms: Arc<AtomicU64>,
 }
 
 impl Directory {
@@ -115,6 +116,8 @@
         let answers = most.clone();
         let started = Arc::new(AtomicU64::new(0));
         let began = started.clone();
+        let delay_ms = Arc::new(AtomicU64::new(0));
+        let delay = delay_ms.clone();
         std::thread::spawn(move || {
             let mut bytes = [0; 512];
             let mut given: HashMap<SocketAddr, usize> = HashMap::new();
@@ -125,11 +128,16 @@
                 if !hosts.is_empty() && *times < answers.load(Ordering::SeqCst) {
                     *times += 1;
                     let bytes = answer(asked.metadata.id, serial, &hosts, began.load(Ordering::SeqCst));
-                    socket.send_to(&bytes, from).unwrap();
+                    send_later(&socket, from, bytes, Duration::from_millis(delay.load(Ordering::SeqCst)));
                 }
             }
         });
-        Self { at, list, most, started }
+        Self { at, list, most, started, delay_ms }
+    }
+
+    /// From now on each answer tells what held when it was asked for, and leaves that much later.
+    pub fn answers_after(&self, delay: Duration) {
+        self.delay_ms.store(delay.as_millis() as u64, Ordering::SeqCst);
     }
 
     /// From now on each address that asks gets so many answers at most.
@@ -148,6 +156,19 @@
     }
 }
 
+fn send_later(socket: &UdpSocket, to: SocketAddr, bytes: Vec<u8>, delay: Duration) {
+    if delay.is_zero() {
+        // Whoever asked may have closed its socket since; that is no error of this side.
+        let _ = socket.send_to(&bytes, to);
+        return;
+    }
+    let socket = socket.try_clone().unwrap();
+    std::thread::spawn(move || {
+        std::thread::sleep(delay);
+        let _ = socket.send_to(&bytes, to);
+    });
+}
+
 pub fn answer(id: u16, serial: u32, hosts: &[(String, SocketAddr, u16)], started: u64) -> Vec<u8> {
     let name = |text: &str| Name::from_ascii(text).unwrap();
     let service = name("_data._tcp.farm.lan.");
