--- a/crates/cli/tests/drains.rs
+++ b/crates/cli/tests/drains.rs
@@ -28,7 +28,8 @@
 
 impl Fleet {
     fn new() -> Self {
-        let fleet = Self { hosts: vec![("s-1", host(good)), ("s-2", host(good))], directory: Directory::new(1) };
+        let fleet =
+            Self { hosts: vec![("s-1", host(good)), ("s-2", host(good))], directory: Directory::new(1) };
         fleet.tell_draining(1, None);
         fleet
     }
