Nothing leaves for a host on old news: asked again right before it leaves

Lines at fault, in the text before: Hub::wait began with turns(Writing::All), before any look at the sockets, so what was decided before a long turn or a standstill left unseen; nothing bounded the age of a list; Directory::tick gave up the socket after eight questions with the answers on their way, so a directory 0.35 s slow lost seven answers and one slower than 1.6 s was never heard; an older list counted as a good answer.

Change: engine/departure.rs decides in one place whether something may still leave (call open, deadline, memory of workers, standing, age of the list, the worker's own word) and Engine::departed counts what left against a rule. platform/departures.rs asks it right before the hub writes, keeps, parks, makes anew or takes back. Hub::leave_within: own bytes leave only within 50 ms of the last look at the sockets; Hub::hear reads datagrams too. Directory: former sockets are listened to for 5 s, the list has an age, an older list is no answer.

--- a/crates/carriers/src/lib.rs
+++ b/crates/carriers/src/lib.rs
@@ -10,7 +10,7 @@
 use cresswheel::WorkerId;
 use cresswheel_engine::{AttemptEnd, Input, OrderEnd};
 use cresswheel_protocol::Micros;
-use cresswheel_transport::{Connection, Hub, Wire};
+use cresswheel_transport::{Connection, Hub, Sent, Wire};
 use foldhash::HashMap;
 
 /// One connection to a worker.
@@ -84,10 +84,7 @@
         begin: impl FnOnce(&mut Vec<u8>),
     ) -> Option<Connection> {
         let now = hub.clock().now();
-        if !self.by_worker.contains_key(worker) {
-            self.by_worker.insert(worker.clone(), Vec::new());
-        }
-        let here = self.by_worker.get_mut(worker)?;
+        let here = self.by_worker.get(worker).map_or(&[][..], Vec::as_slice);
         let stale = |c: &Connection| {
             matches!(cargo, Cargo::Attempt(_)) && self.carriers[c].is_stale(now, limits.idle)
         };
@@ -107,24 +104,7 @@
         let connection = match least.filter(|c| shared || attempts(*c) < limits.spread) {
             Some(connection) => connection,
             None if !room => return None,
-            None => {
-                let connection = hub.connect(address, limits.wire, limits.connect_timeout);
-                if !hub.is_open(connection) {
-                    return None;
-                }
-                let carrier = Carrier {
-                    worker: worker.clone(),
-                    stands: false,
-                    attempts: BTreeSet::new(),
-                    orders: BTreeSet::new(),
-                    idle_since: now,
-                    leaving: false,
-                };
-                self.carriers.insert(connection, carrier);
-                here.push(connection);
-                hub.write(connection, None, begin);
-                connection
-            }
+            None => self.open(hub, limits, (worker, address), begin)?,
         };
         let (Cargo::Attempt(number) | Cargo::Order(number)) = cargo;
         if !hub.write(connection, Some(number), frame) {
@@ -140,6 +120,48 @@
         Some(connection)
     }
 
+    /// Begins a connection with nothing on it, if there is none to the worker that stands or is begun and there is room;
+    /// gives the new one.
+    pub fn connect(
+        &mut self,
+        hub: &mut Hub,
+        limits: &CarrierLimits,
+        to: (&WorkerId, SocketAddr),
+        begin: impl FnOnce(&mut Vec<u8>),
+    ) -> Option<Connection> {
+        let here = self.by_worker.get(to.0).into_iter().flatten();
+        let usable = here.filter(|connection| !self.carriers[connection].leaving).count();
+        if usable > 0 || limits.connections == 0 {
+            return None;
+        }
+        self.open(hub, limits, to, begin)
+    }
+
+    fn open(
+        &mut self,
+        hub: &mut Hub,
+        limits: &CarrierLimits,
+        (worker, address): (&WorkerId, SocketAddr),
+        begin: impl FnOnce(&mut Vec<u8>),
+    ) -> Option<Connection> {
+        let connection = hub.connect(address, limits.wire, limits.connect_timeout);
+        if !hub.is_open(connection) {
+            return None;
+        }
+        let carrier = Carrier {
+            worker: worker.clone(),
+            stands: false,
+            attempts: BTreeSet::new(),
+            orders: BTreeSet::new(),
+            idle_since: hub.clock().now(),
+            leaving: false,
+        };
+        self.carriers.insert(connection, carrier);
+        self.by_worker.entry(worker.clone()).or_default().push(connection);
+        hub.write(connection, None, begin);
+        Some(connection)
+    }
+
     /// A frame that is no attempt or order, if a connection stands; gives the one that carries it.
     pub fn tell(
         &mut self,
@@ -201,6 +223,17 @@
         Some(connection)
     }
 
+    /// Whether an attempt or order waits here, without a byte of it having left.
+    pub fn is_waiting(&self, hub: &Hub, number: u64) -> bool {
+        let connection = self.places.get(&number);
+        connection.is_some_and(|connection| hub.sent(*connection, number) == Sent::Nothing)
+    }
+
+    /// Whether an attempt or order is out, or waits here to leave.
+    pub fn has(&self, number: u64) -> bool {
+        self.places.contains_key(&number)
+    }
+
     /// Whose connection it is.
     pub fn worker(&self, connection: Connection) -> Option<WorkerId> {
         self.carriers.get(&connection).map(|carrier| carrier.worker.clone())
--- a/crates/engine/src/counters.rs
+++ b/crates/engine/src/counters.rs
@@ -30,6 +30,10 @@
     pub results_evicted: u64,
     /// List entries passed over, because there were more than are kept or their ids were empty.
     pub list_passed_over: u64,
+    /// Attempts and orders that were kept back or taken back right before they left, by reason.
+    pub kept_back: BTreeMap<&'static str, u64>,
+    /// Attempts and orders that left against a rule, by rule. Anything but none is a fault of this program.
+    pub violations: BTreeMap<&'static str, u64>,
 }
 
 impl Counters {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -12,6 +12,7 @@
 
 use crate::admission::Admission;
 use crate::counters::{Counters, count};
+use crate::departure::{Barred, Departure, Departures, ListAge, ListTerms, WaitFor};
 use crate::keys::{Keys, Match};
 use crate::results::Results;
 use crate::{Answer, Attempt, AttemptEnd, Call, Client, EngineSettings, Input, OrderEnd, Output, Route};
@@ -105,6 +106,7 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     counters: Counters,
+    departures: Departures,
     now: Micros,
 }
 
@@ -137,6 +139,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             counters: Counters::new(&settings.module.classes),
+            departures: Departures::default(),
             now: 0,
             settings,
         })
@@ -165,6 +168,8 @@
             Input::Probed(worker) => {
                 self.events.push_back(Event::Probed { worker, outcome: cresswheel::Outcome::Ok });
             }
+            Input::WorkerSaid { worker, serves, asked } => self.worker_said(worker, serves, asked),
+            Input::ListAge(age) => self.list_aged(age),
             Input::List { whole, workers } => self.list(whole, workers),
             Input::ListLost => self.events.push_back(Event::List(ListNews::Lost)),
             Input::Drain => self.draining = true,
@@ -217,6 +222,67 @@
         self.settings.deferred_time = settings.deferred_time;
     }
 
+    /// From now on the worker list counts only as long as these terms allow; this is its age.
+    pub fn hold_to_list_age(&mut self, terms: ListTerms, age: ListAge) {
+        self.departures.hold_to(terms, age);
+    }
+
+    /// Whether an attempt or order may leave now: to be asked right before its first byte does.
+    pub fn may_leave(&self, now: Micros, number: u64) -> Departure {
+        if let Some(order) = self.orders.get(&number) {
+            return self.may_go_to(now, &order.worker);
+        }
+        let Some(flight) = self.flights.get(&number) else { return Departure::Never(Barred::CallOver) };
+        match self.open.get(&flight.id) {
+            None => Departure::Never(Barred::CallOver),
+            Some(open) if open.deadline <= now => Departure::Never(Barred::DeadlinePassed),
+            Some(_) if flight.leave_by.is_some_and(|by| by <= now) => Departure::Never(Barred::MemoryPassed),
+            Some(_) => self.may_go_to(now, &flight.worker),
+        }
+    }
+
+    fn may_go_to(&self, now: Micros, worker: &WorkerId) -> Departure {
+        let standing = self.listed.get(&*worker.0).map(|listed| listed.standing);
+        self.departures.judge(now, worker, standing)
+    }
+
+    /// What is left at that time of the client's time, and of the attempt's own.
+    pub fn times_left(&self, now: Micros, attempt: u64) -> Option<(Micros, Micros)> {
+        let flight = self.flights.get(&attempt)?;
+        let open = self.open.get(&flight.id)?;
+        Some((open.deadline.saturating_sub(now), flight.due.saturating_sub(now)))
+    }
+
+    /// Something was kept back, or taken back, right before it left.
+    pub fn kept_back(&mut self, why: Departure) {
+        let word = match why {
+            Departure::Now => return,
+            Departure::Wait(WaitFor::List) => "waits-for-list",
+            Departure::Wait(WaitFor::Worker) => "waits-for-worker",
+            Departure::Never(barred) => barred.word(),
+        };
+        count(&mut self.counters.kept_back, word);
+    }
+
+    /// The first byte of an attempt or order has left. Checks it against the rules, apart from what allowed it; gives
+    /// the rule that it breaks.
+    pub fn departed(&mut self, now: Micros, number: u64) -> Option<&'static str> {
+        let (worker, deadline) = match (self.flights.get(&number), self.orders.get(&number)) {
+            (Some(flight), _) => (&flight.worker, self.open.get(&flight.id).map(|open| open.deadline)),
+            (None, Some(order)) => (&order.worker, None),
+            (None, None) => return None,
+        };
+        let broken = if self.departures.is_past_grace(now, worker) {
+            "drain"
+        } else if deadline.is_some_and(|deadline| deadline <= now) {
+            "deadline"
+        } else {
+            return None;
+        };
+        count(&mut self.counters.violations, broken);
+        Some(broken)
+    }
+
     fn call(&mut self, client: Client, call: Call, out: &mut Vec<Output>) {
         let held = self.clients.get(&client.connection);
         if held.is_some_and(|h| h.contains_key(&client.number)) {
@@ -539,22 +605,14 @@
         workers.retain(|w| !w.id.is_empty());
         workers.truncate(MOST_WORKERS);
         self.counters.list_passed_over += (before - workers.len()) as u64;
-        if whole {
-            self.listed.clear();
-        }
-        let entries = workers.iter().map(|w| WorkerEntry {
-            id: w.id.as_str().into(),
-            zone: w.zone.clone(),
-            kind: w.kind.clone(),
-            cell: w.cell,
-            state: match w.standing {
-                Standing::In => WorkerState::In,
-                Standing::Draining => WorkerState::Draining,
-                Standing::Out => WorkerState::Out,
-            },
-            started: (w.started > 0).then_some(w.started),
-        });
-        let entries = entries.collect();
+        let previous = if whole { std::mem::take(&mut self.listed) } else { BTreeMap::new() };
+        for worker in workers.iter() {
+            let started = previous.get(&worker.id).or(self.listed.get(&worker.id)).map(|w| w.started);
+            let began_anew = started.is_some_and(|started| started != worker.started);
+            let id = WorkerId::from(worker.id.as_str());
+            self.departures.listed(self.now, &id, worker.standing, began_anew);
+        }
+        let entries = workers.iter().map(|worker| self.entry(worker)).collect();
         for worker in workers {
             if worker.standing == Standing::Out {
                 self.listed.remove(&worker.id);
@@ -562,10 +620,58 @@
                 self.listed.insert(worker.id.clone(), worker);
             }
         }
+        for id in previous.keys().filter(|id| !self.listed.contains_key(*id)) {
+            self.departures.listed(self.now, &WorkerId::from(id.as_str()), Standing::Out, false);
+        }
+        let listed = &self.listed;
+        self.departures.forget(self.now, |worker| listed.contains_key(&*worker.0));
         let news = if whole { ListNews::Whole(entries) } else { ListNews::Changes(entries) };
         self.events.push_back(Event::List(news));
     }
 
+    /// A listed worker in the module's terms. One that says itself that it leaves drains, whatever the list says.
+    fn entry(&self, worker: &Listed) -> WorkerEntry {
+        let id = WorkerId::from(worker.id.as_str());
+        let state = match worker.standing {
+            Standing::In if self.departures.says_it_leaves(&id) => WorkerState::Draining,
+            Standing::In => WorkerState::In,
+            Standing::Draining => WorkerState::Draining,
+            Standing::Out => WorkerState::Out,
+        };
+        WorkerEntry {
+            id,
+            zone: worker.zone.clone(),
+            kind: worker.kind.clone(),
+            cell: worker.cell,
+            state,
+            started: (worker.started > 0).then_some(worker.started),
+        }
+    }
+
+    fn worker_said(&mut self, worker: WorkerId, serves: bool, asked: Micros) {
+        let listed = self.listed.get(&*worker.0).is_some_and(|listed| listed.standing == Standing::In);
+        if listed {
+            self.departures.worker_said(worker.clone(), serves, asked);
+            if !serves {
+                self.tell_module_of(&worker);
+            }
+        }
+    }
+
+    fn list_aged(&mut self, age: ListAge) {
+        self.departures.aged(age);
+        for worker in self.departures.caught_up() {
+            self.tell_module_of(&worker);
+        }
+    }
+
+    /// Tells the module of a listed worker once more: whether it takes new work has changed.
+    fn tell_module_of(&mut self, worker: &WorkerId) {
+        let entry = self.listed.get(&*worker.0).map(|listed| self.entry(listed));
+        let news = entry.map(|entry| Event::List(ListNews::Changes(vec![entry])));
+        self.events.extend(news);
+    }
+
     /// Answers everything that is open, as its class and its attempts allow.
     fn stop(&mut self, out: &mut Vec<Output>) {
         self.draining = true;
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -5,7 +5,7 @@
 use cresswheel::{FunctionId, Micros, WorkerId};
 use cresswheel_protocol::{Listed, Message, Origin, Shape, Status};
 
-use crate::{AdmissionLimits, AttemptEnd, OrderEnd, ResultLimits};
+use crate::{AdmissionLimits, AttemptEnd, ListAge, OrderEnd, ResultLimits};
 
 /// Settings of the engine; those of the decision module are among them.
 #[derive(Clone, Debug)]
@@ -107,6 +107,17 @@
     Expected(FunctionId, FunctionId, Micros),
     /// A worker answered a probe.
     Probed(WorkerId),
+    /// A worker said, to a question of that time, whether it serves or leaves.
+    WorkerSaid {
+        /// The worker.
+        worker: WorkerId,
+        /// It takes new work.
+        serves: bool,
+        /// When it was asked.
+        asked: Micros,
+    },
+    /// How current the worker list is, from now on.
+    ListAge(ListAge),
     /// The worker list: all of it, or changes.
     List {
         /// What is not named is gone.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,10 +10,12 @@
 //! - a call that was taken gets one final answer, and each of its waiters one;
 //! - each `Action::Send` of the module gets one `Event::Ended`, each `Hold` one `Event::Held`;
 //! - whether an attempt provably never ran is said in [`AttemptEnd::outcome`] and nowhere else;
+//! - whether what was decided may still leave is said in `departure` and nowhere else;
 //! - same inputs, same outputs.
 
 mod admission;
 mod counters;
+mod departure;
 mod ending;
 mod engine;
 mod interface;
@@ -22,6 +24,7 @@
 
 pub use admission::AdmissionLimits;
 pub use counters::Counters;
+pub use departure::{Barred, Departure, ListAge, ListTerms, WaitFor};
 pub use ending::{AttemptEnd, OrderEnd};
 pub use engine::Engine;
 pub use interface::*;
--- /dev/null
+++ b/crates/platform/src/departures/tests.rs
@@ -0,0 +1,1 @@
+//! What has not left, cleared without sockets of hosts.
--- a/crates/platform/src/directory/tests.rs
+++ b/crates/platform/src/directory/tests.rs
@@ -17,7 +17,7 @@
 #[test]
 fn only_a_whole_answer_to_a_recent_question_that_is_newer_counts() {
     let mut directory = Directory::new(0, ([127, 0, 0, 1], 9).into(), 5, 40, 1_000_000);
-    directory.recent.extend([41, 42]);
+    directory.questions.extend([41, 42].map(|id| Question { id, asked: 1 }));
     assert!(directory.answered(1, &told(43, 9)).is_none(), "another id");
     assert!(directory.answered(1, &told(41, 9)[..20]).is_none(), "cut");
     assert!(directory.answered(1, &[]).is_none() && directory.answered(1, &[0, 41]).is_none());
@@ -52,6 +52,6 @@
         // The next good answer brings the usual pace back.
         let last = directory.id;
         assert!(directory.answered(asked[8] + 1, &told(last, 5)).is_none());
-        assert_eq!((directory.unanswered, directory.next_due()), (0, asked[9]));
+        assert_eq!((directory.age.unanswered, directory.next_due()), (0, asked[9]));
     }
 }
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -19,7 +19,8 @@
 enum Name {
     Attempt(Sending),
     Order(u64),
-    Probe,
+    /// Whether the host serves, asked at that time.
+    Probe(Micros),
     /// It was answered or given up; nobody waits for it, but an answer may be on its way until then.
     Over(Micros),
 }
@@ -45,6 +46,12 @@
     heard: Micros,
 }
 
+impl Line {
+    fn new(now: Micros) -> Self {
+        Self { decoder: HostDecoder::default(), names: HashMap::new(), opened: now, heard: now }
+    }
+}
+
 /// A listed host.
 #[derive(Clone, Copy, Debug)]
 struct Place {
@@ -61,6 +68,20 @@
     pub others: Micros,
 }
 
+/// An order to load.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub worker: WorkerId,
+    /// Names the order; never used twice, nor for an attempt.
+    pub number: u64,
+    pub function: FunctionId,
+    /// Instances wanted.
+    pub count: u32,
+}
+
+/// A host is asked again whether it serves after this at the earliest.
+const ASK_AGAIN: Micros = 100_000;
+
 /// What was counted since the start.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HostCounts {
@@ -79,9 +100,11 @@
     late: Late,
     lines: HashMap<Connection, Line>,
     places: HashMap<WorkerId, Place>,
-    /// The connection and the id of each attempt that is out.
+    /// The connection and the id or tag of each attempt and order that is out.
     out: HashMap<u64, (Connection, String)>,
     next_probe: u64,
+    /// When hosts were asked last whether they serve.
+    asked: HashMap<WorkerId, Micros>,
     pub counts: HostCounts,
 }
 
@@ -96,6 +119,7 @@
             places: HashMap::new(),
             out: HashMap::new(),
             next_probe: 0,
+            asked: HashMap::new(),
             counts: HostCounts::default(),
         }
     }
@@ -141,6 +165,7 @@
 
     fn gone(&mut self, hub: &mut Hub, id: &WorkerId) -> Vec<Input> {
         self.places.remove(id);
+        self.asked.remove(id);
         let ended = self.withdraw_all(hub, id);
         self.carriers.all_leaving(id);
         ended
@@ -175,8 +200,7 @@
         let usable = |connection| name_of(connection).is_none_or(is_over);
         let to = (worker, place.address);
         let connection = self.carriers.give(hub, &limits, to, (cargo, frame), usable, |_| {})?;
-        let new = || Line { decoder: HostDecoder::default(), names: HashMap::new(), opened: now, heard: now };
-        self.lines.entry(connection).or_insert_with(new).names.insert(id.to_owned(), name);
+        self.lines.entry(connection).or_insert_with(|| Line::new(now)).names.insert(id.to_owned(), name);
         Some(connection)
     }
 
@@ -207,20 +231,58 @@
     }
 
     /// Carries an order; gives back how it ended if it can't.
-    pub fn hold(
-        &mut self,
-        hub: &mut Hub,
-        worker: &WorkerId,
-        order: u64,
-        function: &FunctionId,
-        count: u32,
-    ) -> Option<Input> {
-        let tag = format!("o{order}");
-        let named = (Cargo::Order(order), Name::Order(order));
-        let frame = |out: &mut Vec<u8>| host::prewarm(out, &tag, &function.0, count);
-        match self.hand(hub, worker, named, &tag, frame) {
-            Some(_) => None,
-            None => Some(Input::OrderEnded(order, OrderEnd::NotConnected, 0)),
+    pub fn hold(&mut self, hub: &mut Hub, order: &Order) -> Option<Input> {
+        let tag = format!("o{}", order.number);
+        let named = (Cargo::Order(order.number), Name::Order(order.number));
+        let frame = |out: &mut Vec<u8>| host::prewarm(out, &tag, &order.function.0, order.count);
+        match self.hand(hub, &order.worker, named, &tag, frame) {
+            Some(connection) => {
+                self.out.insert(order.number, (connection, tag));
+                None
+            }
+            None => Some(Input::OrderEnded(order.number, OrderEnd::NotConnected, 0)),
+        }
+    }
+
+    /// Whether an attempt or order waits on a connection, without a byte of it having left.
+    pub fn is_waiting(&self, hub: &Hub, number: u64) -> bool {
+        self.carriers.is_waiting(hub, number)
+    }
+
+    /// Whether a byte of an attempt or order has left on a connection that still is there.
+    pub fn has_left(&self, hub: &Hub, number: u64) -> bool {
+        let connection = self.out.get(&number).map(|(connection, _)| *connection);
+        connection.is_some_and(|connection| {
+            hub.is_open(connection) && hub.sent(connection, number) != Sent::Nothing
+        })
+    }
+
+    /// Takes an attempt or order off its connection; false: a byte of it has left, or it is on none.
+    pub fn take_off(&mut self, hub: &mut Hub, number: u64) -> bool {
+        let taken = self.carriers.withdraw(hub, number);
+        if taken {
+            self.forget(number);
+        }
+        taken
+    }
+
+    /// Asks a host whether it serves, on a connection that stands or on a new one.
+    pub fn ask(&mut self, hub: &mut Hub, now: Micros, worker: &WorkerId) {
+        let Some(place) = self.places.get(worker).copied() else { return };
+        let last = self.asked.get(worker).copied();
+        if last.is_some_and(|last| last.saturating_add(ASK_AGAIN) > now) {
+            return;
+        }
+        if self.probe(hub, worker) {
+            self.asked.insert(worker.clone(), now);
+            return;
+        }
+        let mut limits = self.limits;
+        if self.carriers.connections() >= self.most {
+            limits.connections = 0;
+        }
+        if let Some(connection) = self.carriers.connect(hub, &limits, (worker, place.address), |_| {}) {
+            self.lines.insert(connection, Line::new(now));
         }
     }
 
@@ -229,14 +291,15 @@
         self.carriers.tell(hub, worker, |out| host::evict(out, &function.0));
     }
 
-    /// Probes a host, if a connection stands.
-    pub fn probe(&mut self, hub: &mut Hub, worker: &WorkerId) {
+    /// Probes a host, if a connection stands; true: one does.
+    pub fn probe(&mut self, hub: &mut Hub, worker: &WorkerId) -> bool {
         self.next_probe += 1;
         let tag = format!("p{}", self.next_probe);
         let told = self.carriers.tell(hub, worker, |out| host::alive(out, &tag));
-        if let Some(line) = told.and_then(|connection| self.lines.get_mut(&connection)) {
-            line.names.insert(tag, Name::Probe);
-        }
+        let line = told.and_then(|connection| self.lines.get_mut(&connection));
+        let Some(line) = line else { return false };
+        line.names.insert(tag, Name::Probe(hub.clock().now()));
+        true
     }
 
     /// Takes an attempt back if its host does not have all of it; true: that was so, and it never gets it.
@@ -279,16 +342,16 @@
     fn withdraw_all(&mut self, hub: &mut Hub, worker: &WorkerId) -> Vec<Input> {
         let ended = self.carriers.withdraw_all(hub, worker);
         for input in &ended {
-            if let Input::AttemptEnded(attempt, ..) = input {
-                self.forget(*attempt);
+            if let Input::AttemptEnded(number, ..) | Input::OrderEnded(number, ..) = input {
+                self.forget(*number);
             }
         }
         ended
     }
 
-    /// Its host does not have this attempt, so no answer to it can come.
-    fn forget(&mut self, attempt: u64) {
-        if let Some((connection, id)) = self.out.remove(&attempt) {
+    /// Its host does not have this attempt or order, so no answer to it can come.
+    fn forget(&mut self, number: u64) {
+        if let Some((connection, id)) = self.out.remove(&number) {
             self.lines.get_mut(&connection).into_iter().for_each(|line| _ = line.names.remove(&id));
         }
     }
@@ -344,10 +407,10 @@
             };
             match line.names.get(&answer.id).copied() {
                 None | Some(Name::Over(_)) => self.counts.unasked += 1,
-                Some(Name::Probe) => {
+                Some(Name::Probe(asked)) => {
                     line.names.remove(&answer.id);
-                    let up = self.carriers.worker(connection).filter(|_| answer.word == Word::Up);
-                    ended.extend(up.map(Input::Probed));
+                    let worker = self.carriers.worker(connection);
+                    ended.extend(worker.into_iter().flat_map(|worker| probed(worker, answer.word, asked)));
                 }
                 Some(name @ (Name::Attempt(Sending { number, .. }) | Name::Order(number))) => {
                     match told(name, answer) {
@@ -406,7 +469,12 @@
                         *end = AttemptEnd::CutOff;
                     }
                 }
-                Input::OrderEnded(_, end @ OrderEnd::Broken, _) if in_order => *end = OrderEnd::CutOff,
+                Input::OrderEnded(number, end, _) => {
+                    self.out.remove(number);
+                    if in_order && *end == OrderEnd::Broken {
+                        *end = OrderEnd::CutOff;
+                    }
+                }
                 _ => {}
             }
         }
@@ -434,6 +502,16 @@
     Input::AttemptEnded(number, end, Vec::new(), None)
 }
 
+/// What a host's answer to a probe tells. One that drains answers 'down' and goes on with what it has.
+fn probed(worker: WorkerId, word: Word, asked: Micros) -> Vec<Input> {
+    let said = |serves| Input::WorkerSaid { worker: worker.clone(), serves, asked };
+    match word {
+        Word::Up => vec![said(true), Input::Probed(worker)],
+        Word::Down => vec![said(false)],
+        _ => Vec::new(),
+    }
+}
+
 /// A host's word in the engine's terms, and the id that it was under; `None`: it is no answer to this.
 fn told(name: Name, answer: HostAnswer) -> Option<(String, Input)> {
     let input = match name {
@@ -459,7 +537,7 @@
             };
             Input::OrderEnded(order, OrderEnd::Answered(ending), answer.instances)
         }
-        Name::Probe | Name::Over(_) => return None,
+        Name::Probe(_) | Name::Over(_) => return None,
     };
     Some((answer.id, input))
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! (`directory`) between sockets and the engine, and decides nothing. `docs/PLATFORM.md` tells how it is started,
 //! what it bounds and what it says in its log.
 
+mod departures;
 mod directory;
 mod front;
 mod hosts;
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -8,16 +8,17 @@
 use anyhow::Context;
 use calloop::signals::Signal;
 use cresswheel::Micros;
-use cresswheel_engine::{Answer, AttemptEnd, Call, Client, Engine, Input, Output};
+use cresswheel_engine::{Answer, Attempt, AttemptEnd, Call, Client, Engine, Input, Output};
 use cresswheel_platform_wire::client::{Code, Request};
 use cresswheel_platform_wire::config::Config;
 use cresswheel_protocol::{Listed, Standing, Status};
 use cresswheel_transport::{Connection, Hub, Notice, Wire, listener};
 
 use crate::PlatformSettings;
-use crate::directory::Directory;
+use crate::departures::{Departures, Work};
+use crate::directory::{self, Directory};
 use crate::front::{Ask, Front};
-use crate::hosts::Hosts;
+use crate::hosts::{Hosts, Order};
 use crate::lateness::Lateness;
 use crate::waiting::Waiting;
 
@@ -60,6 +61,7 @@
     front: Front,
     hosts: Hosts,
     directory: Directory,
+    departures: Departures,
     address: SocketAddr,
     look: Micros,
     tell: Micros,
@@ -85,18 +87,18 @@
         let mut hub = Hub::new(settings.hub).context("event loop")?;
         // Before anybody can know of this process: a signal without its handler would end it.
         hub.signals(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).context("signals")?;
+        hub.leave_within(LONG_TURN);
         let now = hub.clock().now();
-        let engine = Engine::new(settings.engine.clone(), settings.seed ^ now)?;
+        let mut engine = Engine::new(settings.engine.clone(), settings.seed ^ now)?;
+        let module = &settings.engine.module;
+        let directory =
+            Directory::new(now, settings.directory, config.known.pos, settings.seed, module.drain_grace);
+        engine.hold_to_list_age(directory::terms(module.drain_grace, module.may_probe), directory.age());
         let mut gateway = Self {
             front: Front::new(now, settings.door),
             hosts: Hosts::new(settings.carriers, settings.host_connections, settings.late),
-            directory: Directory::new(
-                now,
-                settings.directory,
-                config.known.pos,
-                settings.seed,
-                settings.engine.module.drain_grace,
-            ),
+            directory,
+            departures: Departures::default(),
             address: settings.listen,
             look: now + settings.look,
             tell: now + TELL,
@@ -132,9 +134,13 @@
             if self.live(now) {
                 return Ok(());
             }
-            self.directory.tick(&mut self.hub, now);
+            if self.directory.tick(&mut self.hub, now) {
+                self.give(Input::ListAge(self.directory.age()));
+            }
+            self.clear_departures();
             let due = if self.waiting.is_empty() { self.next_due(now) } else { now };
             self.hub.wait(Some(due))?;
+            self.departures.wrote(self.hub.wrote(), &self.hub, &self.hosts, &mut self.engine);
             while let Some(ask) = self.waiting.take() {
                 self.asked(ask);
             }
@@ -144,7 +150,7 @@
                     self.asked(ask);
                 }
             }
-            self.hear_who_leaves()?;
+            self.hear_news()?;
             let now = self.hub.clock().now();
             if let Some(due) = self.engine.wake_at().filter(|at| *at <= now) {
                 self.lateness.saw(now, due);
@@ -165,15 +171,22 @@
         }
     }
 
+    /// Right before the hub writes: what may no longer leave for its host is taken back.
+    fn clear_departures(&mut self) {
+        let now = self.hub.clock().now();
+        let ended = self.departures.clear(now, &mut self.hub, &mut self.hosts, &mut self.engine);
+        ended.into_iter().for_each(|input| self.give(input));
+    }
+
     /// What was begun in this turn leaves with the next one. A client that has gone by then must be known of, so after
     /// a long turn, or with more to read than one turn reads, the clients are listened to once more: who leaves or
-    /// takes back is heard at once, and new requests wait.
-    fn hear_who_leaves(&mut self) -> io::Result<()> {
+    /// takes back is heard at once, and new requests wait. So is the directory: what it tells counts as told.
+    fn hear_news(&mut self) -> io::Result<()> {
         for _ in 0..HEAR_AT_MOST {
             if !self.hub.is_behind(LONG_TURN) || self.waiting.is_full() {
                 break;
             }
-            self.hub.hear_guests()?;
+            self.hub.hear()?;
             while let Some(notice) = self.hub.take_notice() {
                 self.notice(notice);
                 while let Some(ask) = self.front.take_ask() {
@@ -219,7 +232,8 @@
             Life::Stopping(since) => Some(since + self.settings.stop_within),
             Life::Flushing(until) => Some(until.min(now + FLUSH_LOOK)),
         };
-        let dues = [life, self.engine.wake_at(), self.front.next_due(now), Some(self.directory.next_due())];
+        let (engine, front) = (self.engine.wake_at(), self.front.next_due(now));
+        let dues = [life, engine, front, self.departures.next_due(now), Some(self.directory.next_due())];
         dues.into_iter().flatten().chain([self.look, self.tell]).min().unwrap_or(self.look)
     }
 
@@ -247,7 +261,9 @@
                 ended.into_iter().for_each(|input| self.give(input));
             }
             Notice::Datagram(socket, bytes) if self.directory.is_ours(socket) => {
-                if let Some(listing) = self.directory.answered(self.hub.clock().now(), &bytes) {
+                let listing = self.directory.answered(self.hub.clock().now(), &bytes);
+                self.give(Input::ListAge(self.directory.age()));
+                if let Some(listing) = listing {
                     self.take_list(true, listing.hosts);
                 }
             }
@@ -271,7 +287,10 @@
             Err(error) => Err(error.to_string()),
         };
         match (self.reload)().and_then(ours) {
-            Ok(address) => self.directory.move_to(&mut self.hub, address),
+            Ok(address) => {
+                let now = self.hub.clock().now();
+                self.directory.move_to(&mut self.hub, now, address);
+            }
             Err(error) => tracing::error!(%error, "the configuration stays as it was"),
         }
     }
@@ -341,38 +360,26 @@
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Answer(client, answer) => self.answer(client, &answer),
-            Output::Run(attempt) => {
-                let call = &attempt.call;
-                tracing::debug!(
-                    id = %call.trace,
-                    host = %attempt.worker,
-                    function = %call.function,
-                    class = %call.class,
-                    attempt = attempt.number,
-                    before = attempt.before,
-                    timeout = attempt.timeout,
-                    "run"
-                );
-                self.inputs.extend(self.hosts.run(&mut self.hub, &attempt));
-            }
+            Output::Run(attempt) => self.run_attempt(attempt),
             Output::Withdraw(_, attempt) => {
-                if self.hosts.withdraw(&mut self.hub, attempt) {
+                if self.departures.drop_parked(attempt) || self.hosts.withdraw(&mut self.hub, attempt) {
                     let end = AttemptEnd::TakenBack;
                     self.inputs.push_back(Input::AttemptEnded(attempt, end, Vec::new(), None));
                 }
             }
             Output::Overdue(_, attempt) | Output::CancelRun(_, attempt) => {
-                self.hosts.give_up(&mut self.hub, attempt);
+                if !self.departures.drop_parked(attempt) {
+                    self.hosts.give_up(&mut self.hub, attempt);
+                }
             }
             Output::Hold { worker, order, function, count, .. } => {
-                tracing::debug!(%worker, %function, order, count, "hold");
-                self.inputs.extend(self.hosts.hold(&mut self.hub, &worker, order, &function, count));
+                self.give_order(Order { worker, number: order, function, count });
             }
             Output::Drop(worker, function) => {
                 tracing::debug!(%worker, %function, "unload");
                 self.hosts.unload(&mut self.hub, &worker, &function);
             }
-            Output::Probe(worker) => self.hosts.probe(&mut self.hub, &worker),
+            Output::Probe(worker) => _ = self.hosts.probe(&mut self.hub, &worker),
             Output::Log(text) => tracing::info!("{text}"),
             // The front sees to streams that are used twice; the directory is followed from the start; versions and
             // deferred calls have no place in this protocol.
@@ -381,6 +388,44 @@
         }
     }
 
+    fn run_attempt(&mut self, attempt: Attempt) {
+        let call = &attempt.call;
+        tracing::debug!(
+            id = %call.trace,
+            host = %attempt.worker,
+            function = %call.function,
+            class = %call.class,
+            attempt = attempt.number,
+            before = attempt.before,
+            timeout = attempt.timeout,
+            "run"
+        );
+        match self.hosts.run(&mut self.hub, &attempt) {
+            Some(ended) => self.inputs.push_back(ended),
+            None => {
+                let now = self.hub.clock().now();
+                self.departures.handed(now, attempt.number, Work::Attempt(attempt));
+            }
+        }
+    }
+
+    fn give_order(&mut self, order: Order) {
+        tracing::debug!(
+            worker = %order.worker,
+            function = %order.function,
+            order = order.number,
+            count = order.count,
+            "hold"
+        );
+        match self.hosts.hold(&mut self.hub, &order) {
+            Some(ended) => self.inputs.push_back(ended),
+            None => {
+                let now = self.hub.clock().now();
+                self.departures.handed(now, order.number, Work::Order(order));
+            }
+        }
+    }
+
     fn answer(&mut self, client: Client, answer: &Answer) {
         let (code, body) = match answer.status {
             Status::Served => (Code::Served, &*answer.body),
@@ -409,6 +454,9 @@
             attempts = ?counters.attempts,
             answers = ?counters.answers,
             orders = counters.orders,
+            kept_back = ?counters.kept_back,
+            violations = ?counters.violations,
+            list_age = self.hub.clock().now().saturating_sub(self.directory.age().as_of),
             turned_away = ?(turned_away, &counters.turned_away),
             serial = self.directory.serial(),
             margin = self.lateness.margin(self.settings.engine.answer_margin),
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -186,11 +186,11 @@
         })
     }
 
-    /// Whether something is to be written that waits for another kind of turn.
-    fn is_left_to(&self, write: Writing) -> bool {
+    /// Whether something is to be written that waits for another turn, if own connections are written or not.
+    fn is_left_over(&self, write: bool) -> bool {
         let ends = self.close_when_flushed && !self.lingering;
         let writes = self.writable && !self.connecting && (self.unsent() > 0 || ends);
-        write == Writing::Guests && !self.accepted && writes
+        !self.accepted && writes && !write
     }
 
     fn unsent(&self) -> usize {
@@ -205,11 +205,18 @@
 /// Whose waiting bytes are written in a turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Writing {
-    All,
+    /// Those of the program's own connections only until that time.
+    Until(Micros),
     /// Only those of connections that came to a listener.
     Guests,
 }
 
+impl Writing {
+    fn allows_own(self, now: Micros) -> bool {
+        matches!(self, Self::Until(end) if now <= end)
+    }
+}
+
 struct Listener {
     socket: Socket,
     wire: Wire,
@@ -273,6 +280,12 @@
     /// When guests were looked at last, and whether there may have been more of them with something to read.
     heard: Micros,
     heard_in_part: bool,
+    /// What the program begins on its own connections leaves so long after the last look at the sockets at most.
+    leaves_within: Option<Micros>,
+    /// The last call of `wait` wrote nothing to own connections, since the last look was too long ago.
+    skipped: bool,
+    /// When the program's own connections were written last.
+    wrote: Micros,
     /// When connections must stand, or stop lingering.
     due: BTreeSet<(Micros, Connection)>,
     notices: VecDeque<(Micros, Notice)>,
@@ -324,6 +337,9 @@
             turn: Vec::new(),
             heard: now,
             heard_in_part: false,
+            leaves_within: None,
+            skipped: false,
+            wrote: now,
             due: BTreeSet::new(),
             notices: VecDeque::new(),
             came: now,
@@ -419,6 +435,13 @@
         }
     }
 
+    /// From now on the program's bytes leave on its own connections only within `span` of the last look at the
+    /// sockets: after a longer turn, or a standstill of the process, the program hears first what happened meanwhile.
+    /// They are left waiting by one call of [`Hub::wait`] at most, so that a program whose turns are all longer goes on.
+    pub fn leave_within(&mut self, span: Micros) {
+        self.leaves_within = Some(span);
+    }
+
     /// From now on [`Notice::Half`] tells of messages that are not whole.
     pub fn tell_halves(&mut self) {
         self.halves = true;
@@ -752,9 +775,11 @@
     /// Writes what can be written, then waits for news, until `until` at the latest.
     ///
     /// What became possible meanwhile on the program's own connections is written by the next call: before that, the
-    /// program hears what its guests said, and may take back what has not left.
+    /// program hears what its guests said, and may take back what has not left. See [`Hub::leave_within`].
     pub fn wait(&mut self, until: Option<Micros>) -> io::Result<()> {
-        self.turns(Writing::All);
+        let writing = self.own_writing();
+        self.turns(writing);
+        self.wrote = self.clock.now();
         // What is ready before there is any sleep became so since the last look; what ends the sleep came then.
         let mut found = self.look()?;
         let now = self.clock.now();
@@ -807,6 +832,23 @@
         Ok(())
     }
 
+    /// When [`Hub::wait`] had written to the program's own connections last.
+    pub fn wrote(&self) -> Micros {
+        self.wrote
+    }
+
+    /// How long the program's own bytes may leave in this turn.
+    fn own_writing(&mut self) -> Writing {
+        let Some(span) = self.leaves_within else { return Writing::Until(Micros::MAX) };
+        let end = self.heard.saturating_add(span);
+        self.skipped = !self.skipped && end < self.clock.now();
+        match (self.skipped, end < self.clock.now()) {
+            (true, _) => Writing::Guests,
+            (false, true) => Writing::Until(Micros::MAX),
+            (false, false) => Writing::Until(end),
+        }
+    }
+
     /// Whether guests may have said something that was not read: the last look at them was longer ago than `span`, or
     /// found more than it could read, or so much that more may come with the reading.
     pub fn is_behind(&self, span: Micros) -> bool {
@@ -815,8 +857,11 @@
         !self.held && (late || self.heard_in_part || self.turn.iter().any(reads))
     }
 
-    /// Reads what guests have said by now, and does nothing else: nothing is written or accepted, and nobody waits.
-    pub fn hear_guests(&mut self) -> io::Result<()> {
+    /// Reads what guests have said by now and the datagrams that came, and does nothing else: nothing is written or
+    /// accepted, and nobody waits.
+    pub fn hear(&mut self) -> io::Result<()> {
+        let sockets: Vec<usize> = self.datagrams.iter().map(|(number, _)| number).collect();
+        sockets.into_iter().for_each(|number| self.read_datagrams(number));
         if self.held {
             return Ok(());
         }
@@ -847,7 +892,10 @@
         let own = self.own.look(now, &mut seen);
         // Whoever left no longer waits for what it asked, however long the others are left waiting.
         let guests = match self.held {
-            true => self.guests.look_for_ends(now, &mut seen),
+            true => {
+                self.heard = now;
+                self.guests.look_for_ends(now, &mut seen)
+            }
             false => self.look_at_guests(now, &mut seen),
         };
         self.seen = seen;
@@ -944,9 +992,11 @@
         for id in std::mem::take(&mut self.turn) {
             let Some(conn) = self.get(id) else { continue };
             conn.queued = false;
-            self.write_out(id, write);
+            // Looked up for each of them: the process may stand still between two.
+            let own = write.allows_own(self.clock.now());
+            self.write_out(id, own);
             self.read_in(id);
-            if self.see(id).is_some_and(|conn| conn.is_left_to(write)) {
+            if self.see(id).is_some_and(|conn| conn.is_left_over(own)) {
                 self.queue(id);
             }
             self.settle(id);
@@ -972,7 +1022,7 @@
         }
     }
 
-    fn write_out(&mut self, id: Connection, write: Writing) {
+    fn write_out(&mut self, id: Connection, own: bool) {
         let (now, limits) = (self.clock.now(), self.limits);
         loop {
             let Some(conn) = self.get(id) else { return };
@@ -998,7 +1048,7 @@
                 }
                 return;
             }
-            if conn.is_left_to(write) {
+            if conn.is_left_over(own) {
                 return;
             }
             if conn.unsent() == 0 {
--- a/crates/transport/tests/hub.rs
+++ b/crates/transport/tests/hub.rs
@@ -85,7 +85,7 @@
     std::thread::sleep(Duration::from_millis(60));
     drop(guest);
     assert!(hub.is_behind(50_000), "the last look was long ago");
-    hub.hear_guests().unwrap();
+    hub.hear().unwrap();
     assert!(matches!(hub.take_notice(), Some(Notice::Closed { connection, .. }) if connection == id));
     assert!(!hub.is_behind(50_000));
     assert_eq!(hub.sent(own, 2), Sent::Nothing);
