--- a/crates/cli/tests/drains.rs
+++ b/crates/cli/tests/drains.rs
@@ -6,9 +6,11 @@
 
 mod peers;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use peers::{Client, Directory, Host, Node, config, good, host, invokes, request};
+use peers::{Client, Directory, Do, Host, Node, config, good, host, invokes, request};
 
 /// An event counts as told by then, and the grace after it is over.
 const KEPT_AFTER: Duration = Duration::from_millis(2_700);
@@ -20,20 +22,48 @@
     format!("{number:016x}")
 }
 
+/// What a silent directory would have told counts as told, and the grace after it is over.
+const KEPT_IN_SILENCE_AFTER: Duration = Duration::from_millis(5_700);
+
 /// Two hosts, a directory that knows both, and the configuration of a gateway before them.
 struct Fleet {
     hosts: Vec<(&'static str, Host)>,
+    /// Each host drains, and says so when it is asked.
+    draining: Vec<Arc<AtomicBool>>,
     directory: Directory,
 }
 
+/// A host that answers probes, and serves on while it drains.
+fn probed_host(draining: &Arc<AtomicBool>) -> Host {
+    let draining = draining.clone();
+    host(move |word, before| match word {
+        "alive" if draining.load(Ordering::SeqCst) => Do::Answer("DOWN", "-", b""),
+        "alive" => Do::Answer("UP", "-", b""),
+        _ => good(word, before),
+    })
+}
+
 impl Fleet {
     fn new() -> Self {
-        let fleet =
-            Self { hosts: vec![("s-1", host(good)), ("s-2", host(good))], directory: Directory::new(1) };
+        let draining = vec![Arc::default(), Arc::default()];
+        let hosts = vec![("s-1", probed_host(&draining[0])), ("s-2", probed_host(&draining[1]))];
+        let fleet = Self { hosts, draining, directory: Directory::new(1) };
         fleet.tell_draining(1, None);
         fleet
     }
 
+    /// The configuration of a gateway that may probe hosts.
+    fn probing(&self) -> String {
+        self.config().replace("\"cancel\":true", "\"cancel\":true,\"probes\":true")
+    }
+
+    /// The directory says nothing from now on, and after it a host begins to drain.
+    fn drain_in_silence(&self, host: usize) {
+        self.directory.answers_each(0);
+        std::thread::sleep(Duration::from_millis(100));
+        self.draining[host].store(true, Ordering::SeqCst);
+    }
+
     fn config(&self) -> String {
         let listed: Vec<_> = self.hosts.iter().map(|(id, host)| ((*id).to_owned(), host.at)).collect();
         config(&listed, self.directory.at, "load")
@@ -126,3 +156,88 @@
     }
     assert_eq!(fleet.invokes()[home], before[home], "sent to a host past the grace of its drain");
 }
+
+#[test]
+fn while_the_directory_is_silent_hosts_are_asked_and_one_that_drains_gets_nothing_new() {
+    let fleet = Fleet::new();
+    let node = Node::with(&fleet.probing());
+    let mut client = node.client();
+    let home = fleet.home(&mut client, 1);
+    fleet.drain_in_silence(home);
+    std::thread::sleep(KEPT_IN_SILENCE_AFTER);
+    let before = fleet.invokes();
+    for number in 2..=5 {
+        client.ask_as(number, &id(number), "check", "3000");
+        assert_eq!(client.answer(), (number, 0), "the other host says that it serves");
+    }
+    assert_eq!(fleet.invokes()[home], before[home], "sent to a host that would have said that it drains");
+    // The directory comes back, with a list that does not know it yet, and then with one that names it anew.
+    fleet.directory.answers_each(usize::MAX);
+    node.logged("the directory answers again");
+    client.ask_as(6, &id(6), "check", "3000");
+    assert_eq!(client.answer(), (6, 0));
+    assert_eq!(fleet.invokes()[home], before[home], "its own word is newer than the list");
+}
+
+#[test]
+fn a_host_that_says_it_drains_is_used_again_once_a_later_list_says_otherwise() {
+    let fleet = Fleet::new();
+    let node = Node::with(&fleet.probing());
+    let mut client = node.client();
+    let home = fleet.home(&mut client, 1);
+    fleet.drain_in_silence(home);
+    std::thread::sleep(KEPT_IN_SILENCE_AFTER);
+    client.ask_as(2, &id(2), "check", "3000");
+    assert_eq!(client.answer(), (2, 0));
+    fleet.directory.answers_each(usize::MAX);
+    node.logged("the directory answers again");
+    // A list as of 1.5 s after its word knows what happened before it.
+    std::thread::sleep(Duration::from_secs(2));
+    let before = fleet.invokes();
+    fleet.draining[1 - home].store(true, Ordering::SeqCst);
+    fleet.tell_draining(2, Some(1 - home));
+    node.logged("list serial=2");
+    client.ask_as(3, &id(3), "check", "3000");
+    assert_eq!(client.answer(), (3, 0));
+    assert_eq!(fleet.invokes()[home], before[home] + 1);
+}
+
+#[test]
+fn where_hosts_may_not_be_asked_those_known_last_serve_while_the_directory_is_silent() {
+    let fleet = Fleet::new();
+    let node = Node::with(&fleet.config());
+    let mut client = node.client();
+    fleet.home(&mut client, 1);
+    fleet.directory.answers_each(0);
+    std::thread::sleep(KEPT_IN_SILENCE_AFTER);
+    client.ask_as(2, &id(2), "check", "3000");
+    assert_eq!(client.answer(), (2, 0));
+    let probes =
+        |host: &Host| host.seen.lock().unwrap().iter().filter(|seen| seen.starts_with("alive")).count();
+    assert_eq!(
+        fleet.hosts.iter().map(|(_, host)| probes(host)).sum::<usize>(),
+        0,
+        "settings allow no probes"
+    );
+}
+
+#[test]
+fn an_answer_of_the_former_directory_that_crosses_a_reload_still_tells() {
+    let fleet = Fleet::new();
+    let silent = Directory::new(1);
+    let node = Node::with(&fleet.config());
+    let mut client = node.client();
+    let home = fleet.home(&mut client, 1);
+    fleet.directory.answers_after(Duration::from_millis(700));
+    fleet.tell_draining(2, Some(home));
+    // Asked by now, and the answer is on its way.
+    std::thread::sleep(Duration::from_millis(350));
+    node.configure(&fleet.config().replace(&fleet.directory.at.to_string(), &silent.at.to_string()));
+    node.signal("-HUP");
+    node.logged("another directory");
+    node.logged("list serial=2");
+    let before = fleet.invokes();
+    client.ask_as(2, &id(2), "check", "3000");
+    assert_eq!(client.answer(), (2, 0));
+    assert_eq!(fleet.invokes()[home], before[home], "sent to a host of whose drain it was told");
+}
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -14,10 +14,9 @@
 use std::time::{Duration, Instant};
 
 use cresswheel_platform_wire::client::{FromGateway, encode_bare, encode_request, take_from_gateway};
+use cresswheel_platform_wire::directory::{Listing, answer_id, encode_listing};
 use cresswheel_platform_wire::host::{encode_answer, take_command};
-use hickory_proto::op::{Message, MessageType, OpCode, Query};
-use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
-use hickory_proto::rr::{Name, RData, Record, RecordType};
+use cresswheel_protocol::{Listed, Standing};
 
 /// Nothing in these tests takes as long; what does is a failure.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -122,12 +121,12 @@
             let mut bytes = [0; 512];
             let mut given: HashMap<SocketAddr, usize> = HashMap::new();
             while let Ok((count, from)) = socket.recv_from(&mut bytes) {
-                let asked = Message::from_vec(&bytes[..count]).unwrap();
+                let asked = answer_id(&bytes[..count]).unwrap();
                 let (serial, hosts) = told.lock().unwrap().clone();
                 let times = given.entry(from).or_insert(0);
                 if !hosts.is_empty() && *times < answers.load(Ordering::SeqCst) {
                     *times += 1;
-                    let bytes = answer(asked.metadata.id, serial, &hosts, began.load(Ordering::SeqCst));
+                    let bytes = answer(asked, serial, &hosts, began.load(Ordering::SeqCst));
                     send_later(&socket, from, bytes, Duration::from_millis(delay.load(Ordering::SeqCst)));
                 }
             }
@@ -170,22 +169,16 @@
 }
 
 pub fn answer(id: u16, serial: u32, hosts: &[(String, SocketAddr, u16)], started: u64) -> Vec<u8> {
-    let name = |text: &str| Name::from_ascii(text).unwrap();
-    let service = name("_data._tcp.farm.lan.");
-    let mut message = Message::new(id, MessageType::Response, OpCode::Query);
-    message.add_query(Query::query(service.clone(), RecordType::SRV));
-    for (id, at, priority) in hosts {
-        let target = name(&format!("{id}.east.hosts."));
-        let SocketAddr::V4(at) = at else { unreachable!("hosts are on IPv4") };
-        let srv = SRV::new(*priority, 40, at.port(), target.clone());
-        message.add_answer(Record::from_rdata(service.clone(), 1, RData::SRV(srv)));
-        message.add_additional(Record::from_rdata(target.clone(), 1, RData::A(A(*at.ip()))));
-        let text = TXT::new(vec!["kind=std".into(), "cell=1".into(), format!("started={started}")]);
-        message.add_additional(Record::from_rdata(target, 1, RData::TXT(text)));
-    }
-    let soa = SOA::new(name("ns.farm.lan."), name("op.farm.lan."), serial, 1, 1, 1, 1);
-    message.add_authority(Record::from_rdata(name("farm.lan."), 1, RData::SOA(soa)));
-    message.to_vec().unwrap()
+    let listed = hosts.iter().map(|(id, at, priority)| Listed {
+        id: id.clone(),
+        address: at.to_string(),
+        zone: "east".into(),
+        kind: "std".into(),
+        cell: 1,
+        standing: if *priority == 0 { Standing::In } else { Standing::Draining },
+        started: started * 1_000,
+    });
+    encode_listing(id, &Listing { serial: u64::from(serial), hosts: listed.collect() }).unwrap()
 }
 
 pub struct Node {
--- a/crates/platform-wire/examples/directory_bytes.rs
+++ b/crates/platform-wire/examples/directory_bytes.rs
@@ -8,10 +8,8 @@
 use std::hint::black_box;
 
 use cresswheel_measure::{Series, thread_time};
-use cresswheel_platform_wire::directory;
-use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
-use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
-use hickory_proto::rr::{Name, RData, Record, RecordType};
+use cresswheel_platform_wire::directory::{self, Listing};
+use cresswheel_protocol::{Listed, Standing};
 
 /// A datagram ends at 65,507 bytes, and so does what can be measured.
 const HOSTS: [usize; 5] = [1, 25, 50, 100, 200];
@@ -19,30 +17,19 @@
 const TIMES: usize = 50;
 /// What the directory's answers hold at most, and what a datagram does.
 const ROOMS: [usize; 2] = [8_000, 65_507];
-const SERVICE: &str = "_data._tcp.farm.lan.";
-
-fn name(text: &str) -> Name {
-    Name::from_ascii(text).expect("a name")
-}
 
 fn answer(hosts: usize) -> Vec<u8> {
-    let service = name(SERVICE);
-    let mut message = Message::new(1, MessageType::Response, OpCode::Query);
-    message.metadata.response_code = ResponseCode::NoError;
-    message.add_query(Query::query(service.clone(), RecordType::SRV));
-    let soa = SOA::new(name("farm.lan."), name("ops.farm.lan."), 7, 1, 1, 1, 0);
-    message.authorities.push(Record::from_rdata(name("farm.lan."), 0, RData::SOA(soa)));
-    for number in 0..hosts {
-        let host = name(&format!("worker-{number:05}.r1-z{}.farm.lan.", number % 5));
-        let srv = RData::SRV(SRV::new(0, 1, 7201, host.clone()));
-        message.answers.push(Record::from_rdata(service.clone(), 0, srv));
-        let address = A::new(10, 120, (number / 250 % 250) as u8, (number % 250) as u8);
-        message.additionals.push(Record::from_rdata(host.clone(), 0, RData::A(address)));
-        let text =
-            vec!["kind=std-32".into(), format!("cell={}", number / 40), "started=1790000000000".into()];
-        message.additionals.push(Record::from_rdata(host, 0, RData::TXT(TXT::new(text))));
-    }
-    message.to_vec().expect("an answer")
+    let listed = |number: usize| Listed {
+        id: format!("worker-{number:05}"),
+        address: format!("10.120.{}.{}:7201", number / 250 % 250, number % 250),
+        zone: format!("r1-z{}", number % 5),
+        kind: "std-32".into(),
+        cell: number as u64 / 40,
+        standing: Standing::In,
+        started: 1_790_000_000_000_000,
+    };
+    let listing = Listing { serial: 7, hosts: (0..hosts).map(listed).collect() };
+    directory::encode_listing(1, &listing).expect("an answer")
 }
 
 fn main() {
--- a/crates/platform-wire/src/directory.rs
+++ b/crates/platform-wire/src/directory.rs
@@ -1,11 +1,12 @@
 //! The directory of hosts: DNS answers over UDP, and the list that a configuration begins with.
 
 use std::collections::HashMap;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 use cresswheel_protocol::{Listed, Standing};
 use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
-use hickory_proto::rr::{Name, RData, RecordType};
+use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
+use hickory_proto::rr::{Name, RData, Record, RecordType};
 use serde::Deserialize;
 
 /// Where the list is asked for.
@@ -57,6 +58,31 @@
     DirectoryError::Unreadable(error.to_string())
 }
 
+/// The answer that tells this list, as a directory gives it; for stand-ins and measurements.
+pub fn encode_listing(id: u16, listing: &Listing) -> Result<Vec<u8>, DirectoryError> {
+    let service = service()?;
+    let name = |text: &str| Name::from_ascii(text).map_err(unreadable);
+    let mut message = Message::new(id, MessageType::Response, OpCode::Query);
+    message.metadata.response_code = ResponseCode::NoError;
+    message.add_query(Query::query(service.clone(), RecordType::SRV));
+    for host in listing.hosts.iter().filter(|host| host.standing != Standing::Out) {
+        let target = name(&format!("{}.{}.hosts.", host.id, host.zone))?;
+        let address: SocketAddrV4 =
+            host.address.parse().map_err(|_| DirectoryError::Unusable("an address"))?;
+        let srv =
+            SRV::new(u16::from(host.standing == Standing::Draining), 40, address.port(), target.clone());
+        message.add_answer(Record::from_rdata(service.clone(), 1, RData::SRV(srv)));
+        message.add_additional(Record::from_rdata(target.clone(), 1, RData::A(A(*address.ip()))));
+        let kind = format!("kind={}", host.kind);
+        let text = vec![kind, format!("cell={}", host.cell), format!("started={}", host.started / 1_000)];
+        message.add_additional(Record::from_rdata(target, 1, RData::TXT(TXT::new(text))));
+    }
+    let serial = u32::try_from(listing.serial).map_err(|_| DirectoryError::Unusable("a serial"))?;
+    let soa = SOA::new(name("ns.farm.lan.")?, name("op.farm.lan.")?, serial, 1, 1, 1, 1);
+    message.add_authority(Record::from_rdata(name("farm.lan.")?, 1, RData::SOA(soa)));
+    message.to_vec().map_err(unreadable)
+}
+
 /// The id of an answer, for finding what it answers.
 pub fn answer_id(bytes: &[u8]) -> Option<u16> {
     bytes.first_chunk::<2>().map(|id| u16::from_be_bytes(*id))
--- a/crates/platform/src/directory/tests.rs
+++ b/crates/platform/src/directory/tests.rs
@@ -55,3 +55,39 @@
         assert_eq!((directory.age.unanswered, directory.next_due()), (0, asked[9]));
     }
 }
+
+#[test]
+fn an_older_list_is_no_answer_and_a_late_one_makes_the_list_as_old_as_its_question() {
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let mut hub = Hub::new(cresswheel_transport::HubLimits::default()).unwrap();
+    let mut directory = Directory::new(2_000_000, socket.local_addr().unwrap(), 5, 40, 1_000_000);
+    assert_eq!(directory.age().as_of, 500_000, "the configuration holds what was told by the start");
+    directory.tick(&mut hub, 2_000_000);
+    directory.tick(&mut hub, 2_050_000);
+    assert!(directory.answered(2_060_000, &told(41, 4)).is_none());
+    assert_eq!((directory.age().as_of, directory.age().unanswered), (500_000, 2), "an older list");
+    assert!(directory.answered(2_060_000, &told(41, 6)).is_some());
+    let age = directory.age();
+    assert_eq!((age.as_of, age.heard, age.first_unanswered), (2_000_000, 2_060_000, Some(2_050_000)));
+    // An answer to an earlier question that comes behind a later one's makes nothing older.
+    assert!(directory.answered(2_070_000, &told(42, 6)).is_none());
+    assert!(directory.answered(2_080_000, &told(41, 6)).is_none());
+    assert_eq!((directory.age().as_of, directory.age().first_unanswered), (2_050_000, None));
+}
+
+#[test]
+fn sockets_that_are_given_up_are_listened_to_for_a_while_and_few_of_them() {
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let mut hub = Hub::new(cresswheel_transport::HubLimits::default()).unwrap();
+    let mut directory = Directory::new(0, socket.local_addr().unwrap(), 5, 40, 1_000_000);
+    let mut asked_on = Vec::new();
+    for _ in 0..100 {
+        let due = directory.next_due();
+        directory.tick(&mut hub, due);
+        asked_on.extend(directory.socket);
+        assert!(directory.former.len() <= FORMER_SOCKETS && directory.questions.len() < REMEMBERED);
+    }
+    asked_on.dedup();
+    assert!(asked_on.len() > FORMER_SOCKETS + 1, "it tried others: {asked_on:?}");
+    assert!(directory.is_ours(directory.former[0].number), "answers to it still count");
+}
