Soak with random, overlapping faults; a standstill counts in a request's time

'cresswheel soak' starts real gateway processes, hosts, directories and clients on loopback, draws overlapping faults by seed (SIGSTOP, SIGKILL, SIGTERM, HUP; directory silent, slow, lossy, older, cut, failing; hosts replaced at the same or another address, ended connections, hangs, stalls; clients that take back or leave) and judges what passed: lost, duplicate, drain, client gone, patience, processes, the gateways' own word.

Cause, hub.rs in Hub::wait: what ended a sleep counted as come at its end, also if the process had stood still in it; requests got up to the whole standstill as time on top, were sent for clients whose time was over and answered up to 2 s late. Now a sleep that ends over 20 ms late counts from its start, and the platform sleeps 0.1 s at most.

Tests: what_came_while_the_process_stood_still_..., a_request_that_waits_for_its_connection_...: both fail on the released build (a request whose time was over was sent; 4989 ms passed to a host after 600 ms of waiting) and pass now.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod rehearse;
 mod scale;
 mod shifts;
+mod soak;
 mod versions;
 
 use std::os::unix::process::CommandExt;
@@ -82,6 +83,10 @@
     /// simulated. docs/SCALE.md tells how to plan a fleet with it. Exits 0 if it ran to its end, 1 if something was
     /// left undone, 2 on a scenario with a fault or a size that the machine can't bear.
     Scale(Box<scale::ScaleArgs>),
+    /// Run gateways of the operators' platform under random, overlapping faults, and judge what passed by the rules.
+    ///
+    /// docs/SOAK.md tells what is drawn and judged. Exits 0 if every rule held on every seed, 1 if one broke.
+    Soak(soak::SoakArgs),
     /// Run a stand-in worker: it answers calls with its own name after about the work they tell.
     Worker(peers::WorkerArgs),
     /// Run a stand-in worker list.
@@ -134,6 +139,7 @@
         Command::Versions(args) => versions::run(args, cli.tied),
         Command::Rehearse(args) => rehearse::run(args),
         Command::Scale(args) => scale::run(*args, cli.tied),
+        Command::Soak(args) => soak::run_command(args),
         Command::Worker(args) => peers::worker(args, cli.tied),
         Command::List(args) => peers::list(args, cli.tied),
         Command::Store(args) => peers::store(args, cli.tied),
--- a/crates/cli/tests/drains.rs
+++ b/crates/cli/tests/drains.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use peers::{Client, Directory, Do, Host, Node, config, good, host, invokes, request};
+use peers::{Client, Directory, Do, Host, Node, Played, config, good, host, invokes, request};
 
 /// An event counts as told by then, and the grace after it is over.
 const KEPT_AFTER: Duration = Duration::from_millis(2_700);
@@ -241,3 +241,61 @@
     assert_eq!(client.answer(), (2, 0));
     assert_eq!(fleet.invokes()[home], before[home], "sent to a host of whose drain it was told");
 }
+
+/// The number behind a name in the fields of a command.
+fn field(command: &[String], name: &str) -> u64 {
+    let mut fields = command[2].split(',').filter_map(|field| field.split_once('='));
+    fields.find(|(n, _)| *n == name).and_then(|(_, value)| value.parse().ok()).expect("the field")
+}
+
+#[test]
+fn what_came_while_the_process_stood_still_has_the_time_that_is_left() {
+    const STANDS: u64 = 1_000;
+    let (mut one, directory) = (Played::new(), Directory::new(1));
+    let node = Node::with(&config(&[("s-1".to_owned(), one.at)], directory.at, "load"));
+    let mut client = node.client();
+    client.ask_as(1, &id(1), "check", "3000");
+    let (line, command) = one.next_of("invoke");
+    one.answer(line, &command[1], "OK", "-", b"out");
+    assert_eq!(client.answer(), (1, 0));
+    node.freeze();
+    client.ask_as(2, &id(2), "check", &(STANDS / 2).to_string());
+    client.ask_as(3, &id(3), "check", &(2 * STANDS).to_string());
+    std::thread::sleep(Duration::from_millis(STANDS));
+    node.wake();
+    // One whose time is over is answered at once, and not sent; the other has half of its time, and 0.15 s of slack.
+    assert_eq!(client.answer(), (2, 8));
+    let (line, command) = one.next_of("invoke");
+    assert_eq!(command[1], id(3));
+    assert!(field(&command, "patience") <= STANDS + 150, "{command:?}");
+    one.answer(line, &command[1], "OK", "-", b"out");
+    assert_eq!(client.answer(), (3, 0));
+}
+
+#[test]
+fn a_request_that_waits_for_its_connection_names_the_time_that_is_left_then() {
+    const WAITS: u64 = 600;
+    let (mut one, directory) = (Played::slow(), Directory::new(1));
+    let roomy = config(&[("s-1".to_owned(), one.at)], directory.at, "load")
+        .replace("\"memory_mb\":64", "\"memory_mb\":256")
+        .replace("\"sockets\":256", "\"sockets\":26");
+    let node = Node::with(&roomy);
+    let mut client = node.client();
+    // The host reads nothing, and its one connection is full of the requests before.
+    one.deaf = true;
+    const BEFORE: u32 = 25;
+    for number in 1..=BEFORE {
+        client.send(&request(number, &id(number), "check", "5000", peers::F, &[7; 16 << 10]));
+    }
+    // Not repeatable, so that its attempt has all of the client's time.
+    client.ask_as(BEFORE + 1, &id(BEFORE + 1), "post", "5000");
+    node.logged(&format!("run id={}", id(BEFORE + 1)));
+    std::thread::sleep(Duration::from_millis(WAITS));
+    one.deaf = false;
+    loop {
+        let (_, command) = one.next_of("invoke");
+        if command[1] == id(BEFORE + 1) {
+            return assert!(field(&command, "patience") <= 5_000 - WAITS + 150, "{command:?}");
+        }
+    }
+}
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -38,6 +38,9 @@
 /// A client that has gone is owed no further attempt 0.1 s later: what is begun leaves within half of that after the
 /// last look at the clients.
 const LONG_TURN: Micros = 50_000;
+/// A standstill of the process shows by a sleep that ends late. One that is shorter than the sleep does not, and what
+/// came meanwhile counts as later by as much: less than the 0.15 s by which a deadline passed to a host may be late.
+const LONGEST_SLEEP: Micros = 100_000;
 /// However much they say, so many looks are taken before the work goes on.
 const HEAR_AT_MOST: u32 = 64;
 
@@ -139,7 +142,7 @@
             }
             self.clear_departures();
             let due = if self.waiting.is_empty() { self.next_due(now) } else { now };
-            self.hub.wait(Some(due))?;
+            self.hub.wait(Some(due.min(now + LONGEST_SLEEP)))?;
             self.departures.wrote(self.hub.wrote(), &self.hub, &self.hosts, &mut self.engine);
             while let Some(ask) = self.waiting.take() {
                 self.asked(ask);
--- /dev/null
+++ b/crates/soak/src/clients.rs
@@ -0,0 +1,226 @@
+//! The clients of one gateway.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+use cresswheel_platform_wire::client::{FromGateway, encode_bare, encode_request, take_from_gateway};
+use cresswheel_protocol::Micros;
+use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::Rng;
+
+use crate::records::{End, Request, RequestId};
+use crate::run::World;
+
+const MS: Micros = 1_000;
+const CONNECTIONS: usize = 3;
+const OPEN_AT_MOST: usize = 20;
+/// Functions that each gateway is asked for.
+const FUNCTIONS: u32 = 24;
+/// Of a hundred requests, so many are taken back, and so many are left with their connection.
+const TAKEN_BACK: u32 = 6;
+const LEFT: u32 = 1;
+const UNSAFE: u32 = 25;
+
+struct Line {
+    held: Vec<u8>,
+    open: HashMap<u32, RequestId>,
+    answered: HashSet<u32>,
+    next: u32,
+    /// The gateway asked for no new request here.
+    retired: bool,
+}
+
+/// What a client does of itself.
+enum Going {
+    TakeBack(Connection, u32),
+    Close(Connection),
+}
+
+/// All clients of a gateway, on one loop.
+pub struct Clients {
+    world: Arc<World>,
+    gateway: usize,
+    hub: Hub,
+    life: usize,
+    number: u32,
+    lines: BTreeMap<Connection, Line>,
+    goings: Vec<(Micros, Going)>,
+    draw: Pcg32,
+}
+
+impl Clients {
+    /// Clients of a gateway.
+    pub fn new(world: Arc<World>, gateway: usize) -> anyhow::Result<Self> {
+        let mut hub = Hub::new(HubLimits::default())?;
+        hub.set_clock(world.clock);
+        let draw = Pcg32::new(world.options.seed, 9_000 + gateway as u64);
+        let (lines, goings) = (BTreeMap::new(), Vec::new());
+        Ok(Self { world, gateway, hub, life: 0, number: 0, lines, goings, draw })
+    }
+
+    /// Asks until the time is over, and then waits for what is open.
+    pub fn play(mut self) -> anyhow::Result<()> {
+        let mut next = self.world.start;
+        while !self.world.is_over() {
+            let now = self.world.clock.now();
+            let gateway = self.world.gateway(self.gateway);
+            if gateway.life != self.life {
+                self.begin_anew(gateway.life);
+            }
+            if next <= now {
+                next = now + u64::from(self.draw.next_u32()) % (2 * self.world.options.pause);
+                if let Some(address) = gateway.takes.filter(|_| now < self.world.end) {
+                    self.ask(now, address);
+                }
+            }
+            self.go(now);
+            self.hub.wait(Some(next.min(now + 4 * MS)))?;
+            while let Some(notice) = self.hub.take_notice() {
+                self.notice(notice);
+            }
+        }
+        Ok(())
+    }
+
+    /// Another process is there: connections to the one before end of themselves.
+    fn begin_anew(&mut self, life: usize) {
+        self.life = life;
+        self.lines.values_mut().for_each(|line| line.retired = true);
+    }
+
+    fn ask(&mut self, now: Micros, address: std::net::SocketAddr) {
+        let usable = |line: &Line| !line.retired && line.open.len() < OPEN_AT_MOST;
+        let fresh = self.lines.values().filter(|line| !line.retired).count();
+        let connection = match self
+            .lines
+            .iter()
+            .filter(|(_, line)| usable(line))
+            .min_by_key(|(_, line)| line.open.len())
+        {
+            Some((connection, line)) if fresh >= CONNECTIONS || line.open.is_empty() => *connection,
+            Some((connection, _)) if fresh >= CONNECTIONS => *connection,
+            None if fresh >= CONNECTIONS => return,
+            _ => {
+                let connection = self.hub.connect(address, Wire::Raw, 1_000 * MS);
+                let line = Line {
+                    held: Vec::new(),
+                    open: HashMap::new(),
+                    answered: HashSet::new(),
+                    next: 0,
+                    retired: false,
+                };
+                self.lines.insert(connection, line);
+                connection
+            }
+        };
+        self.number += 1;
+        let id = RequestId { gateway: self.gateway, life: self.life, number: self.number };
+        let wait = 300 * MS + u64::from(self.draw.next_u32()) % (crate::LONGEST_WAIT - 300 * MS);
+        let is_unsafe = self.draw.next_u32() % 100 < UNSAFE;
+        let function = format!("{:04x}{:012x}", self.gateway, self.draw.next_u32() % FUNCTIONS);
+        let class = if is_unsafe { "post" } else { "check" };
+        let Some(line) = self.lines.get_mut(&connection) else { return };
+        line.next += 1;
+        let stream = line.next;
+        line.open.insert(stream, id);
+        let text = id.text();
+        let wait_ms = (wait / MS).to_string();
+        let fields = [
+            ("class", class),
+            ("id", &text),
+            ("wait", &wait_ms),
+            ("key", &function),
+            ("spec", "memory_mb:512;lanes:4;load_ms:20"),
+        ];
+        self.hub.write(connection, None, |out| encode_request(out, stream, &fields, b"body"));
+        let request = Request { is_unsafe, sent: now, wait, end: None, further_answers: 0 };
+        self.world.book.write(|records| records.requests.insert(id, request));
+        let drawn = self.draw.next_u32() % 100;
+        let when = now + u64::from(self.draw.next_u32()) % (wait / 2);
+        if drawn < TAKEN_BACK {
+            self.goings.push((when, Going::TakeBack(connection, stream)));
+        } else if drawn < TAKEN_BACK + LEFT {
+            self.goings.push((when, Going::Close(connection)));
+        }
+    }
+
+    fn go(&mut self, now: Micros) {
+        let (due, later) = std::mem::take(&mut self.goings).into_iter().partition(|(at, _)| *at <= now);
+        self.goings = later;
+        let due: Vec<(Micros, Going)> = due;
+        for (_, going) in due {
+            match going {
+                Going::TakeBack(connection, stream) => {
+                    let open = self.lines.get_mut(&connection).and_then(|line| line.open.remove(&stream));
+                    if let Some(id) = open {
+                        self.hub.write(connection, None, |out| encode_bare(out, false, stream));
+                        self.ended(id, now, End::Left);
+                    }
+                }
+                Going::Close(connection) => {
+                    let open = self.lines.remove(&connection).map(|line| line.open).unwrap_or_default();
+                    open.into_values().for_each(|id| self.ended(id, now, End::Left));
+                    self.hub.close(connection, "the client's end");
+                }
+            }
+        }
+    }
+
+    fn ended(&self, id: RequestId, at: Micros, end: End) {
+        self.world.book.write(|records| {
+            if let Some(request) = records.requests.get_mut(&id) {
+                request.end.get_or_insert((at, end));
+            }
+        });
+    }
+
+    fn notice(&mut self, notice: Notice) {
+        let now = self.world.clock.now();
+        match notice {
+            Notice::Closed { connection, never_stood, .. } => {
+                let Some(line) = self.lines.remove(&connection) else { return };
+                for id in line.open.into_values() {
+                    match never_stood {
+                        // It was handed to no gateway.
+                        true => self.world.book.write(|records| _ = records.requests.remove(&id)),
+                        false => self.ended(id, now, End::Closed),
+                    }
+                }
+            }
+            Notice::Bytes(connection, bytes) => self.bytes(connection, &bytes),
+            _ => {}
+        }
+    }
+
+    fn bytes(&mut self, connection: Connection, bytes: &[u8]) {
+        let came = self.hub.came();
+        let Some(line) = self.lines.get_mut(&connection) else { return };
+        line.held.extend_from_slice(bytes);
+        let mut ended = Vec::new();
+        loop {
+            match take_from_gateway(&mut line.held) {
+                Ok(None) => break,
+                Ok(Some(FromGateway::Answer(stream, code, ..))) => match line.open.remove(&stream) {
+                    Some(id) => {
+                        line.answered.insert(stream);
+                        ended.push((id, code));
+                    }
+                    None if line.answered.contains(&stream) => {
+                        let what = format!("a second answer on stream {stream} of gateway {}", self.gateway);
+                        self.world.book.write(|records| records.faults.push(what));
+                    }
+                    None => {}
+                },
+                Ok(Some(FromGateway::Leaving)) => line.retired = true,
+                Ok(Some(FromGateway::Ready(..))) => {}
+                Err(error) => {
+                    let what = format!("gateway {}: bytes that can't be read: {error}", self.gateway);
+                    self.world.book.write(|records| records.faults.push(what));
+                    break;
+                }
+            }
+        }
+        ended.into_iter().for_each(|(id, code)| self.ended(id, came, End::Answered(code)));
+    }
+}
--- /dev/null
+++ b/crates/soak/src/gateways.rs
@@ -0,0 +1,234 @@
+//! The gateways' processes.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use cresswheel_platform_wire::client::{FromGateway, encode_bare, take_from_gateway};
+use cresswheel_protocol::{Listed, Micros, Standing};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+use crate::plan::{Planned, ProcessFault};
+use crate::records::{Life, Span};
+use crate::run::World;
+
+const MS: Micros = 1_000;
+const LOOK: Duration = Duration::from_millis(5);
+/// After SIGTERM, clients come for so long.
+const COME_AFTER_TERM: Micros = 300 * MS;
+/// SIGKILL comes so long after the longest wait of a client, counted from SIGTERM.
+const KILLED_AFTER: Micros = 700 * MS;
+/// Half of what the machine may take to end a process that is done.
+const END_SLACK: Micros = 500 * MS;
+
+/// One gateway's process, and those that follow it.
+pub struct Process {
+    world: Arc<World>,
+    number: usize,
+    address: SocketAddr,
+    folder: PathBuf,
+    directories: [SocketAddr; 2],
+    child: Option<Child>,
+}
+
+impl Process {
+    /// A gateway that is not started yet.
+    pub fn new(
+        world: Arc<World>,
+        number: usize,
+        folder: PathBuf,
+        directories: [SocketAddr; 2],
+    ) -> anyhow::Result<Self> {
+        let address = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        Ok(Self { world, number, address, folder, directories, child: None })
+    }
+
+    /// Plays the process until the run is over, then ends it.
+    pub fn play(mut self, plan: &[(Planned, ProcessFault)]) -> anyhow::Result<()> {
+        self.start()?;
+        for (planned, fault) in plan {
+            if !self.wait_until(self.world.start + planned.at) {
+                break;
+            }
+            self.fault(*fault)?;
+        }
+        self.wait_until(Micros::MAX);
+        self.terminate()
+    }
+
+    /// Waits; false: the run is over, or the process has ended by itself.
+    fn wait_until(&mut self, at: Micros) -> bool {
+        while self.world.clock.now() < at && !self.world.is_quiet() {
+            std::thread::sleep(LOOK);
+            let ended = self.child.as_mut().and_then(|child| child.try_wait().ok().flatten());
+            if let Some(status) = ended {
+                self.child = None;
+                let now = self.world.clock.now();
+                self.world.change(self.number, |gateway| gateway.takes = None);
+                self.life(|life| life.ended = Some((now, status.success())));
+                return false;
+            }
+        }
+        !self.world.is_quiet()
+    }
+
+    fn life(&self, change: impl FnOnce(&mut Life)) {
+        self.world.book.write(|records| {
+            if let Some(life) = records.lives[self.number].last_mut() {
+                change(life);
+            }
+        });
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
+        if let Some(Err(error)) = pid.map(|pid| kill_process(pid, signal)) {
+            self.world.book.write(|records| records.faults.push(format!("no signal: {error}")));
+        }
+    }
+
+    fn fault(&mut self, fault: ProcessFault) -> anyhow::Result<()> {
+        match fault {
+            ProcessFault::Freeze(span) => {
+                let from = self.world.clock.now();
+                self.signal(Signal::STOP);
+                std::thread::sleep(Duration::from_micros(span));
+                self.signal(Signal::CONT);
+                let to = self.world.clock.now();
+                self.world.book.write(|records| records.freezes[self.number].push(Span { from, to }));
+            }
+            ProcessFault::Kill(after) => {
+                self.world.change(self.number, |gateway| gateway.takes = None);
+                let now = self.world.clock.now();
+                self.life(|life| life.killed = Some(now));
+                self.signal(Signal::KILL);
+                self.reap();
+                std::thread::sleep(Duration::from_micros(after));
+                self.start()?;
+            }
+            ProcessFault::Terminate(after) => {
+                self.terminate()?;
+                std::thread::sleep(Duration::from_micros(after));
+                self.start()?;
+            }
+            ProcessFault::Reload => {
+                self.world.change(self.number, |gateway| gateway.side = 1 - gateway.side);
+                self.configure()?;
+                self.signal(Signal::HUP);
+            }
+        }
+        Ok(())
+    }
+
+    fn reap(&mut self) {
+        self.child.take().into_iter().for_each(|mut child| _ = child.wait());
+    }
+
+    /// Tells the process to end, and waits until it has, or kills it when its time is over.
+    fn terminate(&mut self) -> anyhow::Result<()> {
+        let Some(mut child) = self.child.take() else { return Ok(()) };
+        let since = self.world.clock.now();
+        self.life(|life| life.terminated = Some(since));
+        kill_process(Pid::from_raw(child.id() as i32).context("a process id")?, Signal::TERM)?;
+        let end = since + crate::LONGEST_WAIT + KILLED_AFTER + END_SLACK;
+        loop {
+            let now = self.world.clock.now();
+            if since + COME_AFTER_TERM <= now {
+                self.world.change(self.number, |gateway| gateway.takes = None);
+            }
+            if let Some(status) = child.try_wait()? {
+                self.world.change(self.number, |gateway| gateway.takes = None);
+                self.life(|life| life.ended = Some((now, status.success())));
+                return Ok(());
+            }
+            if now > end {
+                child.kill()?;
+                child.wait()?;
+                self.life(|life| life.ended = Some((now, false)));
+                return Ok(());
+            }
+            std::thread::sleep(LOOK);
+        }
+    }
+
+    fn start(&mut self) -> anyhow::Result<()> {
+        let started = self.world.clock.now();
+        let knows = self.world.roster.events().last_by(started);
+        let life = self.world.book.write(|records| {
+            let (ready, terminated, killed, ended) = (None, None, None, None);
+            records.lives[self.number].push(Life { started, ready, knows, terminated, killed, ended });
+            records.lives[self.number].len() - 1
+        });
+        self.world.change(self.number, |gateway| (gateway.life, gateway.knows) = (life, knows));
+        self.configure()?;
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log"))?;
+        let mut command = Command::new(&self.world.options.program);
+        command.args(["--log", "info", "platform"]).env("NODE_CONFIG", self.folder.join("config.json"));
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
+        self.child = Some(child);
+        while !self.is_ready() && !self.world.is_quiet() {
+            std::thread::sleep(LOOK);
+            if self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_)))) {
+                break;
+            }
+        }
+        let ready = self.world.clock.now();
+        self.life(|life| life.ready = Some(ready));
+        let address = self.address;
+        self.world.change(self.number, |gateway| gateway.takes = Some(address));
+        Ok(())
+    }
+
+    fn is_ready(&self) -> bool {
+        let asked = || -> std::io::Result<bool> {
+            let mut socket = TcpStream::connect(self.address)?;
+            socket.set_read_timeout(Some(Duration::from_secs(1)))?;
+            let mut bytes = Vec::new();
+            encode_bare(&mut bytes, true, 1);
+            socket.write_all(&bytes)?;
+            let (mut held, mut part) = (Vec::new(), [0; 256]);
+            let count = socket.read(&mut part)?;
+            held.extend_from_slice(&part[..count]);
+            Ok(matches!(take_from_gateway(&mut held), Ok(Some(FromGateway::Ready(_, 0)))))
+        };
+        asked().unwrap_or(false)
+    }
+
+    /// Writes its configuration: beside, and then in the place of the one before.
+    fn configure(&self) -> anyhow::Result<()> {
+        let gateway = self.world.gateway(self.number);
+        let hosts = self.world.roster.events().list(gateway.knows);
+        let config = config(self.number, self.address, self.directories[gateway.side], &hosts);
+        let beside = self.folder.join("config.json.new");
+        std::fs::write(&beside, config.to_string())?;
+        Ok(std::fs::rename(beside, self.folder.join("config.json"))?)
+    }
+}
+
+fn config(number: usize, address: SocketAddr, directory: SocketAddr, hosts: &[Listed]) -> Value {
+    let member = |host: &Listed| {
+        let phase = if host.standing == Standing::In { "Ready" } else { "Terminating" };
+        json!({"id": host.id, "host_port": host.address, "locality": host.zone, "flavor": host.kind,
+               "cell": host.cell, "phase": phase, "size": 4, "up_since_ms": host.started / MS})
+    };
+    let members: Vec<Value> = hosts.iter().map(member).collect();
+    let class = |name: &str, semantics: &str| json!({"name": name, "aim": 400_000, "give_up": crate::LONGEST_WAIT, "semantics": semantics, "value": 1.0});
+    json!({
+        "name": format!("n{number}"), "listen": address.to_string(), "seed": format!("{:x}", number + 1),
+        "names": directory.to_string(), "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"revision": 1, "complete": true, "members": members}}]},
+        "settings": {
+            "balancers": 1, "tick": 2_000,
+            "profiles": [class("check", "idempotent"), class("post", "at_most_once")],
+            "limits": {"max_attempts": 5, "cancel": true, "probes": true, "connect_timeout": 250_000,
+                       "retry_after": true, "max_retry_after": 1_000_000, "idle_close": 4_000_000},
+            "rules": {"drain_grace": crate::GRACE},
+            "specifics": {"may_load": true, "when_absent": "load", "keep_alive": 5_000_000, "load_wait": 3_000_000}
+        }
+    })
+}
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -245,6 +245,9 @@
 pub const ENDED: &str = "closed by the other side";
 /// How long accepting pauses when descriptors ran out.
 const ACCEPT_PAUSE: Micros = 50_000;
+/// Woken so much later than it was to be, the process did not only sleep: what is ready then may have come at any time
+/// since the sleep began.
+const STOOD_STILL: Micros = 20_000;
 /// However busy the sockets are, signals are looked for that often.
 const LOOP_AT_LEAST: Micros = 5_000;
 
@@ -800,7 +803,8 @@
             let woke = self.clock.now();
             self.looped = woke;
             woken.signals.into_iter().for_each(|signal| self.tell(Notice::Signal(signal)));
-            if found == 0 && !busy {
+            let stood_still = until.is_some_and(|at| at.max(now).saturating_add(STOOD_STILL) < woke);
+            if found == 0 && !busy && !stood_still {
                 self.own.slept(woke);
                 if !self.held {
                     self.guests.slept(woke);
