--- a/crates/cli/src/soak.rs
+++ b/crates/cli/src/soak.rs
@@ -30,6 +30,9 @@
     /// The mean pause between two requests to a gateway, in milliseconds.
     #[arg(long, default_value_t = 40, value_parser = clap::value_parser!(u16).range(1..=10_000))]
     pause_ms: u16,
+    /// The program whose gateways are soaked, if not this one: to hold two builds against each other.
+    #[arg(long, value_name = "FILE")]
+    program: Option<PathBuf>,
     /// Keep configurations and logs here, in a folder for each seed.
     #[arg(long, value_name = "FOLDER")]
     keep: Option<PathBuf>,
@@ -42,7 +45,7 @@
         let lasts = u64::from(args.seconds) * SECOND;
         let size = Size { gateways: args.gateways.into(), hosts: args.hosts.into(), lasts };
         let folder = args.keep.as_ref().map(|folder| folder.join(format!("seed-{seed}")));
-        let program = std::env::current_exe()?;
+        let program = args.program.clone().map_or_else(std::env::current_exe, Ok)?;
         let report = run(Options { program, folder, seed, size, pause: u64::from(args.pause_ms) * 1_000 })?;
         println!("{report}");
         held &= report.held();
--- /dev/null
+++ b/crates/cli/tests/soak.rs
@@ -0,0 +1,24 @@
+//! A short soak of real processes; docs/SOAK.md tells of long ones.
+
+use std::process::Command;
+
+fn soak(args: &[&str]) -> (bool, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cresswheel"));
+    let done = command.arg("soak").args(args).output().unwrap();
+    (done.status.success(), String::from_utf8_lossy(&[done.stdout, done.stderr].concat()).into_owned())
+}
+
+#[test]
+fn a_few_gateways_keep_the_rules_under_overlapping_faults() {
+    let (held, said) = soak(&["--gateways", "8", "--hosts", "5", "--seconds", "8", "--seed", "1"]);
+    assert!(held, "{said}");
+    let requests = said.split("; ").nth(1).and_then(|part| part.split(' ').next()?.parse::<u32>().ok());
+    assert!(requests.is_some_and(|requests| requests > 200), "it was asked little: {said}");
+}
+
+#[test]
+fn a_program_that_is_no_gateway_is_found() {
+    let (held, said) =
+        soak(&["--gateways", "1", "--hosts", "2", "--seconds", "2", "--program", "/bin/false"]);
+    assert!(!held && said.contains("ended by itself"), "{said}");
+}
--- a/crates/engine/src/departure.rs
+++ b/crates/engine/src/departure.rs
@@ -230,3 +230,6 @@
         self.told.get(worker).is_some_and(|told| told.saturating_add(grace) < now)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -81,6 +81,8 @@
 const FLUSH_LOOK: Micros = 1_000;
 /// Descriptors are set aside for so many workers at least, since a list may name them later.
 const WORKERS_EXPECTED: usize = 64;
+/// After a longer turn the lists and the clients are listened to before anything leaves for workers.
+const LONG_TURN: Micros = 50_000;
 
 /// How long a port that is in use is waited for at the start.
 const BIND_WITHIN: Duration = Duration::from_secs(1);
@@ -123,6 +125,7 @@
     pub fn start(settings: GatewaySettings, reload: Reload, holder: HolderCommand) -> anyhow::Result<Self> {
         let mut hub = Hub::new(settings.shell.clients.hub()).context("event loop")?;
         hub.signals(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).context("signals")?;
+        hub.leave_within(LONG_TURN);
         let budget = Budget {
             limit: descriptors(),
             workers: settings.workers.len().max(WORKERS_EXPECTED),
--- a/crates/transport/tests/hub.rs
+++ b/crates/transport/tests/hub.rs
@@ -92,6 +92,49 @@
     assert!(hub.withdraw(own, 2), "listening writes nothing");
 }
 
+#[test]
+fn after_a_long_turn_nothing_leaves_before_the_program_has_heard_the_news() {
+    let mut hub = Hub::new(HubLimits::default()).unwrap();
+    hub.leave_within(50_000);
+    let worker = TcpListener::bind("127.0.0.1:0").unwrap();
+    let service = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let own = hub.connect(worker.local_addr().unwrap(), Wire::Frames, 1_000_000);
+    let socket = hub.datagrams(service.local_addr().unwrap()).unwrap();
+    hub.send_datagram(socket, b"?");
+    let (_, asking) = service.recv_from(&mut [0]).unwrap();
+    assert!(matches!(next(&mut hub), Notice::Connected(which) if which == own));
+    assert!(hub.send(own, &probe(1), Some(1)));
+    // The rest of the turn is long, and the news comes meanwhile.
+    service.send_to(b"news", asking).unwrap();
+    std::thread::sleep(Duration::from_millis(60));
+    hub.wait(Some(0)).unwrap();
+    assert!(
+        matches!(hub.take_notice(), Some(Notice::Datagram(of, bytes)) if of == socket && bytes == b"news")
+    );
+    assert_eq!(hub.sent(own, 1), Sent::Nothing, "what was begun can still be taken back");
+    hub.wait(Some(0)).unwrap();
+    assert_eq!(hub.sent(own, 1), Sent::Whole, "the turn after it is short");
+    // A program of which each turn is long goes on all the same.
+    for mark in 2..=3 {
+        hub.send(own, &probe(1), Some(mark));
+        std::thread::sleep(Duration::from_millis(60));
+        hub.wait(Some(0)).unwrap();
+    }
+    assert_eq!((hub.sent(own, 2), hub.sent(own, 3)), (Sent::Whole, Sent::Whole));
+}
+
+#[test]
+fn hearing_reads_datagrams_and_writes_nothing() {
+    let mut hub = Hub::new(HubLimits::default()).unwrap();
+    let service = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let socket = hub.datagrams(service.local_addr().unwrap()).unwrap();
+    hub.send_datagram(socket, b"?");
+    let (_, asking) = service.recv_from(&mut [0]).unwrap();
+    service.send_to(b"news", asking).unwrap();
+    hub.hear().unwrap();
+    assert!(matches!(hub.take_notice(), Some(Notice::Datagram(of, _)) if of == socket));
+}
+
 #[test]
 fn frames_that_left_are_not_given_back() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
