What is sent instead of something taken back is asked about before it leaves

Cause: clear_departures asked about what waited, and what the module sent in its place in the same call left unasked. It now goes on until nothing is taken back.

Also: a process that stood still did not ask, so the age of a silence is not known then; ListAge::unasked ends the longer trust in a silence.

--- a/crates/cli/src/soak.rs
+++ b/crates/cli/src/soak.rs
@@ -33,6 +33,9 @@
     /// The program whose gateways are soaked, if not this one: to hold two builds against each other.
     #[arg(long, value_name = "FILE")]
     program: Option<PathBuf>,
+    /// What the gateways log.
+    #[arg(long, default_value = "info")]
+    gateway_log: String,
     /// Keep configurations and logs here, in a folder for each seed.
     #[arg(long, value_name = "FOLDER")]
     keep: Option<PathBuf>,
@@ -46,7 +49,8 @@
         let size = Size { gateways: args.gateways.into(), hosts: args.hosts.into(), lasts };
         let folder = args.keep.as_ref().map(|folder| folder.join(format!("seed-{seed}")));
         let program = args.program.clone().map_or_else(std::env::current_exe, Ok)?;
-        let report = run(Options { program, folder, seed, size, pause: u64::from(args.pause_ms) * 1_000 })?;
+        let (log, pause) = (args.gateway_log.clone(), u64::from(args.pause_ms) * 1_000);
+        let report = run(Options { program, log, folder, seed, size, pause })?;
         println!("{report}");
         held &= report.held();
     }
--- a/crates/cli/tests/drains.rs
+++ b/crates/cli/tests/drains.rs
@@ -54,7 +54,9 @@
 
     /// The configuration of a gateway that may probe hosts.
     fn probing(&self) -> String {
-        self.config().replace("\"cancel\":true", "\"cancel\":true,\"probes\":true")
+        // Connections stand through the silences of these tests.
+        let more = "\"cancel\":true,\"probes\":true,\"idle_close\":60000000";
+        self.config().replace("\"cancel\":true", more)
     }
 
     /// The directory says nothing from now on, and after it a host begins to drain.
@@ -86,6 +88,19 @@
         (0..self.hosts.len()).find(|host| after[*host] > before[*host]).expect("a host that served it")
     }
 
+    /// Has functions served until a connection stands to each host.
+    fn reach_all(&self, client: &mut Client) {
+        for number in 100..200 {
+            let function = format!("{number:016x}");
+            client.send(&request(number, &id(number), "check", "3000", &function, b"in"));
+            assert_eq!(client.answer(), (number, 0));
+            if self.invokes().iter().all(|invokes| *invokes > 0) {
+                return;
+            }
+        }
+        panic!("one host gets nothing: {:?}", self.invokes());
+    }
+
     fn invokes(&self) -> Vec<usize> {
         self.hosts.iter().map(|(_, host)| invokes(host)).collect()
     }
@@ -179,6 +194,42 @@
     assert_eq!(fleet.invokes()[home], before[home], "its own word is newer than the list");
 }
 
+#[test]
+fn what_is_sent_instead_of_something_taken_back_is_asked_about_as_well() {
+    let fleet = Fleet::new();
+    let node = Node::with(&fleet.probing());
+    let mut client = node.client();
+    fleet.reach_all(&mut client);
+    fleet.drain_in_silence(0);
+    fleet.drain_in_silence(1);
+    std::thread::sleep(KEPT_IN_SILENCE_AFTER);
+    let before = fleet.invokes();
+    for number in 2..=5 {
+        client.ask_as(number, &id(number), "check", "2000");
+        let (stream, code) = client.answer();
+        assert!(stream == number && code != 0, "all hosts drain: {code}");
+    }
+    assert_eq!(fleet.invokes(), before, "sent to a host that would have said that it drains");
+}
+
+#[test]
+fn after_a_standstill_a_slow_directory_is_not_taken_for_a_silent_one() {
+    let fleet = Fleet::new();
+    let node = Node::with(&fleet.probing());
+    let mut client = node.client();
+    let home = fleet.home(&mut client, 1);
+    node.freeze();
+    fleet.draining[home].store(true, Ordering::SeqCst);
+    fleet.tell_draining(2, Some(home));
+    fleet.directory.answers_after(Duration::from_millis(1_000));
+    std::thread::sleep(KEPT_AFTER);
+    let before = fleet.invokes();
+    client.ask_as(2, &id(2), "check", "5000");
+    node.wake();
+    assert_eq!(client.answer(), (2, 0), "the other host says that it serves");
+    assert_eq!(fleet.invokes()[home], before[home], "sent to a host past the grace of its drain");
+}
+
 #[test]
 fn a_host_that_says_it_drains_is_used_again_once_a_later_list_says_otherwise() {
     let fleet = Fleet::new();
--- a/crates/engine/src/departure.rs
+++ b/crates/engine/src/departure.rs
@@ -110,6 +110,8 @@
     pub first_unanswered: Option<Micros>,
     /// Questions asked since an answer came last.
     pub unanswered: u32,
+    /// For a while since nobody asked: this process stood still.
+    pub unasked: bool,
 }
 
 impl ListAge {
@@ -121,7 +123,7 @@
     /// The list was current when questions began to stay without an answer.
     fn was_current_until_silence(&self) -> bool {
         let asked_on = self.first_unanswered.is_some_and(|first| first.saturating_sub(self.as_of) <= CURRENT);
-        asked_on && !self.is_slow()
+        asked_on && !self.unasked && !self.is_slow()
     }
 }
 
--- a/crates/engine/src/departure/tests.rs
+++ b/crates/engine/src/departure/tests.rs
@@ -21,7 +21,7 @@
 /// A list whose answer came `latency` after the question, with so many questions since.
 fn age(latency: Micros, unanswered: u32) -> ListAge {
     let first_unanswered = (unanswered > 0).then_some(AS_OF + 200 * MS);
-    ListAge { as_of: AS_OF, heard: AS_OF + latency, first_unanswered, unanswered }
+    ListAge { as_of: AS_OF, heard: AS_OF + latency, first_unanswered, unanswered, unasked: false }
 }
 
 fn departures(terms: ListTerms, age: ListAge) -> Departures {
@@ -55,9 +55,11 @@
     assert_eq!(after(&silent, 5_500 * MS), Departure::Wait(WaitFor::Worker));
     let unasked = departures(ListTerms { workers_answer: false, ..TERMS }, age(MS, 8));
     assert_eq!(after(&unasked, 60 * S), Departure::Now, "nothing better is to be had");
-    // The process stood still before the questions went unanswered, or the list is of its start.
-    let gap = departures(TERMS, ListAge { first_unanswered: Some(AS_OF + 3 * S), ..age(MS, 8) });
-    assert_eq!(after(&gap, 3_500 * MS), Departure::Wait(WaitFor::Worker));
+    // The process stood still, or the list is of its start: that the silence is as old as the list is not known.
+    let stood_still = departures(TERMS, ListAge { unasked: true, ..age(MS, 8) });
+    assert_eq!(after(&stood_still, 2_500 * MS), Departure::Wait(WaitFor::Worker));
+    let start = departures(TERMS, ListAge { first_unanswered: Some(AS_OF + 1_500 * MS), ..age(MS, 8) });
+    assert_eq!(after(&start, 2_500 * MS), Departure::Wait(WaitFor::Worker));
 }
 
 #[test]
--- a/crates/platform/src/directory.rs
+++ b/crates/platform/src/directory.rs
@@ -29,6 +29,8 @@
 /// is the directory that does not answer, and is asked at the usual pace.
 const AGAIN: Micros = 4;
 const AGAIN_AT_MOST: u32 = 7;
+/// A question that is asked so much after its time shows that this process stood still.
+const UNASKED: Micros = 300_000;
 /// So many questions in a row without a good answer are a silence.
 const SILENT_AFTER: u32 = AGAIN_AT_MOST + 1;
 /// The answer to a question is still good when it comes so late, also on a socket that asks nothing any more.
@@ -105,7 +107,7 @@
             self.address = address;
             self.give_up_socket(hub, now);
             self.age.unanswered = 0;
-            self.next = 0;
+            self.next = now;
         }
     }
 
@@ -143,6 +145,7 @@
         if now < self.next {
             return false;
         }
+        self.age.unasked |= now.saturating_sub(self.next) > UNASKED;
         let again = self.age.unanswered < AGAIN_AT_MOST;
         self.next = now + if again { self.period / AGAIN } else { self.period };
         self.asked = now;
@@ -218,7 +221,14 @@
         self.next = self.next.max(self.asked + self.period);
         if asked > self.age.as_of {
             let later = self.questions.iter().map(|question| question.asked).find(|later| *later > asked);
-            self.age = ListAge { as_of: asked, heard: now, first_unanswered: later, unanswered: 0 };
+            self.age = ListAge {
+                as_of: asked,
+                heard: now,
+                first_unanswered: later,
+                unanswered: 0,
+                // Whether it stood still before this question tells nothing of the time since.
+                unasked: later.is_some_and(|later| later.saturating_sub(asked) > UNASKED + LONGEST),
+            };
         }
     }
 }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -174,11 +174,17 @@
         }
     }
 
-    /// Right before the hub writes: what may no longer leave for its host is taken back.
+    /// Right before the hub writes: what may no longer leave for its host is taken back. What the module sends instead
+    /// is asked about as well, so this goes on until nothing is taken back; a call's attempts are counted.
     fn clear_departures(&mut self) {
-        let now = self.hub.clock().now();
-        let ended = self.departures.clear(now, &mut self.hub, &mut self.hosts, &mut self.engine);
-        ended.into_iter().for_each(|input| self.give(input));
+        loop {
+            let now = self.hub.clock().now();
+            let ended = self.departures.clear(now, &mut self.hub, &mut self.hosts, &mut self.engine);
+            if ended.is_empty() {
+                return;
+            }
+            ended.into_iter().for_each(|input| self.give(input));
+        }
     }
 
     /// What was begun in this turn leaves with the next one. A client that has gone by then must be known of, so after
--- a/crates/soak/src/gateways.rs
+++ b/crates/soak/src/gateways.rs
@@ -168,7 +168,9 @@
         self.configure()?;
         let log = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log"))?;
         let mut command = Command::new(&self.world.options.program);
-        command.args(["--log", "info", "platform"]).env("NODE_CONFIG", self.folder.join("config.json"));
+        command
+            .args(["--log", &self.world.options.log, "platform"])
+            .env("NODE_CONFIG", self.folder.join("config.json"));
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
         self.child = Some(child);
         while !self.is_ready() && !self.world.is_quiet() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -30,6 +30,8 @@
 pub struct Options {
     /// The program `cresswheel`.
     pub program: PathBuf,
+    /// What its gateways log.
+    pub log: String,
     /// Where configurations and logs are kept; a folder that goes with the run if there is none.
     pub folder: Option<PathBuf>,
     /// Draws the faults, and all else that is drawn.
