Processor time of a process counts threads that have ended

Cause of the flaky work_shows_in_the_clocks_of_thread_and_process: processor_time_of read each thread's schedstat, which is gone if the thread ends after the listing (NotFound), and the time of ended threads was missed. The system's clock of the process has both; nix (already in the lock file) names it.

--- a/crates/measure/src/process.rs
+++ b/crates/measure/src/process.rs
@@ -4,6 +4,8 @@
 use std::process::Command;
 use std::time::Duration;
 
+use nix::time::clock_getcpuclockid;
+use nix::unistd::Pid;
 use rustix::time::{ClockId, clock_gettime};
 
 /// Processor time that this thread has used.
@@ -12,14 +14,11 @@
     Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
 }
 
-/// Processor time that all threads of a process have used.
+/// Processor time that all threads of a process have used, those that have ended among them.
 pub fn processor_time_of(process: u32) -> io::Result<Duration> {
-    let mut nanos = 0;
-    for thread in std::fs::read_dir(format!("/proc/{process}/task"))? {
-        let text = std::fs::read_to_string(thread?.path().join("schedstat"))?;
-        nanos += text.split_whitespace().next().and_then(|n| n.parse::<u64>().ok()).unwrap_or(0);
-    }
-    Ok(Duration::from_nanos(nanos))
+    let process = i32::try_from(process).map_err(|_| io::ErrorKind::NotFound)?;
+    let time = clock_getcpuclockid(Pid::from_raw(process))?.now()?;
+    Ok(Duration::from(time))
 }
 
 /// Resident memory of this process, in bytes.
