An order that had to wait is given anew; a datagram leaves despite an earlier one's error

By reading: an order that waits for the list would leave later than the ration counts with; it ends as cut off and the module gives it again. The system tells with a datagram what became of an earlier one, which then did not leave: it is sent once more.

--- a/crates/platform/src/departures.rs
+++ b/crates/platform/src/departures.rs
@@ -127,7 +127,7 @@
         }
     }
 
-    /// It may leave: on its connection if its frame still holds, else by a new frame.
+    /// It may leave: an attempt on its connection if its frame still holds, else by a new frame.
     fn release(
         &mut self,
         now: Micros,
@@ -137,24 +137,27 @@
         engine: &Engine,
     ) -> Option<Input> {
         let pending = self.pending.get_mut(&number)?;
-        if let Place::Connection(since) = pending.place {
-            let holds = now.saturating_sub(since) <= FRAME_HOLDS || matches!(pending.work, Work::Order(_));
-            if holds || !hosts.take_off(hub, number) {
-                return None;
+        let is_new = |since: Micros| now.saturating_sub(since) <= FRAME_HOLDS;
+        match (pending.place, &mut pending.work) {
+            (Place::Connection(_), Work::Order(_)) => None,
+            // The ration counts orders by the time at which they are given: it is for the module to give it again.
+            (Place::Parked(_), Work::Order(_)) => {
+                self.pending.remove(&number);
+                Some(Input::OrderEnded(number, OrderEnd::CutOff, 0))
+            }
+            (Place::Connection(since), Work::Attempt(_)) if is_new(since) || !hosts.take_off(hub, number) => {
+                None
+            }
+            (_, Work::Attempt(attempt)) => {
+                (attempt.time_left, attempt.timeout) = engine.times_left(now, number)?;
+                pending.place = Place::Connection(now);
+                let ended = hosts.run(hub, attempt);
+                if ended.is_some() {
+                    self.pending.remove(&number);
+                }
+                ended
             }
         }
-        if let Work::Attempt(attempt) = &mut pending.work {
-            (attempt.time_left, attempt.timeout) = engine.times_left(now, number)?;
-        }
-        pending.place = Place::Connection(now);
-        let ended = match &pending.work {
-            Work::Attempt(attempt) => hosts.run(hub, attempt),
-            Work::Order(order) => hosts.hold(hub, order),
-        };
-        if ended.is_some() {
-            self.pending.remove(&number);
-        }
-        ended
     }
 
     /// It may not leave yet: it waits here, and its host is asked if that is what it waits for.
@@ -180,7 +183,7 @@
             Work::Attempt(_) if since.saturating_add(ATTEMPT_WAITS) <= now => {
                 self.take_back(number, hub, hosts)
             }
-            _ => None,
+            Work::Attempt(_) | Work::Order(_) => None,
         }
     }
 
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -412,9 +412,11 @@
         Ok(number)
     }
 
-    /// Sends a datagram. It may be lost on its way, so an error is no more than that.
+    /// Sends a datagram. It may be lost on its way, so an error is no more than that; but the system tells here of what
+    /// became of an earlier one, and then this one did not leave.
     pub fn send_datagram(&mut self, number: usize, bytes: &[u8]) {
-        if let Some(Err(error)) = self.datagrams.get(number).map(|socket| socket.send(bytes)) {
+        let Some(socket) = self.datagrams.get(number) else { return };
+        if let Err(error) = socket.send(bytes).or_else(|_| socket.send(bytes)) {
             tracing::debug!(%error, "a datagram did not leave");
         }
     }
--- a/crates/transport/tests/hub.rs
+++ b/crates/transport/tests/hub.rs
@@ -123,6 +123,22 @@
     assert_eq!((hub.sent(own, 2), hub.sent(own, 3)), (Sent::Whole, Sent::Whole));
 }
 
+#[test]
+fn a_datagram_leaves_though_an_earlier_one_found_nobody() {
+    let mut hub = Hub::new(HubLimits::default()).unwrap();
+    let address = std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let socket = hub.datagrams(address).unwrap();
+    // Nobody listens there: the system says so with the next one.
+    hub.send_datagram(socket, b"1");
+    std::thread::sleep(Duration::from_millis(20));
+    let service = std::net::UdpSocket::bind(address).unwrap();
+    service.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    hub.send_datagram(socket, b"2");
+    let mut bytes = [0];
+    service.recv_from(&mut bytes).unwrap();
+    assert_eq!(&bytes, b"2");
+}
+
 #[test]
 fn hearing_reads_datagrams_and_writes_nothing() {
     let mut hub = Hub::new(HubLimits::default()).unwrap();
