Failing tests: lists of a gateway's former life hide a drain or bring a host back

A restarted gateway is told the list by numbers that begin anew, and one old answer in a few still holds a list of the process before it, under the number that list had then. Three tests on real processes: such a list under a higher number, under the number that comes next, and twice in a row after a drain was told. The stand-in directory of the tests can give old answers for that.

--- a/crates/cli/tests/drains.rs
+++ b/crates/cli/tests/drains.rs
@@ -6,6 +6,7 @@
 
 mod peers;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -73,10 +74,30 @@
 
     /// The directory knows, from now on, that this host drains.
     fn tell_draining(&self, serial: u32, draining: Option<usize>) {
+        self.directory.tell(serial, &self.listed(draining));
+    }
+
+    /// Both hosts, of which this one drains.
+    fn listed(&self, draining: Option<usize>) -> Vec<(&'static str, SocketAddr, u16)> {
         let priority = |number| if Some(number) == draining { PRIORITY_DRAINING } else { PRIORITY_READY };
         let hosts = self.hosts.iter().enumerate();
-        let listed: Vec<_> = hosts.map(|(number, (id, host))| (*id, host.at, priority(number))).collect();
-        self.directory.tell(serial, &listed);
+        hosts.map(|(number, (id, host))| (*id, host.at, priority(number))).collect()
+    }
+
+    /// The next so many answers are a list of the gateway's former life, under the number it had then: both hosts serve.
+    fn answer_stale(&self, times: usize, serial: u32) {
+        self.directory.answer_stale(times, serial, &self.listed(None));
+    }
+
+    /// A gateway of which an earlier process was told lists up to number 3; numbers begin anew with the next process.
+    fn restarted(&self, config: &str) -> Node {
+        let mut former = Node::with(config);
+        self.tell_draining(3, None);
+        former.logged("list serial=3");
+        former.child.kill().unwrap();
+        former.child.wait().unwrap();
+        self.tell_draining(1, None);
+        Node::with(config)
     }
 
     /// Has a request served, and gives the number of the host that served it: its function is there from now on.
@@ -352,3 +373,46 @@
         }
     }
 }
+
+#[test]
+fn a_list_of_the_former_life_under_a_higher_number_hides_no_drain() {
+    let fleet = Fleet::new();
+    let node = fleet.restarted(&fleet.config());
+    fleet.answer_stale(1, 3);
+    let mut client = node.client();
+    let home = fleet.home(&mut client, 1);
+    fleet.directory.gave_stale();
+    fleet.tell_draining(2, Some(home));
+    std::thread::sleep(KEPT_AFTER);
+    fleet.served_without(home, &mut client);
+}
+
+#[test]
+fn a_list_of_the_former_life_under_the_next_number_hides_no_drain() {
+    let fleet = Fleet::new();
+    let node = fleet.restarted(&fleet.config());
+    fleet.answer_stale(1, 2);
+    let mut client = node.client();
+    let home = fleet.home(&mut client, 1);
+    fleet.directory.gave_stale();
+    fleet.tell_draining(2, Some(home));
+    std::thread::sleep(KEPT_AFTER);
+    fleet.served_without(home, &mut client);
+}
+
+#[test]
+fn a_host_that_drains_is_not_brought_back_by_old_lists_twice_in_a_row() {
+    let fleet = Fleet::new();
+    let node = fleet.restarted(&fleet.config());
+    let mut client = node.client();
+    let home = fleet.home(&mut client, 1);
+    fleet.tell_draining(2, Some(home));
+    node.logged("list serial=2");
+    std::thread::sleep(KEPT_AFTER);
+    // From here on nothing but the old lists is heard.
+    fleet.answer_stale(2, 3);
+    fleet.directory.gave_stale();
+    fleet.directory.answers_each(0);
+    std::thread::sleep(Duration::from_millis(100));
+    fleet.served_without(home, &mut client);
+}
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -2,7 +2,7 @@
 //! plays.
 #![allow(dead_code)]
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::fmt::Write as _;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -93,13 +93,16 @@
 }
 
 /// A serial, and hosts with their priorities.
-pub type List = Arc<Mutex<(u32, Vec<(String, SocketAddr, u16)>)>>;
+pub type Answer = (u32, Vec<(String, SocketAddr, u16)>);
+pub type List = Arc<Mutex<Answer>>;
 
 /// A directory; it says nothing until it has hosts to tell of.
 #[derive(Clone)]
 pub struct Directory {
     pub at: SocketAddr,
     pub list: List,
+    /// Given first, one for each question.
+    stale: Arc<Mutex<VecDeque<Answer>>>,
     most: Arc<AtomicUsize>,
     started: Arc<AtomicU64>,
     delay_ms: Arc<AtomicU64>,
@@ -111,6 +114,8 @@
         let at = socket.local_addr().unwrap();
         let list: List = Arc::new(Mutex::new((serial, vec![])));
         let told = list.clone();
+        let stale: Arc<Mutex<VecDeque<Answer>>> = Arc::default();
+        let stale_first = stale.clone();
         let most = Arc::new(AtomicUsize::new(usize::MAX));
         let answers = most.clone();
         let started = Arc::new(AtomicU64::new(0));
@@ -122,16 +127,17 @@
             let mut given: HashMap<SocketAddr, usize> = HashMap::new();
             while let Ok((count, from)) = socket.recv_from(&mut bytes) {
                 let asked = answer_id(&bytes[..count]).unwrap();
-                let (serial, hosts) = told.lock().unwrap().clone();
                 let times = given.entry(from).or_insert(0);
-                if !hosts.is_empty() && *times < answers.load(Ordering::SeqCst) {
+                let current = told.lock().unwrap().clone();
+                if !current.1.is_empty() && *times < answers.load(Ordering::SeqCst) {
                     *times += 1;
+                    let (serial, hosts) = stale_first.lock().unwrap().pop_front().unwrap_or(current);
                     let bytes = answer(asked, serial, &hosts, began.load(Ordering::SeqCst));
                     send_later(&socket, from, bytes, Duration::from_millis(delay.load(Ordering::SeqCst)));
                 }
             }
         });
-        Self { at, list, most, started, delay_ms }
+        Self { at, list, stale, most, started, delay_ms }
     }
 
     /// From now on each answer tells what held when it was asked for, and leaves that much later.
@@ -150,9 +156,26 @@
     }
 
     pub fn tell(&self, serial: u32, hosts: &[(&str, SocketAddr, u16)]) {
-        let hosts = hosts.iter().map(|(id, at, priority)| ((*id).to_owned(), *at, *priority));
-        *self.list.lock().unwrap() = (serial, hosts.collect());
+        *self.list.lock().unwrap() = (serial, owned(hosts));
     }
+
+    /// The next so many questions are answered with this old list, and with what is told again after that.
+    pub fn answer_stale(&self, times: usize, serial: u32, hosts: &[(&str, SocketAddr, u16)]) {
+        self.stale.lock().unwrap().extend(vec![(serial, owned(hosts)); times]);
+    }
+
+    /// Waits until every old list has been given.
+    pub fn gave_stale(&self) {
+        let end = Instant::now() + PATIENCE;
+        while !self.stale.lock().unwrap().is_empty() {
+            assert!(Instant::now() < end, "nobody asks");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
+
+fn owned(hosts: &[(&str, SocketAddr, u16)]) -> Vec<(String, SocketAddr, u16)> {
+    hosts.iter().map(|(id, at, priority)| ((*id).to_owned(), *at, *priority)).collect()
 }
 
 fn send_later(socket: &UdpSocket, to: SocketAddr, bytes: Vec<u8>, delay: Duration) {
