Answers of the directory are weighed as evidence; numbers no longer decide across lives

Cause: Directory::answered compared the serial of each answer with the last one taken (`listing.serial < self.serial` is an older list, equal is known, higher is believed at once). Serials begin anew with each process, and no answer names its process. An old answer made for the process before was taken as newer, all true ones were then passed over until their numbers caught up, and the gateway sent to hosts that drained.

Change: engine/src/list_evidence.rs, without I/O, says which answers are believed. A list comes into force once three answers to later questions agree; until then a host gets something new only if every answer and the list in force hold the same entry of it, in service; and the list is as old as the first of the last three answers that support it, so that an old answer with the same content makes nothing younger. departure.rs keeps back what would leave for a disputed host ('list-disputed'), asks the host in a silence where that is allowed, and else keeps it from the module. Contradictions are logged and counted with how long they lasted and whether a believed list was overturned. Where answers don't agree the next question follows after a quarter of the period. Known.listing folds the events of the configuration, so that there is one list to compare with.

--- a/crates/engine/src/departure.rs
+++ b/crates/engine/src/departure.rs
@@ -9,12 +9,13 @@
 //!
 //! Invariants:
 //! - nothing new goes to a worker that the list, or its own word, says is leaving;
+//! - nothing new goes to a worker about which the list service's answers contradict each other;
 //! - a list counts only as long as no event that it lacks can be past its grace;
 //! - a worker's own word that it serves counts as a list of that worker alone, as of the question.
 //!
 //! It trusts the worker's word, and the times that the shell gives.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cresswheel::{Micros, WorkerId};
 use cresswheel_protocol::Standing;
@@ -45,6 +46,8 @@
     List,
     /// The worker's own word that it serves.
     Worker,
+    /// Answers of the list service that agree about the worker.
+    Agreement,
 }
 
 /// Why something may not leave.
@@ -138,6 +141,8 @@
     leaving: BTreeMap<WorkerId, Micros>,
     /// Since when a worker is known to leave, or to have left.
     told: BTreeMap<WorkerId, Micros>,
+    /// Since when answers of the list service contradict each other about a worker.
+    disputed: BTreeMap<WorkerId, Micros>,
 }
 
 impl Departures {
@@ -162,6 +167,39 @@
         }
     }
 
+    /// Answers of the list service contradict each other about these workers, and about no others.
+    pub fn dispute(&mut self, now: Micros, workers: BTreeSet<WorkerId>) {
+        self.disputed.retain(|worker, _| workers.contains(worker));
+        workers.into_iter().for_each(|worker| _ = self.disputed.entry(worker).or_insert(now));
+    }
+
+    /// Disputed workers that the module is not to use: nothing more is heard that could settle it, and they can't be
+    /// asked.
+    pub fn withheld(&self) -> BTreeSet<WorkerId> {
+        match self.terms {
+            Some(terms) if !terms.workers_answer && self.is_unanswered(&terms) => {
+                self.disputed.keys().cloned().collect()
+            }
+            _ => BTreeSet::new(),
+        }
+    }
+
+    /// Whether the module is told that this worker drains, though the list has it in service.
+    pub fn is_kept_from_module(&self, worker: &WorkerId) -> bool {
+        self.says_it_leaves(worker)
+            || self.disputed.contains_key(worker)
+                && self.terms.is_some_and(|terms| !terms.workers_answer && self.is_unanswered(&terms))
+    }
+
+    fn is_unanswered(&self, terms: &ListTerms) -> bool {
+        self.age.unanswered >= terms.silent_after
+    }
+
+    /// It said that it serves after it was disputed.
+    fn is_vouched_for(&self, worker: &WorkerId, disputed: Micros) -> bool {
+        self.serving.get(worker).is_some_and(|asked| *asked > disputed)
+    }
+
     /// Whether the worker's own word, that it leaves, is newer than what the list can know.
     pub fn says_it_leaves(&self, worker: &WorkerId) -> bool {
         self.leaving.contains_key(worker)
@@ -208,11 +246,19 @@
             return Departure::Never(Barred::WorkerLeaves);
         }
         let Some(terms) = self.terms else { return Departure::Now };
+        if let Some(since) = self.disputed.get(worker) {
+            if !self.is_unanswered(&terms) || !terms.workers_answer {
+                return Departure::Wait(WaitFor::Agreement);
+            }
+            if !self.is_vouched_for(worker, *since) {
+                return Departure::Wait(WaitFor::Worker);
+            }
+        }
         let known = self.serving.get(worker).copied().unwrap_or(0).max(self.age.as_of);
         if now <= known.saturating_add(terms.trusted_for()) {
             return Departure::Now;
         }
-        if self.age.unanswered < terms.silent_after && !self.age.is_slow() {
+        if !self.is_unanswered(&terms) && !self.age.is_slow() {
             return Departure::Wait(WaitFor::List);
         }
         let until = self.age.as_of.saturating_add(terms.trusted_in_silence());
@@ -226,10 +272,13 @@
         }
     }
 
-    /// Whether what leaves for this worker breaks the rule of drains: it was known to leave for longer than the grace.
+    /// Whether what leaves for this worker breaks the rule of drains: it was known to leave for longer than the grace,
+    /// or an answer has said so for as long.
     pub fn is_past_grace(&self, now: Micros, worker: &WorkerId) -> bool {
         let grace = self.terms.map_or(0, |terms| terms.grace);
-        self.told.get(worker).is_some_and(|told| told.saturating_add(grace) < now)
+        let disputed = self.disputed.get(worker).filter(|since| !self.is_vouched_for(worker, **since));
+        let told = self.told.get(worker).or(disputed);
+        told.is_some_and(|told| told.saturating_add(grace) < now)
     }
 }
 
--- a/crates/engine/src/departure/tests.rs
+++ b/crates/engine/src/departure/tests.rs
@@ -133,3 +133,53 @@
     kept.forget(AS_OF + REMEMBERED, |_| false);
     assert_eq!((kept.told.len(), kept.serving.len(), kept.leaving.len()), (0, 0, 0));
 }
+
+fn disputed(departures: &mut Departures, now: Micros) {
+    departures.dispute(now, BTreeSet::from([worker()]));
+}
+
+#[test]
+fn a_disputed_worker_gets_nothing_until_answers_agree() {
+    let mut list = departures(TERMS, age(MS, 1));
+    disputed(&mut list, AS_OF);
+    assert_eq!(after(&list, 100 * MS), Departure::Wait(WaitFor::Agreement));
+    let other = list.judge(AS_OF + 100 * MS, &"v".into(), Some(Standing::In));
+    assert_eq!(other, Departure::Now, "about the other one they agree");
+    list.worker_said(worker(), true, AS_OF + MS);
+    assert_eq!(
+        after(&list, 100 * MS),
+        Departure::Wait(WaitFor::Agreement),
+        "while answers come, they settle it"
+    );
+    assert!(list.withheld().is_empty() && !list.is_kept_from_module(&worker()));
+    list.dispute(AS_OF + 200 * MS, BTreeSet::new());
+    assert_eq!(after(&list, 200 * MS), Departure::Now);
+}
+
+#[test]
+fn in_a_silence_a_disputed_worker_is_asked_or_kept_from_the_module() {
+    let mut silent = departures(TERMS, age(MS, 8));
+    silent.worker_said(worker(), true, AS_OF);
+    disputed(&mut silent, AS_OF + MS);
+    assert_eq!(after(&silent, S), Departure::Wait(WaitFor::Worker), "it said so before");
+    silent.worker_said(worker(), true, AS_OF + 900 * MS);
+    assert_eq!(after(&silent, S), Departure::Now);
+    assert!(silent.withheld().is_empty());
+    let mut unasked = departures(ListTerms { workers_answer: false, ..TERMS }, age(MS, 7));
+    disputed(&mut unasked, AS_OF);
+    assert!(unasked.withheld().is_empty(), "it may be settled soon");
+    unasked.aged(age(MS, 8));
+    assert_eq!(after(&unasked, S), Departure::Wait(WaitFor::Agreement));
+    assert!(unasked.withheld().contains(&worker()) && unasked.is_kept_from_module(&worker()));
+}
+
+#[test]
+fn what_leaves_for_a_worker_that_was_disputed_for_the_grace_is_found() {
+    let mut list = departures(TERMS, age(MS, 1));
+    disputed(&mut list, AS_OF);
+    disputed(&mut list, AS_OF + S);
+    assert!(!list.is_past_grace(AS_OF + S, &worker()));
+    assert!(list.is_past_grace(AS_OF + S + 1, &worker()), "since it was disputed first");
+    list.worker_said(worker(), true, AS_OF + 2);
+    assert!(!list.is_past_grace(AS_OF + S + 1, &worker()), "it serves by its own word");
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -170,6 +170,7 @@
             }
             Input::WorkerSaid { worker, serves, asked } => self.worker_said(worker, serves, asked),
             Input::ListAge(age) => self.list_aged(age),
+            Input::ListDisputed(workers) => self.list_disputed(workers),
             Input::List { whole, workers } => self.list(whole, workers),
             Input::ListLost => self.events.push_back(Event::List(ListNews::Lost)),
             Input::Drain => self.draining = true,
@@ -259,6 +260,7 @@
             Departure::Now => return,
             Departure::Wait(WaitFor::List) => "waits-for-list",
             Departure::Wait(WaitFor::Worker) => "waits-for-worker",
+            Departure::Wait(WaitFor::Agreement) => "list-disputed",
             Departure::Never(barred) => barred.word(),
         };
         count(&mut self.counters.kept_back, word);
@@ -629,11 +631,12 @@
         self.events.push_back(Event::List(news));
     }
 
-    /// A listed worker in the module's terms. One that says itself that it leaves drains, whatever the list says.
+    /// A listed worker in the module's terms. One that says itself that it leaves drains, whatever the list says; so
+    /// does one that is disputed and can't be asked.
     fn entry(&self, worker: &Listed) -> WorkerEntry {
         let id = WorkerId::from(worker.id.as_str());
         let state = match worker.standing {
-            Standing::In if self.departures.says_it_leaves(&id) => WorkerState::Draining,
+            Standing::In if self.departures.is_kept_from_module(&id) => WorkerState::Draining,
             Standing::In => WorkerState::In,
             Standing::Draining => WorkerState::Draining,
             Standing::Out => WorkerState::Out,
@@ -659,12 +662,25 @@
     }
 
     fn list_aged(&mut self, age: ListAge) {
-        self.departures.aged(age);
+        self.change_withheld(|departures| departures.aged(age));
         for worker in self.departures.caught_up() {
             self.tell_module_of(&worker);
         }
     }
 
+    fn list_disputed(&mut self, workers: BTreeSet<WorkerId>) {
+        let now = self.now;
+        self.change_withheld(|departures| departures.dispute(now, workers));
+    }
+
+    /// Tells the module of workers that it is to use no more, or again, after a change.
+    fn change_withheld(&mut self, change: impl FnOnce(&mut Departures)) {
+        let before = self.departures.withheld();
+        change(&mut self.departures);
+        let after = self.departures.withheld();
+        before.symmetric_difference(&after).for_each(|worker| self.tell_module_of(worker));
+    }
+
     /// Tells the module of a listed worker once more: whether it takes new work has changed.
     fn tell_module_of(&mut self, worker: &WorkerId) {
         let entry = self.listed.get(&*worker.0).map(|listed| self.entry(listed));
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -1,5 +1,6 @@
 //! What goes into the engine and what comes out of it.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use cresswheel::{FunctionId, Micros, WorkerId};
@@ -118,6 +119,8 @@
     },
     /// How current the worker list is, from now on.
     ListAge(ListAge),
+    /// Answers of the list service contradict each other about these workers, and about no others.
+    ListDisputed(BTreeSet<WorkerId>),
     /// The worker list: all of it, or changes.
     List {
         /// What is not named is gone.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,6 +11,7 @@
 //! - each `Action::Send` of the module gets one `Event::Ended`, each `Hold` one `Event::Held`;
 //! - whether an attempt provably never ran is said in [`AttemptEnd::outcome`] and nowhere else;
 //! - whether what was decided may still leave is said in `departure` and nowhere else;
+//! - which of the list service's answers are believed is said in [`ListEvidence`] and nowhere else;
 //! - same inputs, same outputs.
 
 mod admission;
@@ -20,6 +21,7 @@
 mod engine;
 mod interface;
 mod keys;
+mod list_evidence;
 mod results;
 
 pub use admission::AdmissionLimits;
@@ -28,4 +30,5 @@
 pub use ending::{AttemptEnd, OrderEnd};
 pub use engine::Engine;
 pub use interface::*;
+pub use list_evidence::{AGREEING, Contradictions, Exchange, ListEvidence, ListVersion, Weighed};
 pub use results::ResultLimits;
--- a/crates/platform-wire/src/directory.rs
+++ b/crates/platform-wire/src/directory.rs
@@ -1,6 +1,6 @@
 //! The directory of hosts: DNS answers over UDP, and the list that a configuration begins with.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use cresswheel_protocol::{Listed, Standing};
@@ -164,6 +164,23 @@
     pub entries: Vec<KnownEvent>,
 }
 
+impl Known {
+    /// The list as of the last event.
+    pub fn listing(&self) -> Listing {
+        let mut hosts: Vec<Listed> = Vec::new();
+        for event in &self.entries {
+            if event.hosts.complete {
+                hosts.clear();
+            }
+            let named: HashSet<&str> = event.hosts.members.iter().map(|member| member.id.as_str()).collect();
+            hosts.retain(|host| !named.contains(host.id.as_str()));
+            let listed = event.hosts.members.iter().map(Member::listed);
+            hosts.extend(listed.filter(|host| host.standing != Standing::Out));
+        }
+        Listing { serial: self.pos, hosts }
+    }
+}
+
 /// One event.
 #[derive(Clone, Debug, Deserialize)]
 pub struct KnownEvent {
--- a/crates/platform-wire/tests/wire.rs
+++ b/crates/platform-wire/tests/wire.rs
@@ -284,6 +284,34 @@
     assert!(Config::read(&text.replace("\"name\":\"call\",", "")).unwrap().module().is_err());
 }
 
+#[test]
+fn the_list_of_a_configuration_is_the_sum_of_its_events() {
+    let member =
+        |id: &str, phase: &str| format!(r#"{{"id":"{id}","host_port":"127.0.0.2:1","phase":"{phase}"}}"#);
+    let event = |complete: bool, members: &[String]| {
+        format!(r#"{{"pos":1,"hosts":{{"complete":{complete},"members":[{}]}}}}"#, members.join(","))
+    };
+    let listed = |events: &[String]| {
+        let text = format!(r#"{{"pos":9,"entries":[{}]}}"#, events.join(","));
+        let listing = serde_json::from_str::<directory::Known>(&text).unwrap().listing();
+        assert_eq!(listing.serial, 9);
+        listing.hosts.into_iter().map(|host| (host.id, host.standing)).collect::<Vec<_>>()
+    };
+    let whole = event(true, &[member("s-1", "Ready"), member("s-2", "Ready"), member("s-3", "Ready")]);
+    let changes =
+        event(false, &[member("s-1", "Gone"), member("s-2", "Terminating"), member("s-4", "Ready")]);
+    let named = |id: &str, standing| (id.to_owned(), standing);
+    let (stays, drains) = (named("s-3", Standing::In), named("s-2", Standing::Draining));
+    assert_eq!(listed(&[whole.clone(), changes.clone()]), [stays, drains, named("s-4", Standing::In)]);
+    let anew = event(true, &[member("s-5", "Ready"), member("s-6", "Gone")]);
+    assert_eq!(
+        listed(&[whole, changes, anew]),
+        [named("s-5", Standing::In)],
+        "what it does not name is gone"
+    );
+    assert!(listed(&[]).is_empty());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(7), ..ProptestConfig::with_cases(300) })]
 
--- a/crates/platform/src/directory.rs
+++ b/crates/platform/src/directory.rs
@@ -5,13 +5,17 @@
 //! settings give a drain: a question without a good answer is soon asked again. And no good answer is thrown away for
 //! coming late, to a socket or from a directory that is no longer asked: what it tells was told.
 //!
-//! How old the list is, is told to the engine ([`Directory::age`]), which says how long it may be acted on.
+//! An answer may be old, of this process or of the one before it, whose events were numbered on their own. Which answers
+//! are believed is for [`ListEvidence`] to say; until that is settled the directory is asked often.
+//!
+//! How old the list is, is told to the engine ([`Directory::age`]), which says how long it may be acted on, and so is
+//! which hosts are disputed ([`Directory::disputed`]).
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
-use cresswheel::Micros;
-use cresswheel_engine::{ListAge, ListTerms};
+use cresswheel::{Micros, WorkerId};
+use cresswheel_engine::{AGREEING, Contradictions, Exchange, ListAge, ListEvidence, ListTerms, ListVersion};
 use cresswheel_platform_wire::directory::{self, Listing};
 use cresswheel_transport::Hub;
 
@@ -75,14 +79,16 @@
     next: Micros,
     id: u16,
     questions: VecDeque<Question>,
-    serial: u64,
+    evidence: ListEvidence,
     age: ListAge,
+    /// Questions asked since an answer could be read last.
+    unheard: u32,
     silent: bool,
 }
 
 impl Directory {
-    /// A directory whose events up to `serial` are known; a drain that it told is to be kept within `grace`.
-    pub fn new(now: Micros, address: SocketAddr, serial: u64, seed: u64, grace: Micros) -> Self {
+    /// A directory of which a list is known; a drain that it told is to be kept within `grace`.
+    pub fn new(now: Micros, address: SocketAddr, known: Listing, seed: u64, grace: Micros) -> Self {
         Self {
             socket: None,
             former: VecDeque::new(),
@@ -92,9 +98,10 @@
             next: now,
             id: seed as u16,
             questions: VecDeque::new(),
-            serial,
+            evidence: ListEvidence::new(ListVersion::new(known.serial, known.hosts)),
             // What the configuration holds is what was told by the start: later events may have happened.
             age: ListAge { as_of: now.saturating_sub(TOLD_WITHIN), ..ListAge::default() },
+            unheard: 0,
             silent: false,
         }
     }
@@ -107,6 +114,7 @@
             self.address = address;
             self.give_up_socket(hub, now);
             self.age.unanswered = 0;
+            self.unheard = 0;
             self.next = now;
         }
     }
@@ -130,9 +138,19 @@
         self.next
     }
 
-    /// The last event known.
-    pub fn serial(&self) -> u64 {
-        self.serial
+    /// The list in force.
+    pub fn list(&self) -> &ListVersion {
+        self.evidence.held()
+    }
+
+    /// Hosts about which answers contradict each other.
+    pub fn disputed(&self) -> BTreeSet<WorkerId> {
+        self.evidence.disputed()
+    }
+
+    /// What was counted of contradictions since the start.
+    pub fn contradictions(&self) -> Contradictions {
+        self.evidence.contradictions()
     }
 
     /// How current the list is.
@@ -146,16 +164,16 @@
             return false;
         }
         self.age.unasked |= now.saturating_sub(self.next) > UNASKED;
-        let again = self.age.unanswered < AGAIN_AT_MOST;
-        self.next = now + if again { self.period / AGAIN } else { self.period };
+        self.next = now + if self.unheard < AGAIN_AT_MOST { self.period / AGAIN } else { self.period };
         self.asked = now;
         self.age.unanswered = self.age.unanswered.saturating_add(1);
         self.age.first_unanswered.get_or_insert(now);
-        if !self.silent && self.age.unanswered > SILENT_AFTER {
+        self.unheard = self.unheard.saturating_add(1);
+        if !self.silent && self.unheard > SILENT_AFTER {
             self.silent = true;
-            tracing::warn!(serial = self.serial, "the directory is silent");
+            tracing::warn!(serial = self.evidence.held().number, "the directory is silent");
         }
-        if self.age.unanswered.is_multiple_of(SILENT_AFTER) {
+        if self.unheard.is_multiple_of(SILENT_AFTER) {
             // Whatever no longer answers this socket may answer another: nothing tells the two apart from here.
             self.give_up_socket(hub, now);
         }
@@ -187,49 +205,79 @@
         }
     }
 
-    /// An answer came: the list, if it is newer than what is known.
-    pub fn answered(&mut self, now: Micros, bytes: &[u8]) -> Option<Listing> {
+    /// An answer came; true: another list has come into force.
+    pub fn answered(&mut self, now: Micros, bytes: &[u8]) -> bool {
+        let Some((asked, listing)) = self.read(bytes) else { return false };
+        self.unheard = 0;
+        if std::mem::replace(&mut self.silent, false) {
+            tracing::info!("the directory answers again");
+        }
+        let (before, since) = (self.evidence.contradictions(), self.evidence.contradicted_since());
+        let (serial, hosts) = (listing.serial, listing.hosts.len());
+        let exchange = Exchange { asked, heard: now };
+        let weighed = self.evidence.weigh(exchange, ListVersion::new(listing.serial, listing.hosts));
+        if since.is_none() && self.evidence.contradicted_since().is_some() {
+            let (known, disputed) = (self.evidence.held().number, self.evidence.disputed().len());
+            tracing::info!(serial, hosts, known, disputed, "an answer contradicts the list");
+        }
+        self.tell_settled(now, before, since);
+        weighed.as_of.into_iter().for_each(|exchange| self.is_as_of(exchange));
+        let is_in_doubt = self.evidence.is_in_doubt();
+        if !is_in_doubt {
+            self.age.unanswered = 0;
+        }
+        // More answers are wanted soon where they don't agree, or are too few after a while without.
+        let is_behind = asked.saturating_sub(self.age.as_of) > AGREEING as Micros * self.period;
+        if is_in_doubt || is_behind {
+            self.next = self.next.min(self.asked + self.period / AGAIN);
+        } else {
+            self.next = self.next.max(self.asked + self.period);
+        }
+        weighed.is_new
+    }
+
+    fn tell_settled(&self, now: Micros, before: Contradictions, since: Option<Micros>) {
+        let after = self.evidence.contradictions();
+        if after.settled == before.settled {
+            return;
+        }
+        let lasted_ms = since.map_or(0, |since| now.saturating_sub(since) / 1_000);
+        let serial = self.evidence.held().number;
+        tracing::info!(serial, lasted_ms, "answers agree again");
+        if after.overturned > before.overturned {
+            tracing::warn!(serial, "a list that was believed was not current");
+        }
+    }
+
+    /// The time of the question that it answers, and the list that it holds.
+    fn read(&self, bytes: &[u8]) -> Option<(Micros, Listing)> {
         let id = directory::answer_id(bytes);
         let Some(asked) = self.questions.iter().find(|question| Some(question.id) == id).map(|q| q.asked)
         else {
             tracing::debug!("an answer to no question");
             return None;
         };
-        let listing = match directory::answer(bytes) {
-            Ok(listing) => listing,
-            Err(error) => {
-                tracing::debug!(%error, "the directory's answer tells nothing");
-                return None;
-            }
-        };
-        if listing.serial < self.serial {
-            tracing::debug!(serial = listing.serial, known = self.serial, "an older list");
-            return None;
-        }
-        self.heard(now, asked);
-        let newer = listing.serial > self.serial;
-        self.serial = listing.serial;
-        newer.then_some(listing)
+        let listing = directory::answer(bytes);
+        let listing =
+            listing.inspect_err(|error| tracing::debug!(%error, "the directory's answer tells nothing"));
+        Some((asked, listing.ok()?))
     }
 
-    /// A good answer to a question of that time came: the list tells all that had happened by then.
-    fn heard(&mut self, now: Micros, asked: Micros) {
-        if std::mem::replace(&mut self.silent, false) {
-            tracing::info!("the directory answers again");
-        }
-        self.age.unanswered = 0;
-        self.next = self.next.max(self.asked + self.period);
-        if asked > self.age.as_of {
-            let later = self.questions.iter().map(|question| question.asked).find(|later| *later > asked);
-            self.age = ListAge {
-                as_of: asked,
-                heard: now,
-                first_unanswered: later,
-                unanswered: 0,
-                // Whether it stood still before this question tells nothing of the time since.
-                unasked: later.is_some_and(|later| later.saturating_sub(asked) > UNASKED + LONGEST),
-            };
+    /// The list in force tells all that had happened by the time of that question.
+    fn is_as_of(&mut self, Exchange { asked, heard }: Exchange) {
+        if asked <= self.age.as_of {
+            return;
         }
+        let later = || self.questions.iter().map(|question| question.asked).filter(|later| *later > asked);
+        // Whether it stood still before that question tells nothing of the time since.
+        let gaps = later().zip(std::iter::once(asked).chain(later()));
+        self.age = ListAge {
+            as_of: asked,
+            heard,
+            first_unanswered: later().next(),
+            unanswered: self.age.unanswered,
+            unasked: gaps.into_iter().any(|(next, before)| next.saturating_sub(before) > UNASKED + LONGEST),
+        };
     }
 }
 
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -128,14 +128,12 @@
         self.carriers.connections()
     }
 
-    /// Takes the list over, all of it or changes. What had not left for hosts that drain or are gone is taken back.
-    pub fn take_list(&mut self, hub: &mut Hub, whole: bool, listed: &[Listed]) -> Vec<Input> {
+    /// Takes the whole list over. What had not left for hosts that drain or are gone is taken back.
+    pub fn take_list(&mut self, hub: &mut Hub, listed: &[Listed]) -> Vec<Input> {
         let mut ended = Vec::new();
-        if whole {
-            let named = |id: &WorkerId| listed.iter().any(|host| *host.id == *id.0);
-            let gone: Vec<_> = self.places.keys().filter(|id| !named(id)).cloned().collect();
-            gone.iter().for_each(|id| ended.extend(self.gone(hub, id)));
-        }
+        let named = |id: &WorkerId| listed.iter().any(|host| *host.id == *id.0);
+        let gone: Vec<_> = self.places.keys().filter(|id| !named(id)).cloned().collect();
+        gone.iter().for_each(|id| ended.extend(self.gone(hub, id)));
         for host in listed {
             let id = WorkerId::from(host.id.as_str());
             let address = host.address.parse::<SocketAddr>();
--- a/crates/platform/src/hosts/tests.rs
+++ b/crates/platform/src/hosts/tests.rs
@@ -61,10 +61,10 @@
     for after in [Standing::Draining, Standing::Out] {
         let mut hub = Hub::new(HubLimits::default()).unwrap();
         let mut hosts = hosts(2);
-        hosts.take_list(&mut hub, true, &[host(&listener, Standing::In)]);
+        hosts.take_list(&mut hub, &[host(&listener, Standing::In)]);
         // The hub has not looked yet: the connection does not stand, and no byte has left.
         assert!(hosts.run(&mut hub, &attempt(1, Vec::new())).is_none());
-        let ended = hosts.take_list(&mut hub, true, &[host(&listener, after)]);
+        let ended = hosts.take_list(&mut hub, &[host(&listener, after)]);
         assert!(matches!(ended[..], [Input::AttemptEnded(1, AttemptEnd::TakenBack, ..)]), "{ended:?}");
         assert!(hosts.out.is_empty() && hosts.lines.values().all(|line| line.names.is_empty()), "{after:?}");
     }
@@ -77,7 +77,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut hub = Hub::new(HubLimits::default()).unwrap();
     let mut hosts = hosts(1);
-    hosts.take_list(&mut hub, true, &[host(&listener, Standing::In)]);
+    hosts.take_list(&mut hub, &[host(&listener, Standing::In)]);
     for (number, length) in [(1, 0), (2, LARGE), (3, 0)] {
         assert!(hosts.run(&mut hub, &attempt(number, vec![7; length])).is_none());
     }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -11,7 +11,7 @@
 use cresswheel_engine::{Answer, Attempt, AttemptEnd, Call, Client, Engine, Input, Output};
 use cresswheel_platform_wire::client::{Code, Request};
 use cresswheel_platform_wire::config::Config;
-use cresswheel_protocol::{Listed, Standing, Status};
+use cresswheel_protocol::{Standing, Status};
 use cresswheel_transport::{Connection, Hub, Notice, Wire, listener};
 
 use crate::PlatformSettings;
@@ -94,8 +94,13 @@
         let now = hub.clock().now();
         let mut engine = Engine::new(settings.engine.clone(), settings.seed ^ now)?;
         let module = &settings.engine.module;
-        let directory =
-            Directory::new(now, settings.directory, config.known.pos, settings.seed, module.drain_grace);
+        let directory = Directory::new(
+            now,
+            settings.directory,
+            config.known.listing(),
+            settings.seed,
+            module.drain_grace,
+        );
         engine.hold_to_list_age(directory::terms(module.drain_grace, module.may_probe), directory.age());
         let mut gateway = Self {
             front: Front::new(now, settings.door),
@@ -115,10 +120,7 @@
             engine,
             settings,
         };
-        for event in &config.known.entries {
-            let hosts: Vec<Listed> = event.hosts.members.iter().map(|member| member.listed()).collect();
-            gateway.take_list(event.hosts.complete, hosts);
-        }
+        gateway.take_list();
         let socket = bind(gateway.settings.listen)?;
         gateway.address = socket.local_addr()?.as_socket().context("listen")?;
         gateway.hub.adopt_listener(socket.into(), Wire::Raw)?;
@@ -270,11 +272,12 @@
                 ended.into_iter().for_each(|input| self.give(input));
             }
             Notice::Datagram(socket, bytes) if self.directory.is_ours(socket) => {
-                let listing = self.directory.answered(self.hub.clock().now(), &bytes);
+                let is_new = self.directory.answered(self.hub.clock().now(), &bytes);
                 self.give(Input::ListAge(self.directory.age()));
-                if let Some(listing) = listing {
-                    self.take_list(true, listing.hosts);
+                if is_new {
+                    self.take_list();
                 }
+                self.give(Input::ListDisputed(self.directory.disputed()));
             }
             Notice::Signal(Signal::SIGHUP) => self.read_again(),
             Notice::Signal(signal) if self.life == Life::Running => {
@@ -341,10 +344,12 @@
         self.give(Input::Call(Client { connection, number: u64::from(stream) }, call));
     }
 
-    fn take_list(&mut self, whole: bool, hosts: Vec<Listed>) {
-        tracing::info!(serial = self.directory.serial(), hosts = hosts.len(), whole, "list");
-        let ended = self.hosts.take_list(&mut self.hub, whole, &hosts);
-        self.give(Input::List { whole, workers: hosts });
+    /// The list in force is another one.
+    fn take_list(&mut self) {
+        let hosts = self.directory.list().workers().to_vec();
+        tracing::info!(serial = self.directory.list().number, hosts = hosts.len(), "list");
+        let ended = self.hosts.take_list(&mut self.hub, &hosts);
+        self.give(Input::List { whole: true, workers: hosts });
         ended.into_iter().for_each(|input| self.give(input));
     }
 
@@ -468,7 +473,8 @@
             closed_owed = self.front.closed_owed,
             list_age = self.hub.clock().now().saturating_sub(self.directory.age().as_of),
             turned_away = ?(turned_away, &counters.turned_away),
-            serial = self.directory.serial(),
+            serial = self.directory.list().number,
+            contradictions = ?self.directory.contradictions(),
             margin = self.lateness.margin(self.settings.engine.answer_margin),
             "counts"
         );
--- a/crates/protocol/src/macros.rs
+++ b/crates/protocol/src/macros.rs
@@ -39,7 +39,7 @@
 macro_rules! wire_struct {
     ($(#[$doc:meta])* $name:ident { $($(#[$fdoc:meta])* $field:ident: $type:ty,)* }) => {
         $(#[$doc])*
-        #[derive(Clone, Debug, PartialEq, Eq)]
+        #[derive(Clone, Debug, PartialEq, Eq, Hash)]
         pub struct $name { $($(#[$fdoc])* pub $field: $type,)* }
         impl crate::field::Field for $name {
             fn encode(&self, out: &mut Vec<u8>) {
