A directory that is behind overturns nothing; a missing answer may have told; the check's time

- A directory that gave the list of one event before for half a second, answer after answer, overturned the list in force: three of them agreed.
A directory may be behind by 1.5 s (events are told by then), so a list that cannot follow the one in force now needs answers in a row for longer than that; meanwhile only what both call ready gets anything.
The configuration's list, until an answer has confirmed it, still gives way after three.
- An answer with a drain was lost, and the process stood still 50 ms later for 1.2 s: at its end the list counted for 2.4 s after its question, though the drain was told when the lost answer was sent.
A list now counts until the grace after the first missing answer at most (later where answers are known to come late), unless eight in a row are missing.
- `left against a rule` (deadline) for bytes that had left before a SIGSTOP: their time was taken after the turn.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -1104,8 +1104,8 @@
     node.logged("list serial=9");
     ten_are_served(&node, "3000");
     assert_eq!((invokes(&one), invokes(&two), invokes(&three)), (before.0, before.1, 10));
-    // Older lists that come late, one and then two in a row, change nothing.
-    for (times, served) in [(1, 20), (2, 30)] {
+    // Older lists that come late, one, two and ten in a row, change nothing.
+    for (times, served) in [(1, 20), (2, 30), (10, 40)] {
         names.answer_stale(times, 8, &[("s-1", one.at, 0), ("s-2", two.at, 0)]);
         names.gave_stale();
         ten_are_served(&node, "3000");
--- a/crates/cli/tests/drains.rs
+++ b/crates/cli/tests/drains.rs
@@ -509,3 +509,44 @@
     client.ask_as(3, &id(3), "check", "3000");
     assert_eq!(client.answer(), (3, 0));
 }
+
+#[test]
+fn a_reload_takes_no_list_and_no_number_from_its_file() {
+    let fleet = Fleet::new();
+    let node = Node::with(&fleet.config());
+    let mut client = node.client();
+    let home = fleet.home(&mut client, 1);
+    // The file of a later start: other hosts, and a number far ahead.
+    let gone = [("s-0".to_owned(), SocketAddr::from(([127, 0, 0, 1], 1)))];
+    let other = Directory::new(1);
+    other.tell(1, &fleet.listed(None));
+    let later = config(&gone, other.at, "load").replace("\"pos\":1", "\"pos\":9");
+    node.configure(&later);
+    node.signal("-HUP");
+    node.logged("another directory");
+    client.ask_as(2, &id(2), "check", "3000");
+    assert_eq!(client.answer(), (2, 0), "the hosts stay");
+    other.tell(2, &fleet.listed(Some(home)));
+    node.logged("list serial=2");
+    fleet.served_without(home, &mut client);
+}
+
+#[test]
+fn what_an_answer_told_that_was_lost_right_before_a_standstill_is_kept_to() {
+    let fleet = Fleet::new();
+    let node = Node::with(&fleet.config());
+    let mut client = node.client();
+    let home = fleet.home(&mut client, 1);
+    // At least one answer with the drain is sent and lost, and fewer than would be a silence.
+    fleet.directory.answers_each(0);
+    fleet.tell_draining(2, Some(home));
+    std::thread::sleep(Duration::from_millis(230));
+    node.freeze();
+    std::thread::sleep(Duration::from_millis(1_300));
+    let before = fleet.invokes();
+    client.ask_as(2, &id(2), "check", "5000");
+    fleet.directory.answers_each(usize::MAX);
+    node.wake();
+    assert_eq!(client.answer(), (2, 0), "the other host serves it");
+    assert_eq!(fleet.invokes()[home], before[home], "sent to a host past the grace of its drain");
+}
--- a/crates/engine/src/departure.rs
+++ b/crates/engine/src/departure.rs
@@ -111,6 +111,8 @@
     pub heard: Micros,
     /// The first question asked after that one.
     pub first_unanswered: Option<Micros>,
+    /// The first question asked after that one to which no answer has come.
+    pub first_missing: Option<Micros>,
     /// Questions asked since an answer came last.
     pub unanswered: u32,
     /// For a while since nobody asked: this process stood still.
@@ -118,9 +120,14 @@
 }
 
 impl ListAge {
+    /// How long the last answer that counts took.
+    fn latency(&self) -> Micros {
+        self.heard.saturating_sub(self.as_of)
+    }
+
     /// The list service answers, but late.
     fn is_slow(&self) -> bool {
-        self.heard.saturating_sub(self.as_of) > CURRENT
+        self.latency() > CURRENT
     }
 
     /// The list was current when questions began to stay without an answer.
@@ -254,8 +261,7 @@
                 return Departure::Wait(WaitFor::Worker);
             }
         }
-        let known = self.serving.get(worker).copied().unwrap_or(0).max(self.age.as_of);
-        if now <= known.saturating_add(terms.trusted_for()) {
+        if now <= self.trusted_until(&terms, worker) {
             return Departure::Now;
         }
         if !self.is_unanswered(&terms) && !self.age.is_slow() {
@@ -272,6 +278,17 @@
         }
     }
 
+    /// Until when the list, or the worker's own word, may be acted on.
+    fn trusted_until(&self, terms: &ListTerms, worker: &WorkerId) -> Micros {
+        let known = self.serving.get(worker).copied().unwrap_or(0).max(self.age.as_of);
+        let until = known.saturating_add(terms.trusted_for());
+        // An answer that is missing may have been sent all the same, as late as the last one or sooner: what it held was
+        // told then.
+        let missing = self.age.first_missing.filter(|missing| *missing >= known);
+        let told = missing.map(|missing| missing.saturating_add(self.age.latency()));
+        told.map_or(until, |told| until.min(told.saturating_add(terms.grace).saturating_sub(MARGIN)))
+    }
+
     /// Whether what leaves for this worker breaks the rule of drains: it was known to leave for longer than the grace,
     /// or an answer has said so for as long.
     pub fn is_past_grace(&self, now: Micros, worker: &WorkerId) -> bool {
--- a/crates/engine/src/departure/tests.rs
+++ b/crates/engine/src/departure/tests.rs
@@ -21,7 +21,8 @@
 /// A list whose answer came `latency` after the question, with so many questions since.
 fn age(latency: Micros, unanswered: u32) -> ListAge {
     let first_unanswered = (unanswered > 0).then_some(AS_OF + 200 * MS);
-    ListAge { as_of: AS_OF, heard: AS_OF + latency, first_unanswered, unanswered, unasked: false }
+    let (heard, first_missing) = (AS_OF + latency, None);
+    ListAge { as_of: AS_OF, heard, first_unanswered, first_missing, unanswered, unasked: false }
 }
 
 fn departures(terms: ListTerms, age: ListAge) -> Departures {
@@ -62,6 +63,25 @@
     assert_eq!(after(&start, 2_500 * MS), Departure::Wait(WaitFor::Worker));
 }
 
+#[test]
+fn an_answer_that_is_missing_may_have_told_of_an_event() {
+    let missing = |latency, at| ListAge { first_missing: Some(AS_OF + at), ..age(latency, 1) };
+    let lost = departures(TERMS, missing(0, 200 * MS));
+    assert_eq!(after(&lost, 1_100 * MS), Departure::Now, "within the grace after it");
+    assert_eq!(after(&lost, 1_101 * MS), Departure::Wait(WaitFor::List));
+    // Where answers take long it is not sent before.
+    let late = departures(TERMS, missing(400 * MS, 200 * MS));
+    assert_eq!(after(&late, 1_500 * MS), Departure::Now);
+    assert_eq!(after(&late, 1_501 * MS), Departure::Wait(WaitFor::List));
+    // The worker's own word is newer than what that answer can have told.
+    let mut vouched = departures(TERMS, missing(0, 200 * MS));
+    vouched.worker_said(worker(), true, AS_OF + 300 * MS);
+    assert_eq!(after(&vouched, 2_700 * MS), Departure::Now);
+    // So many in a row are a silence, in which nothing is told.
+    let silent = departures(TERMS, ListAge { unanswered: 8, ..missing(0, 200 * MS) });
+    assert_eq!(after(&silent, 5_400 * MS), Departure::Now);
+}
+
 #[test]
 fn a_slow_list_service_is_no_silence() {
     let slow = departures(TERMS, age(2 * S, 1));
--- a/crates/engine/src/list_evidence.rs
+++ b/crates/engine/src/list_evidence.rs
@@ -7,6 +7,8 @@
 //!
 //! Invariants:
 //! - a list comes into force only after [`AGREEING`] answers, to as many questions, agree that it was current;
+//! - one that cannot follow the list in force, which answers have confirmed, needs answers that support it for longer than
+//!   a list service may be behind: one that is merely behind has caught up by then;
 //! - while there is a doubt, a worker is undisputed only if every answer since it began, and the list in force, hold
 //!   the same entry of it, in service;
 //! - the list in force is as old as the first of the last [`AGREEING`] answers in a row that support it, so that an old
@@ -116,6 +118,10 @@
 #[derive(Debug)]
 pub struct ListEvidence {
     held: ListVersion,
+    /// An answer has supported the list in force.
+    is_confirmed: bool,
+    /// An event is in the answers so long after it happened at the latest.
+    told_within: Micros,
     /// Digests of lists that were in force before, the latest last.
     superseded: VecDeque<u64>,
     /// The latest question that was answered.
@@ -123,18 +129,24 @@
     doubt: Option<Doubt>,
     /// The latest answers, each of which can follow the one before.
     recent: VecDeque<Answered>,
+    /// When the first of the answers in a row was asked of which each can follow the one before.
+    in_a_row_since: Micros,
     contradictions: Contradictions,
 }
 
 impl ListEvidence {
-    /// Begins with a list that is taken for true, as the configuration's is.
-    pub fn new(held: ListVersion) -> Self {
+    /// Begins with a list that is taken for true, as the configuration's is. An event is in the answers `told_within`
+    /// after it happened at the latest.
+    pub fn new(held: ListVersion, told_within: Micros) -> Self {
         Self {
             held,
+            is_confirmed: false,
+            told_within,
             superseded: VecDeque::new(),
             last_asked: None,
             doubt: None,
             recent: VecDeque::new(),
+            in_a_row_since: 0,
             contradictions: Contradictions::default(),
         }
     }
@@ -176,6 +188,9 @@
         if !follows {
             self.recent.clear();
         }
+        if self.recent.is_empty() {
+            self.in_a_row_since = asked;
+        }
         if self.is_in_doubt() || answer != self.held {
             // A list that was in force before is most likely just old; another answer like it is needed for a dispute.
             let is_stale = self.recent.is_empty() && self.was_in_force(&answer);
@@ -231,12 +246,21 @@
             return Weighed::default();
         }
         let supported = self.recent.drain(..=self.recent.len() - AGREEING).next_back();
-        supported.map_or_else(Weighed::default, |supported| self.come_into_force(now, supported))
+        match supported {
+            Some(supported) if self.may_come_into_force(&supported) => self.come_into_force(now, supported),
+            _ => Weighed::default(),
+        }
+    }
+
+    fn may_come_into_force(&self, Answered { exchange, list }: &Answered) -> bool {
+        let is_long = exchange.asked.saturating_sub(self.in_a_row_since) > self.told_within;
+        !self.is_confirmed || is_long || list.can_follow(&self.held)
     }
 
     /// The list is believed. Later answers that say something else leave a doubt.
     fn come_into_force(&mut self, now: Micros, Answered { exchange, list }: Answered) -> Weighed {
         let is_new = list != self.held;
+        self.is_confirmed = true;
         self.end_doubt(now, is_new && !list.can_follow(&self.held));
         if is_new {
             let former = std::mem::replace(&mut self.held, list);
--- a/crates/engine/src/list_evidence/tests.rs
+++ b/crates/engine/src/list_evidence/tests.rs
@@ -6,6 +6,9 @@
 use super::*;
 
 const PERIOD: Micros = 200_000;
+const TOLD_WITHIN: Micros = 1_500_000;
+/// So many questions take longer than a list service may be behind, and three more agree then.
+const LONG: usize = (TOLD_WITHIN / PERIOD) as usize + 1 + AGREEING;
 
 fn worker(id: u32, standing: Standing, started: Micros) -> Listed {
     let (zone, kind) = ("east".to_owned(), "std".to_owned());
@@ -36,7 +39,7 @@
 
 impl Asked {
     fn after(held: &ListVersion) -> Self {
-        Self { evidence: ListEvidence::new(held.clone()), now: 0 }
+        Self { evidence: ListEvidence::new(held.clone(), TOLD_WITHIN), now: 0 }
     }
 
     fn answer(&mut self, list: &ListVersion) -> Weighed {
@@ -134,12 +137,47 @@
     let mut asked = Asked::after(&list(1, &[1, 2], &[]));
     asked.answers(AGREEING, &list(9, &[1, 2, 3], &[]));
     let told = list(2, &[2], &[1]);
-    asked.answer(&told);
-    assert_eq!(asked.usable(), ["w2"], "from the first answer on that contradicts");
-    assert!(asked.answers(AGREEING - 1, &told).is_new);
+    for _ in 1..LONG {
+        assert!(!asked.answer(&told).is_new, "the service may be behind");
+        assert_eq!(asked.usable(), ["w2"], "from the first answer on that contradicts");
+    }
+    assert!(asked.answer(&told).is_new);
+    assert_eq!((asked.usable(), asked.evidence.is_in_doubt()), (vec!["w2".to_owned()], false));
     let counted = asked.evidence.contradictions();
     assert_eq!((counted.settled, counted.overturned), (1, 1));
-    assert_eq!((counted.lasted, counted.longest), (2 * PERIOD, 2 * PERIOD));
+    let lasted = (LONG as Micros - 1) * PERIOD;
+    assert_eq!((counted.lasted, counted.longest), (lasted, lasted));
+}
+
+#[test]
+fn a_service_that_is_behind_for_as_long_as_it_may_be_brings_no_host_back() {
+    let (before, told) = (list(1, &[1, 2], &[]), list(2, &[2], &[1]));
+    let mut asked = Asked::after(&before);
+    asked.answers(AGREEING, &told);
+    for _ in 0..TOLD_WITHIN / PERIOD {
+        assert!(!asked.answer(&before).is_new);
+        assert_eq!(asked.usable(), ["w2"]);
+    }
+    asked.answers(AGREEING, &told);
+    assert_eq!((asked.evidence.held(), asked.evidence.is_in_doubt()), (&told, false));
+    assert_eq!(asked.evidence.contradictions().overturned, 0);
+}
+
+#[test]
+fn numbers_that_begin_anew_and_change_with_every_answer_come_into_force_as_well() {
+    let mut asked = Asked::after(&list(1, &[1], &[]));
+    asked.answers(AGREEING, &list(500, &[1], &[]));
+    let taken = (2..30).filter(|number| asked.answer(&list(*number, &[1, *number as u32], &[])).is_new);
+    assert!(taken.count() >= 4 && asked.evidence.held().number < 30, "{:?}", asked.evidence);
+}
+
+#[test]
+fn a_list_of_the_configuration_that_no_answer_confirms_is_given_up_for_three() {
+    // The configuration may say of a host what the service words in another way.
+    let mut asked = Asked::after(&list(1, &[1, 2], &[]));
+    let told = ListVersion::new(1, vec![worker(1, Standing::In, 5), worker(2, Standing::In, 5)]);
+    assert!(asked.answers(AGREEING, &told).is_new);
+    assert_eq!(asked.usable(), ["w1", "w2"]);
 }
 
 #[test]
@@ -280,7 +318,7 @@
                 prop_assert!(truths[as_of..].iter().any(served), "{id} as of {as_of}, {:?}", asked.evidence);
             }
         }
-        asked.answers(2 * AGREEING, &current);
+        asked.answers(LONG + AGREEING, &current);
         prop_assert!(!asked.evidence.is_in_doubt() && asked.evidence.held() == &current, "{:?}", asked.evidence);
     }
 }
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -296,6 +296,24 @@
     assert_eq!(answers(&bed.give(Input::Await(ask(6), "no".into(), 0)))[0].1, Status::Unknown);
 }
 
+#[test]
+fn ids_and_keys_of_a_former_life_stand_for_nothing_in_the_next() {
+    let lives = [7, 8].map(|life| {
+        let mut bed = Bed::new(1);
+        bed.engine = Engine::new(settings(), life).unwrap();
+        let (_, out) = bed.ask(Call { deferred: true, key: "k".into(), ..call("check") });
+        (bed, accepted(&out))
+    });
+    let [(_, former), (mut bed, present)] = lives;
+    assert_ne!(former, present, "each begins with its first call");
+    // The former life's id is unknown, not this life's first call; its key is free for another call.
+    let await_former = Input::Await(Client { connection: 2, number: 1 }, former, 0);
+    assert!(matches!(answers(&bed.give(await_former))[..], [(1, Status::Unknown, _)]));
+    let mut next = Bed::new(1);
+    let (_, out) = next.ask(Call { key: "k".into(), body: b"other".to_vec(), ..call("check") });
+    assert_eq!(runs(&out).len(), 1);
+}
+
 #[test]
 fn results_stay_within_their_memory_the_oldest_go() {
     let mut bed = Bed::new(2);
--- a/crates/platform/src/directory.rs
+++ b/crates/platform/src/directory.rs
@@ -60,6 +60,7 @@
 struct Question {
     id: u16,
     asked: Micros,
+    is_answered: bool,
 }
 
 /// A socket that was given up for asking, and is listened to until then.
@@ -98,7 +99,7 @@
             next: now,
             id: seed as u16,
             questions: VecDeque::new(),
-            evidence: ListEvidence::new(ListVersion::new(known.serial, known.hosts)),
+            evidence: ListEvidence::new(ListVersion::new(known.serial, known.hosts), TOLD_WITHIN),
             // What the configuration holds is what was told by the start: later events may have happened.
             age: ListAge { as_of: now.saturating_sub(TOLD_WITHIN), ..ListAge::default() },
             unheard: 0,
@@ -179,6 +180,7 @@
         }
         self.forget(hub, now);
         self.ask(hub, now);
+        self.look_for_missing();
         true
     }
 
@@ -201,7 +203,7 @@
         self.id = self.id.wrapping_add(1);
         if let (Some(socket), Ok(query)) = (self.socket, directory::query(self.id)) {
             hub.send_datagram(socket, &query);
-            self.questions.push_back(Question { id: self.id, asked: now });
+            self.questions.push_back(Question { id: self.id, asked: now, is_answered: false });
         }
     }
 
@@ -226,9 +228,10 @@
         if !is_in_doubt {
             self.age.unanswered = 0;
         }
-        // More answers are wanted soon where they don't agree, or are too few after a while without.
+        self.look_for_missing();
+        // More answers are wanted soon where they don't agree, one is missing, or they are too few after a while without.
         let is_behind = asked.saturating_sub(self.age.as_of) > AGREEING as Micros * self.period;
-        if is_in_doubt || is_behind {
+        if is_in_doubt || is_behind || self.age.first_missing.is_some_and(|missing| missing < asked) {
             self.next = self.next.min(self.asked + self.period / AGAIN);
         } else {
             self.next = self.next.max(self.asked + self.period);
@@ -236,6 +239,13 @@
         weighed.is_new
     }
 
+    /// Which answer is missing, if one is.
+    fn look_for_missing(&mut self) {
+        let as_of = self.age.as_of;
+        let missing = |question: &&Question| question.asked > as_of && !question.is_answered;
+        self.age.first_missing = self.questions.iter().find(missing).map(|question| question.asked);
+    }
+
     fn tell_settled(&self, now: Micros, before: Contradictions, since: Option<Micros>) {
         let after = self.evidence.contradictions();
         if after.settled == before.settled {
@@ -250,17 +260,22 @@
     }
 
     /// The time of the question that it answers, and the list that it holds.
-    fn read(&self, bytes: &[u8]) -> Option<(Micros, Listing)> {
+    fn read(&mut self, bytes: &[u8]) -> Option<(Micros, Listing)> {
         let id = directory::answer_id(bytes);
-        let Some(asked) = self.questions.iter().find(|question| Some(question.id) == id).map(|q| q.asked)
-        else {
+        let Some(question) = self.questions.iter_mut().find(|question| Some(question.id) == id) else {
             tracing::debug!("an answer to no question");
             return None;
         };
-        let listing = directory::answer(bytes);
-        let listing =
-            listing.inspect_err(|error| tracing::debug!(%error, "the directory's answer tells nothing"));
-        Some((asked, listing.ok()?))
+        match directory::answer(bytes) {
+            Ok(listing) => {
+                question.is_answered = true;
+                Some((question.asked, listing))
+            }
+            Err(error) => {
+                tracing::debug!(%error, "the directory's answer tells nothing");
+                None
+            }
+        }
     }
 
     /// The list in force tells all that had happened by the time of that question.
@@ -275,6 +290,7 @@
             as_of: asked,
             heard,
             first_unanswered: later().next(),
+            first_missing: self.age.first_missing,
             unanswered: self.age.unanswered,
             unasked: gaps.into_iter().any(|(next, before)| next.saturating_sub(before) > UNASKED + LONGEST),
         };
--- a/crates/platform/src/directory/tests.rs
+++ b/crates/platform/src/directory/tests.rs
@@ -25,7 +25,11 @@
 #[test]
 fn only_whole_answers_to_recent_questions_count_and_three_that_agree_bring_news() {
     let (mut directory, _, _) = asked(0, 1_000_000);
-    directory.questions.extend([41, 42, 43, 44].map(|id| Question { id, asked: Micros::from(id) }));
+    directory.questions.extend([41, 42, 43, 44].map(|id| Question {
+        id,
+        asked: Micros::from(id),
+        is_answered: false,
+    }));
     let untouched = |directory: &Directory| !directory.evidence.is_in_doubt() && directory.list().number == 5;
     assert!(!directory.answered(99, &told(45, 9)) && untouched(&directory), "another id");
     assert!(!directory.answered(99, &told(41, 9)[..20]) && untouched(&directory), "cut");
--- a/crates/platform/src/hosts/tests.rs
+++ b/crates/platform/src/hosts/tests.rs
@@ -106,3 +106,24 @@
     assert_eq!(ends, [(1, AttemptEnd::CutOff), (3, AttemptEnd::NotWritten)]);
     assert!(hosts.out.is_empty());
 }
+
+#[test]
+fn tags_count_only_on_the_connection_that_they_were_given_on() {
+    // Numbers of orders and probes begin anew with each process, and are the same on connections of two of them.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut hub = Hub::new(HubLimits::default()).unwrap();
+    let mut hosts = hosts(2);
+    hosts.take_list(&mut hub, &[host(&listener, Standing::In)]);
+    let order = Order { worker: "h".into(), number: 1, function: "7f3a9c21e0b4d655".into(), count: 1 };
+    assert!(hosts.hold(&mut hub, &order).is_none());
+    let (own, tag) = hosts.out[&1].clone();
+    let mut answer = Vec::new();
+    host::encode_answer(&mut answer, &tag, "OK", "instances=1", b"");
+    for number in [2, 3] {
+        assert!(hosts.run(&mut hub, &attempt(number, Vec::new())).is_none());
+    }
+    let other = [2, 3].map(|number| hosts.out[&number].0).into_iter().find(|other| *other != own);
+    assert!(hosts.bytes(&mut hub, other.expect("another connection"), &answer).is_empty());
+    assert_eq!(hosts.counts.unasked, 1);
+    assert!(matches!(hosts.bytes(&mut hub, own, &answer)[..], [Input::OrderEnded(1, ..)]));
+}
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -215,6 +215,14 @@
     fn allows_own(self, now: Micros) -> bool {
         matches!(self, Self::Until(end) if now <= end)
     }
+
+    /// When a byte of the program's own can have left at the latest, in a turn that was over at that time.
+    fn latest(self, over: Micros) -> Micros {
+        match self {
+            Self::Until(end) => end.min(over),
+            Self::Guests => over,
+        }
+    }
 }
 
 struct Listener {
@@ -784,7 +792,7 @@
     pub fn wait(&mut self, until: Option<Micros>) -> io::Result<()> {
         let writing = self.own_writing();
         self.turns(writing);
-        self.wrote = self.clock.now();
+        self.wrote = writing.latest(self.clock.now());
         // What is ready before there is any sleep became so since the last look; what ends the sleep came then.
         let mut found = self.look()?;
         let now = self.clock.now();
@@ -838,7 +846,8 @@
         Ok(())
     }
 
-    /// When [`Hub::wait`] had written to the program's own connections last.
+    /// When [`Hub::wait`] can have written to the program's own connections last. A process that stands still in the
+    /// middle of a turn writes nothing to them afterwards, if [`Hub::leave_within`] bounds that.
     pub fn wrote(&self) -> Micros {
         self.wrote
     }
