--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -1,4 +1,4 @@
-//! Listeners and connections.
+//! Connections, and the loop that drives them; listeners and sockets for datagrams are modules of their own.
 
 use std::collections::{BTreeSet, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
@@ -10,10 +10,15 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use cresswheel_protocol::{Decoder, Limits, Message, Micros, encode, http};
-use rustix::net::SocketFlags;
 use slab::Slab;
 use socket2::Socket;
 
+mod datagrams;
+mod listeners;
+
+pub use listeners::listener;
+use listeners::{ACCEPT_AT_ONCE, Listener};
+
 use crate::Clock;
 use crate::out::{Out, Sent};
 use crate::watch::{AT_ONCE, Ready, Seen, Wanted, Watch};
@@ -225,25 +230,10 @@
     }
 }
 
-struct Listener {
-    socket: Socket,
-    wire: Wire,
-    ready: bool,
-    paused: bool,
-    /// Nobody waited to be accepted at that time.
-    drained: Micros,
-}
-
 /// Bytes read from one connection before the next has its turn.
 const READ_AT_ONCE: usize = 64 << 10;
 /// One that gives so many may go on at once: its sender's window was full, and opens with the read.
 const READ_LONG: usize = READ_AT_ONCE / 2;
-/// Datagrams read before others have their turn.
-const DATAGRAMS_AT_ONCE: usize = 16;
-/// Connections accepted before others have their turn.
-const ACCEPT_AT_ONCE: usize = 64;
-/// Connections that may wait to be accepted.
-const QUEUE: usize = 4_096;
 /// Reads at once of a connection whose other side has ended it.
 const LAST_READS: u32 = 4;
 /// How long a connection that is done with waits for the other side to close.
@@ -251,8 +241,6 @@
 const FINISHED: &str = "finished";
 /// Why a connection closed that the other side ended in good order.
 pub const ENDED: &str = "closed by the other side";
-/// How long accepting pauses when descriptors ran out.
-const ACCEPT_PAUSE: Micros = 50_000;
 /// Woken so much later than it was to be, the process did not only sleep: what is ready then may have come at any time
 /// since the sleep began.
 const STOOD_STILL: Micros = 20_000;
@@ -389,65 +377,6 @@
         Ok(())
     }
 
-    /// Listens; gives the listener's number and the address, with the port that was found for port 0.
-    pub fn listen(&mut self, address: SocketAddr, wire: Wire) -> io::Result<(u32, SocketAddr)> {
-        let socket = listener(address)?;
-        let address = socket.local_addr()?.as_socket().ok_or(ErrorKind::InvalidInput)?;
-        Ok((self.adopt_listener(socket.into(), wire)?, address))
-    }
-
-    /// Takes connections from a listening socket that another process may share.
-    pub fn adopt_listener(&mut self, socket: OwnedFd, wire: Wire) -> io::Result<u32> {
-        let socket = Socket::from(socket);
-        socket.set_nonblocking(true)?;
-        let number = self.listeners.len();
-        self.guests.add_listener(&socket, number)?;
-        let drained = self.clock.now();
-        self.listeners.push(Listener { socket, wire, ready: true, paused: false, drained });
-        Ok(number as u32)
-    }
-
-    /// A socket for datagrams to and from one address; gives the number that its notices carry.
-    pub fn datagrams(&mut self, peer: SocketAddr) -> io::Result<usize> {
-        let any: SocketAddr = if peer.is_ipv4() { ([0; 4], 0).into() } else { ([0; 16], 0).into() };
-        let socket = UdpSocket::bind(any)?;
-        socket.set_nonblocking(true)?;
-        socket.connect(peer)?;
-        let entry = self.datagrams.vacant_entry();
-        let number = entry.key();
-        self.own.add_datagrams(&socket, number)?;
-        entry.insert(socket);
-        Ok(number)
-    }
-
-    /// Sends a datagram. It may be lost on its way, so an error is no more than that; but the system tells here of what
-    /// became of an earlier one, and then this one did not leave.
-    pub fn send_datagram(&mut self, number: usize, bytes: &[u8]) {
-        let Some(socket) = self.datagrams.get(number) else { return };
-        if let Err(error) = socket.send(bytes).or_else(|_| socket.send(bytes)) {
-            tracing::debug!(%error, "a datagram did not leave");
-        }
-    }
-
-    /// Gives up a socket for datagrams.
-    pub fn close_datagrams(&mut self, number: usize) {
-        if let Some(socket) = self.datagrams.try_remove(number) {
-            self.own.remove(&socket);
-        }
-    }
-
-    fn read_datagrams(&mut self, number: usize) {
-        for _ in 0..DATAGRAMS_AT_ONCE {
-            let Some(socket) = self.datagrams.get(number) else { return };
-            match socket.recv(&mut self.scratch) {
-                Ok(count) => self.tell(Notice::Datagram(number, self.scratch[..count].to_vec())),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                // Nobody listened to what was sent: no more than a loss.
-                Err(error) => tracing::debug!(%error, "no datagram"),
-            }
-        }
-    }
-
     /// From now on the program's bytes leave on its own connections only within `span` of the last look at the
     /// sockets: after a longer turn, or a standstill of the process, the program hears first what happened meanwhile.
     /// They are left waiting by one call of [`Hub::wait`] at most, so that a program whose turns are all longer goes on.
@@ -460,63 +389,6 @@
         self.halves = true;
     }
 
-    /// In one turn a listener takes so many connections at most.
-    pub fn accept_at_once(&mut self, most: usize) {
-        self.accept_at_once = most.clamp(1, ACCEPT_AT_ONCE);
-    }
-
-    /// Stops or resumes taking connections on all listeners; those that come meanwhile wait in the kernel.
-    pub fn pause_listening(&mut self, paused: bool) {
-        for number in 0..self.listeners.len() {
-            let listener = &mut self.listeners[number];
-            if listener.paused == paused {
-                continue;
-            }
-            (listener.paused, listener.ready) = (paused, !paused);
-            if self.accept_again.is_none() {
-                self.watch_listener(number, !paused);
-            }
-        }
-    }
-
-    fn watch_listener(&self, number: usize, watched: bool) {
-        let socket = &self.listeners[number].socket;
-        if !watched {
-            self.guests.remove(socket);
-        } else if let Err(error) = self.guests.add_listener(socket, number) {
-            tracing::error!(%error, "a listener can't be watched");
-        }
-    }
-
-    /// Accepting pauses until then, or goes on.
-    fn starve(&mut self, until: Option<Micros>) {
-        self.accept_again = until;
-        for number in (0..self.listeners.len()).filter(|n| !self.listeners[*n].paused) {
-            self.watch_listener(number, until.is_none());
-        }
-    }
-
-    /// Takes all that wait to be accepted, as far as there are descriptors: they stand for those who opened them, and
-    /// a listener that is given up breaks them.
-    pub fn accept_waiting(&mut self) {
-        self.pause_listening(false);
-        let at_once = std::mem::replace(&mut self.accept_at_once, QUEUE);
-        if self.accept_again.is_some() {
-            self.starve(None);
-        }
-        for number in 0..self.listeners.len() {
-            self.listeners[number].ready = true;
-            self.accept(number);
-        }
-        self.accept_at_once = at_once;
-    }
-
-    /// Gives up all listeners; those that wait to be accepted are another process's, if one shares them.
-    pub fn stop_listening(&mut self) {
-        self.pause_listening(true);
-        self.listeners.clear();
-    }
-
     /// Leaves all connections that came to a listener, and those that would come, waiting in the kernel, or goes
     /// on with them. What was to be written to them waits as well, unless it can be written at once.
     pub fn hold_guests(&mut self, held: bool) {
@@ -953,55 +825,6 @@
         self.came
     }
 
-    fn accepting(&self) -> bool {
-        !self.held && self.accept_again.is_none() && self.listeners.iter().any(|l| l.ready && !l.paused)
-    }
-
-    fn accept(&mut self, number: usize) {
-        if !self.listeners[number].ready || self.listeners[number].paused {
-            return;
-        }
-        let now = self.clock.now();
-        for _ in 0..self.accept_at_once {
-            if self.accept_again.is_some() {
-                return;
-            }
-            let listener = &mut self.listeners[number];
-            let (wire, since) = (listener.wire, listener.drained);
-            let accepted =
-                rustix::net::accept_with(&listener.socket, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC);
-            match accepted {
-                Ok(socket) if self.accepted >= self.limits.accepted => {
-                    drop(socket);
-                    self.turned_away += 1;
-                }
-                Ok(socket) => match self.add(socket.into(), wire, true, false) {
-                    Ok(id) => {
-                        self.accepted += 1;
-                        // It may have waited to be accepted, and its first bytes with it.
-                        self.get(id).into_iter().for_each(|conn| conn.since = since);
-                        self.tell(Notice::Opened(id, number as u32));
-                    }
-                    Err(error) => tracing::warn!(%error, "a connection could not be taken in"),
-                },
-                Err(e) => match io::Error::from(e) {
-                    e if e.kind() == ErrorKind::WouldBlock => {
-                        (listener.ready, listener.drained) = (false, now);
-                        return;
-                    }
-                    e if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
-                    error => {
-                        // Out of descriptors or memory: what stands goes on, the rest waits in the kernel.
-                        self.starved += 1;
-                        self.starve(Some(now + ACCEPT_PAUSE));
-                        tracing::warn!(%error, "accepting pauses");
-                        return;
-                    }
-                },
-            }
-        }
-    }
-
     /// Reads and writes where there is something to read or write.
     fn turns(&mut self, write: Writing) {
         for id in std::mem::take(&mut self.turn) {
@@ -1182,21 +1005,3 @@
         }
     }
 }
-
-impl Listener {
-    /// The loop slept while nobody waited here.
-    fn slept(&mut self, until: Micros) {
-        self.drained = self.drained.max(until.saturating_sub(crate::watch::WAKING));
-    }
-}
-
-/// A listening socket, to be shared or taken to a hub.
-pub fn listener(address: SocketAddr) -> io::Result<Socket> {
-    let socket = Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    // What it accepts has this from it: small frames should not wait for each other.
-    socket.set_tcp_nodelay(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(QUEUE as i32)?;
-    Ok(socket)
-}
--- /dev/null
+++ b/crates/transport/src/hub/listeners.rs
@@ -0,0 +1,171 @@
+//! Listeners: who waits to be accepted, and what happens when descriptors run out.
+
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+
+use cresswheel_protocol::Micros;
+use rustix::net::SocketFlags;
+use socket2::Socket;
+
+use super::{Hub, Notice, Wire};
+
+/// Connections accepted before others have their turn.
+pub(super) const ACCEPT_AT_ONCE: usize = 64;
+/// Connections that may wait to be accepted.
+const QUEUE: usize = 4_096;
+/// How long accepting pauses when descriptors ran out.
+const ACCEPT_PAUSE: Micros = 50_000;
+
+pub(super) struct Listener {
+    pub(super) socket: Socket,
+    pub(super) wire: Wire,
+    pub(super) ready: bool,
+    pub(super) paused: bool,
+    /// Nobody waited to be accepted at that time.
+    pub(super) drained: Micros,
+}
+
+impl Listener {
+    /// The loop slept while nobody waited here.
+    pub(super) fn slept(&mut self, until: Micros) {
+        self.drained = self.drained.max(until.saturating_sub(crate::watch::WAKING));
+    }
+}
+
+/// A listening socket, to be shared or taken to a hub.
+pub fn listener(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    // What it accepts has this from it: small frames should not wait for each other.
+    socket.set_tcp_nodelay(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(QUEUE as i32)?;
+    Ok(socket)
+}
+
+impl Hub {
+    /// Listens; gives the listener's number and the address, with the port that was found for port 0.
+    pub fn listen(&mut self, address: SocketAddr, wire: Wire) -> io::Result<(u32, SocketAddr)> {
+        let socket = listener(address)?;
+        let address = socket.local_addr()?.as_socket().ok_or(ErrorKind::InvalidInput)?;
+        Ok((self.adopt_listener(socket.into(), wire)?, address))
+    }
+
+    /// Takes connections from a listening socket that another process may share.
+    pub fn adopt_listener(&mut self, socket: OwnedFd, wire: Wire) -> io::Result<u32> {
+        let socket = Socket::from(socket);
+        socket.set_nonblocking(true)?;
+        let number = self.listeners.len();
+        self.guests.add_listener(&socket, number)?;
+        let drained = self.clock.now();
+        self.listeners.push(Listener { socket, wire, ready: true, paused: false, drained });
+        Ok(number as u32)
+    }
+
+    /// In one turn a listener takes so many connections at most.
+    pub fn accept_at_once(&mut self, most: usize) {
+        self.accept_at_once = most.clamp(1, ACCEPT_AT_ONCE);
+    }
+
+    /// Stops or resumes taking connections on all listeners; those that come meanwhile wait in the kernel.
+    pub fn pause_listening(&mut self, paused: bool) {
+        for number in 0..self.listeners.len() {
+            let listener = &mut self.listeners[number];
+            if listener.paused == paused {
+                continue;
+            }
+            (listener.paused, listener.ready) = (paused, !paused);
+            if self.accept_again.is_none() {
+                self.watch_listener(number, !paused);
+            }
+        }
+    }
+
+    pub(super) fn watch_listener(&self, number: usize, watched: bool) {
+        let socket = &self.listeners[number].socket;
+        if !watched {
+            self.guests.remove(socket);
+        } else if let Err(error) = self.guests.add_listener(socket, number) {
+            tracing::error!(%error, "a listener can't be watched");
+        }
+    }
+
+    /// Accepting pauses until then, or goes on.
+    pub(super) fn starve(&mut self, until: Option<Micros>) {
+        self.accept_again = until;
+        for number in (0..self.listeners.len()).filter(|n| !self.listeners[*n].paused) {
+            self.watch_listener(number, until.is_none());
+        }
+    }
+
+    /// Takes all that wait to be accepted, as far as there are descriptors: they stand for those who opened them, and
+    /// a listener that is given up breaks them.
+    pub fn accept_waiting(&mut self) {
+        self.pause_listening(false);
+        let at_once = std::mem::replace(&mut self.accept_at_once, QUEUE);
+        if self.accept_again.is_some() {
+            self.starve(None);
+        }
+        for number in 0..self.listeners.len() {
+            self.listeners[number].ready = true;
+            self.accept(number);
+        }
+        self.accept_at_once = at_once;
+    }
+
+    /// Gives up all listeners; those that wait to be accepted are another process's, if one shares them.
+    pub fn stop_listening(&mut self) {
+        self.pause_listening(true);
+        self.listeners.clear();
+    }
+
+    pub(super) fn accepting(&self) -> bool {
+        !self.held && self.accept_again.is_none() && self.listeners.iter().any(|l| l.ready && !l.paused)
+    }
+
+    pub(super) fn accept(&mut self, number: usize) {
+        if !self.listeners[number].ready || self.listeners[number].paused {
+            return;
+        }
+        let now = self.clock.now();
+        for _ in 0..self.accept_at_once {
+            if self.accept_again.is_some() {
+                return;
+            }
+            let listener = &mut self.listeners[number];
+            let (wire, since) = (listener.wire, listener.drained);
+            let accepted =
+                rustix::net::accept_with(&listener.socket, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC);
+            match accepted {
+                Ok(socket) if self.accepted >= self.limits.accepted => {
+                    drop(socket);
+                    self.turned_away += 1;
+                }
+                Ok(socket) => match self.add(socket.into(), wire, true, false) {
+                    Ok(id) => {
+                        self.accepted += 1;
+                        // It may have waited to be accepted, and its first bytes with it.
+                        self.get(id).into_iter().for_each(|conn| conn.since = since);
+                        self.tell(Notice::Opened(id, number as u32));
+                    }
+                    Err(error) => tracing::warn!(%error, "a connection could not be taken in"),
+                },
+                Err(e) => match io::Error::from(e) {
+                    e if e.kind() == ErrorKind::WouldBlock => {
+                        (listener.ready, listener.drained) = (false, now);
+                        return;
+                    }
+                    e if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                    error => {
+                        // Out of descriptors or memory: what stands goes on, the rest waits in the kernel.
+                        self.starved += 1;
+                        self.starve(Some(now + ACCEPT_PAUSE));
+                        tracing::warn!(%error, "accepting pauses");
+                        return;
+                    }
+                },
+            }
+        }
+    }
+}
