--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -5,7 +5,7 @@
 
 use cresswheel_platform_wire::client::{FromGateway, encode_bare, encode_request, take_from_gateway};
 use cresswheel_protocol::Micros;
-use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Wire};
+use cresswheel_transport::{Connection, Hub, HubLimits, Notice, Sent, Wire};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 
@@ -37,6 +37,13 @@
     Close(Connection),
 }
 
+/// A request of which not every byte is with the kernel yet.
+struct Leaving {
+    connection: Connection,
+    mark: u64,
+    id: RequestId,
+}
+
 /// All clients of a gateway, on one loop.
 pub struct Clients {
     world: Arc<World>,
@@ -46,6 +53,7 @@
     number: u32,
     lines: BTreeMap<Connection, Line>,
     goings: Vec<(Micros, Going)>,
+    leaving: Vec<Leaving>,
     draw: Pcg32,
     /// They use open connections on after the gateway asked for no new request there.
     insists: bool,
@@ -57,9 +65,9 @@
         let mut hub = Hub::new(HubLimits::default())?;
         hub.set_clock(world.clock);
         let mut draw = Pcg32::new(world.options.seed, 9_000 + gateway as u64);
-        let (lines, goings) = (BTreeMap::new(), Vec::new());
+        let (lines, goings, leaving) = (BTreeMap::new(), Vec::new(), Vec::new());
         let insists = draw.next_u32().is_multiple_of(2);
-        Ok(Self { world, gateway, hub, life: 0, number: 0, lines, goings, draw, insists })
+        Ok(Self { world, gateway, hub, life: 0, number: 0, lines, goings, leaving, draw, insists })
     }
 
     /// Asks until the time is over, and then waits for what is open.
@@ -79,6 +87,7 @@
             }
             self.go(now);
             self.hub.wait(Some(next.min(now + 4 * MS)))?;
+            self.stamp();
             while let Some(notice) = self.hub.take_notice() {
                 self.notice(notice);
             }
@@ -138,7 +147,9 @@
             ("key", &function),
             ("spec", "memory_mb:512;lanes:4;load_ms:20"),
         ];
-        self.hub.write(connection, None, |out| encode_request(out, stream, &fields, b"body"));
+        let mark = u64::from(id.number);
+        self.hub.write(connection, Some(mark), |out| encode_request(out, stream, &fields, b"body"));
+        self.leaving.push(Leaving { connection, mark, id });
         let request = Request { is_unsafe, sent: now, wait, end: None, further_answers: 0 };
         self.world.book.write(|records| records.requests.insert(id, request));
         let drawn = self.draw.next_u32() % 100;
@@ -172,6 +183,26 @@
         }
     }
 
+    /// A request is sent once its last byte is with the kernel: a thread of a busy machine writes it later than it made
+    /// it.
+    fn stamp(&mut self) {
+        let (hub, wrote) = (&self.hub, self.hub.wrote());
+        let has_left = |leaving: &mut Leaving| hub.sent(leaving.connection, leaving.mark) == Sent::Whole;
+        let sent: Vec<Leaving> = self.leaving.extract_if(.., has_left).collect();
+        if sent.is_empty() {
+            return;
+        }
+        self.world.book.write(|records| {
+            for Leaving { id, .. } in sent {
+                if let Some(request) = records.requests.get_mut(&id) {
+                    let late = wrote.saturating_sub(request.sent);
+                    request.sent = request.sent.max(wrote);
+                    records.wrote_late = records.wrote_late.max(late);
+                }
+            }
+        });
+    }
+
     fn ended(&self, id: RequestId, at: Micros, end: End) {
         self.world.book.write(|records| {
             if let Some(request) = records.requests.get_mut(&id) {
@@ -183,10 +214,11 @@
     fn notice(&mut self, notice: Notice) {
         let now = self.world.clock.now();
         match notice {
-            Notice::Closed { connection, never_stood, .. } => {
+            Notice::Closed { connection, never_stood, unsent, .. } => {
+                self.leaving.retain(|leaving| leaving.connection != connection);
                 let Some(line) = self.lines.remove(&connection) else { return };
                 for id in line.open.into_values() {
-                    match never_stood {
+                    match never_stood || unsent.contains(&u64::from(id.number)) {
                         // It was handed to no gateway.
                         true => self.world.book.write(|records| _ = records.requests.remove(&id)),
                         false => self.ended(id, now, End::Closed),
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -135,7 +135,10 @@
             Some((at, End::Closed)) if at.saturating_sub(request.sent) <= CROSSES_END + self.lateness(at) => {
                 None
             }
-            Some((at, End::Closed)) => found(at, "its connection ended without an answer"),
+            Some((at, End::Closed)) => {
+                let after = at.saturating_sub(request.sent) / MS;
+                found(at, &format!("its connection ended without an answer {after} ms after it was sent"))
+            }
             None => found(limit, "no answer"),
         }
     }
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -45,7 +45,7 @@
 pub struct Request {
     /// Its class may not run twice.
     pub is_unsafe: bool,
-    /// When it was handed to the kernel.
+    /// When all of it was with the kernel, at the latest; until then, when it was made.
     pub sent: Micros,
     /// How long its client waits.
     pub wait: Micros,
@@ -137,6 +137,8 @@
     pub freezes: Vec<Vec<Span>>,
     /// How late the soak's own threads were, at their worst, in each tenth of a second.
     pub lateness: BTreeMap<u64, Micros>,
+    /// How long a request waited at most between its making and its leaving: clients are late, too.
+    pub wrote_late: Micros,
     /// Lines of gateways' logs that tell of a broken rule.
     pub own_word: Vec<String>,
     /// What the stand-ins could not read, or could not do.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -129,7 +129,7 @@
         writeln!(
             f,
             "seed {}: {} faults; {} requests: {} served, {} refused, {} failed; {} arrivals, {ran} of them ran; {} starts; \
-             the soak's own threads late by {} ms at most",
+             the soak's own threads late by {} ms at most, its clients' writes by {}",
             self.seed,
             self.faults.len(),
             self.records.requests.len(),
@@ -138,7 +138,8 @@
             code(13),
             self.records.arrivals.len(),
             self.records.lives.iter().map(Vec::len).sum::<usize>(),
-            late / MS
+            late / MS,
+            self.records.wrote_late / MS
         )?;
         for found in &self.breaks {
             let at = found.at.saturating_sub(self.start) / MS;
