--- a/crates/soak/src/gateways.rs
+++ b/crates/soak/src/gateways.rs
@@ -12,9 +12,9 @@
 use cresswheel_protocol::{Listed, Micros, Standing};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, Type};
 
 use crate::plan::{Planned, ProcessFault};
+use crate::ports::ReservedPort;
 use crate::records::{Life, Span};
 use crate::run::World;
 
@@ -31,12 +31,10 @@
 pub struct Process {
     world: Arc<World>,
     number: usize,
-    address: SocketAddr,
+    port: ReservedPort,
     folder: PathBuf,
     directories: [SocketAddr; 2],
     child: Option<Child>,
-    /// Bound to the address and never listening: nobody else is given the port between two starts.
-    _reserved: Socket,
 }
 
 impl Process {
@@ -47,11 +45,8 @@
         folder: PathBuf,
         directories: [SocketAddr; 2],
     ) -> anyhow::Result<Self> {
-        let reserved = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-        reserved.set_reuse_address(true)?;
-        reserved.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
-        let address = reserved.local_addr()?.as_socket().context("an address")?;
-        Ok(Self { world, number, address, folder, directories, child: None, _reserved: reserved })
+        let port = ReservedPort::any()?;
+        Ok(Self { world, number, port, folder, directories, child: None })
     }
 
     /// Plays the process until the run is over, then ends it.
@@ -223,14 +218,14 @@
         }
         let ready = self.world.clock.now();
         self.life(|life| life.ready = Some(ready));
-        let address = self.address;
+        let address = self.port.address();
         self.world.change(self.number, |gateway| (gateway.takes, gateway.is_up) = (Some(address), true));
         Ok(())
     }
 
     fn is_ready(&self) -> bool {
         let asked = || -> std::io::Result<bool> {
-            let mut socket = TcpStream::connect(self.address)?;
+            let mut socket = TcpStream::connect(self.port.address())?;
             socket.set_read_timeout(Some(Duration::from_secs(1)))?;
             let mut bytes = Vec::new();
             encode_bare(&mut bytes, true, 1);
@@ -247,7 +242,7 @@
     fn configure(&self) -> anyhow::Result<()> {
         let gateway = self.world.gateway(self.number);
         let hosts = self.world.roster.events().list(gateway.knows);
-        let config = config(self.number, self.address, self.directories[gateway.side], &hosts);
+        let config = config(self.number, self.port.address(), self.directories[gateway.side], &hosts);
         let beside = self.folder.join("config.json.new");
         std::fs::write(&beside, config.to_string())?;
         Ok(std::fs::rename(beside, self.folder.join("config.json"))?)
--- a/crates/soak/src/hosts.rs
+++ b/crates/soak/src/hosts.rs
@@ -11,6 +11,7 @@
 use rand_pcg::rand_core::Rng;
 
 use crate::plan::{HostFault, Planned};
+use crate::ports::ReservedPort;
 use crate::records::{Arrival, Dealt, RequestId};
 use crate::run::World;
 
@@ -34,6 +35,7 @@
     world: Arc<World>,
     number: usize,
     generation: u32,
+    port: ReservedPort,
     listed: Listed,
     hub: Hub,
     held: HashMap<Connection, Vec<u8>>,
@@ -49,14 +51,16 @@
     pub fn new(world: Arc<World>, number: usize) -> anyhow::Result<Self> {
         let mut hub = Hub::new(HubLimits::default())?;
         hub.set_clock(world.clock);
-        let (_, address) = hub.listen(SocketAddr::from(([127, 0, 0, 1], 0)), Wire::Raw)?;
-        let listed = listed(number, 0, address, 0);
+        let port = ReservedPort::any()?;
+        hub.listen(port.address(), Wire::Raw)?;
+        let listed = listed(number, 0, port.address(), 0);
         world.roster.add(world.clock.now(), listed.clone());
         Ok(Self {
             draw: Pcg32::new(world.options.seed, 1_000 + number as u64),
             world,
             number,
             generation: 0,
+            port,
             listed,
             hub,
             held: HashMap::new(),
@@ -116,11 +120,12 @@
         self.world.roster.add(now, self.listed.clone());
         self.end_connections();
         self.hub.stop_listening();
-        let before: SocketAddr = self.listed.address.parse()?;
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let (_, address) = self.hub.listen(if same_address { before } else { any }, Wire::Raw)?;
+        if !same_address {
+            self.port = ReservedPort::any()?;
+        }
+        self.hub.listen(self.port.address(), Wire::Raw)?;
         self.generation += 1;
-        self.listed = listed(self.number, self.generation, address, now);
+        self.listed = listed(self.number, self.generation, self.port.address(), now);
         self.world.roster.add(self.world.clock.now(), self.listed.clone());
         Ok(())
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `judge`: the rules on the records; no I/O;
 //! - `roster`: the hosts there are and were, as the directory tells of them;
 //! - `hosts`, `directory`, `clients`, `crowd`, `gateways`: the stand-ins and the processes;
+//! - `ports`: addresses that no other program is given meanwhile;
 //! - `run`: all of it together.
 //!
 //! docs/SOAK.md tells what is judged, and how to run it.
@@ -18,6 +19,7 @@
 mod hosts;
 pub mod judge;
 pub mod plan;
+mod ports;
 pub mod records;
 pub mod roster;
 mod run;
