Review case 3: the largest HTTP body and the holder, moved

Change: the case of the holder moves to review/3; its worker runs for 2 s, so that a slow machine plays it as well.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A deferred repeat of a call that waits for a silent worker; see claim.txt."""
+"""Calls in hand while another client sends the largest body that the pages allow; see claim.txt."""
 import os
 import sys
 import threading
@@ -8,97 +8,86 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common"))
 import cw
 
-WORKERS = 5
-SILENT = "worker-a-3"           # one of five: 20%
-SILENT_FOR = 8.0         # seconds; the page has 5 to 25
-PATIENCE = 3.0           # a client's first try: 60% of the 5 s of its class; the page has 50 to 100%
-CALLS = 20
-POLL = 1.0               # seconds between two fetches
-FETCH_FOR = 12.0         # seconds for which a client fetches; results are kept for 5 minutes
+LARGEST = 4 << 20        # `http_body`, mb(4) by default: over it a body is refused with 413
+ORDINARY = 1 << 20
+GIVE_UP = 5.0
+CALLERS = 16             # on each wire
+RUN_TIME = 2.0
 
 SETTINGS = """
-gateway(name = "gateway-1", zone = "block-a", listen = "127.0.0.1:0", http = "127.0.0.1:0")
+gateway(name = "gateway-1", zone = "block-a", listen = "127.0.0.1:0", http = "127.0.0.1:0", holders = 2)
 call_class(name = "balance-check", aim = ms(600), give_up = s(5), effect = "safe")
+call_class(name = "payment-post", aim = ms(600), give_up = s(5), effect = "unsafe")
 fleet(gateways = 1, when_absent = "load")
-%s
+worker(address = "%s", id = "w-1")
 """
 
 
 def case(record, started):
-    state = {"silent_until": 0.0}
-    lock, faults, ends = threading.Lock(), [], []
+    lock, ran, answered, lost = threading.Lock(), [], [], []
 
     def run(worker, run):
-        silent = worker.id == SILENT and time.time() < state["silent_until"]
-        record.write("%s: runs %s, attempt %d%s" % (
-            worker.id, run["function"], run["before"] + 1, ", not answered" if silent else ""))
-        if silent:
-            return None
-        time.sleep(0.02)
-        return cw.OK, b"balance"
+        record.write("%s: runs %s" % (worker.id, run["function"]))
+        with lock:
+            ran.append(run["function"])
+        time.sleep(RUN_TIME)
+        return cw.OK, b"done"
 
-    def ask(gateway, patience, method, path, headers=(), data=b""):
-        http = cw.Http(gateway.http, patience)
-        try:
-            return http.ask(method, path, headers, data)
-        finally:
-            http.close()
+    def note(who, text, gone):
+        record.write("%s: %s" % (who, text))
+        with lock:
+            (lost if gone else answered).append("%s: %s" % (who, text))
 
-    def client(number, gateway):
-        path = "/v1/functions/balance-%d/invoke" % number
-        headers = [("X-Class", "balance-check"), ("Idempotency-Key", "balance-%d" % number)]
-        record.write("client %d: asks, and waits for %.0f s" % (number, PATIENCE))
+    def over_http(number, gateway, data, klass):
+        who = "HTTP caller %d" % number
+        http = cw.Http(gateway.http, GIVE_UP + 1)
         try:
-            code, answer, _ = ask(gateway, PATIENCE, "POST", path, headers, b"account=7")
-            record.write("client %d: answer %d %s" % (number, code, answer.get("x-status")))
-            return "answered"
+            record.write("%s: asks, class %s, body of %d bytes" % (who, klass, len(data)))
+            code, headers, _ = http.ask("POST", "/v1/functions/h-%d/invoke" % number, [("X-Class", klass)], data)
+            note(who, "answer %d %s" % (code, headers.get("x-status", "")), False)
         except (EOFError, OSError) as error:
-            record.write("client %d: gives up: %s; repeats with the same key, deferred" % (number, error))
-        code, answer, _ = ask(gateway, 3, "POST", path, headers + [("Prefer", "respond-async")], b"account=7")
-        place = answer.get("location")
-        record.write("client %d: answer %d, Location: %s" % (number, code, place))
-        if code != 202:
-            return "answered"
-        end = time.time() + FETCH_FOR
-        while time.time() < end:
-            code, answer, _ = ask(gateway, 5, "GET", place)
-            status = answer.get("x-status")
-            record.write("client %d: fetch: %d %s" % (number, code, status))
-            if status in ("served", "refused", "failed"):
-                return "answered"
-            if status != "pending":
-                break
-            time.sleep(POLL)
-        with lock:
-            faults.append("client %d: accepted as %s, and then: %d %s" % (number, place, code, status))
-        return "lost"
+            note(who, "no answer: %s" % error, True)
+        finally:
+            http.close()
 
-    def run_client(number, gateway):
+    def over_main(number, gateway):
+        who = "caller %d of the main protocol" % number
+        client = cw.Main(gateway.main, GIVE_UP + 1)
         try:
-            end = client(number, gateway)
+            record.write("%s: asks" % who)
+            client.call(1, "m-%d" % number, "payment-post", b"amount=10")
+            note(who, "answer %s" % client.answer()[1], False)
         except (EOFError, OSError) as error:
-            record.write("client %d: %s" % (number, error))
-            end = "unclear"
-        with lock:
-            ends.append(end)
+            note(who, "no answer: %s" % error, True)
+        finally:
+            client.close()
 
-    workers = [cw.Worker("worker-a-%d" % number, run) for number in range(1, WORKERS + 1)]
-    lines = ['worker(address = "%s", id = "%s")' % (worker.address, worker.id) for worker in workers]
-    gateway = cw.Gateway(SETTINGS % "\n".join(lines))
+    worker = cw.Worker("w-1", run)
+    gateway = cw.Gateway(SETTINGS % worker.address)
     started.append(gateway)
-    time.sleep(0.3)
-    if cw.TROUBLE:
-        state["silent_until"] = time.time() + SILENT_FOR
-        record.write("%s takes requests and answers none for %.0f s" % (SILENT, SILENT_FOR))
-    threads = [threading.Thread(target=run_client, args=(number, gateway)) for number in range(1, CALLS + 1)]
+    time.sleep(0.5)
+    threads = []
+    for number in range(1, CALLERS + 1):
+        threads.append(threading.Thread(target=over_http, args=(number, gateway, b"amount=10", "payment-post")))
+        threads.append(threading.Thread(target=over_main, args=(number, gateway)))
     for thread in threads:
         thread.start()
-        time.sleep(0.02)
-    for thread in threads:
-        thread.join(60)
-    if len(ends) != CALLS or "unclear" in ends:
-        raise cw.CouldNotRun("a client did not end, or the gateway could not be reached")
-    return faults
+        time.sleep(0.005)
+    # All are in hand at the worker.
+    end = time.time() + 3
+    while len(ran) < 2 * CALLERS and time.time() < end and not answered:
+        time.sleep(0.01)
+    size = LARGEST if cw.TROUBLE else ORDINARY
+    large = threading.Thread(target=over_http, args=(99, gateway, b"x" * size, "balance-check"))
+    large.start()
+    for thread in threads + [large]:
+        thread.join(20)
+    record.write("log of the gateway:\n" + gateway.logged())
+    if len(answered) + len(lost) != 2 * CALLERS + 1:
+        raise cw.CouldNotRun("a caller did not end")
+    if not ran:
+        raise cw.CouldNotRun("no call reached the worker")
+    return lost
 
 
 cw.play(HERE, case)
