--- a/review/common/cw.py
+++ b/review/common/cw.py
@@ -148,6 +148,9 @@
                 if kind == RUN:
                     run = {"attempt": fields.number("Q"), "trace": fields.name(), "before": fields.number("I"),
                            "function": fields.name(), "class": fields.name(), "key": fields.name()}
+                    # Time left and shape.
+                    fields.take(8 + 24)
+                    run["body"] = fields.body()
                     threading.Thread(target=work, args=(run,), daemon=True).start()
                 elif kind == HOLD:
                     send(frame(HOLDING, struct.pack(">QBI", fields.number("Q"), OK, 1)))
