Orders: one without a place on a connection is not sent, and not tried again at once

Cause: an order that found all streams to a host taken ended as 'not connected'. The module blamed the host, lifted the pauses of all other functions there, and ordered again in the same turn of the event loop, at each host in turn, until the requests' deadlines had passed.

Fix: such an order ends as NotSent. It blames nobody and is not counted for the ration. The same on related paths: withdrawn orders, orders denied right before they leave, orders and attempts at `cresswheel gateway`.

The order budget of the tests' checker no longer counts orders that were not sent: they reach no worker. It counts all others as before.

--- a/crates/carriers/src/lib.rs
+++ b/crates/carriers/src/lib.rs
@@ -68,6 +68,17 @@
     pub idle: Micros,
 }
 
+/// Why nothing was sent to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum DispatchError {
+    /// All connections to the worker are full, and the limits allow no further one.
+    #[error("no connection has room")]
+    NoRoom,
+    /// A new connection failed at once.
+    #[error("a new connection failed")]
+    ConnectFailed,
+}
+
 /// What is sent on a connection, by its number.
 #[derive(Clone, Copy, Debug)]
 pub enum Payload {
@@ -78,8 +89,8 @@
 }
 
 impl ConnectionPool {
-    /// Writes a frame to a connection to the worker and returns the connection, or `None` if none is
-    /// available. `begin` writes the preamble of a new connection; `usable` may exclude connections.
+    /// Writes a frame to a connection to the worker and returns the connection. `begin` writes the preamble of
+    /// a new connection; `usable` may exclude connections.
     pub fn dispatch(
         &mut self,
         hub: &mut EventLoop,
@@ -88,7 +99,7 @@
         (cargo, frame): (Payload, impl FnOnce(&mut Vec<u8>)),
         usable: impl Fn(Connection) -> bool,
         begin: impl FnOnce(&mut Vec<u8>),
-    ) -> Option<Connection> {
+    ) -> Result<Connection, DispatchError> {
         let now = hub.clock().now();
         let to_worker = self.by_worker.get(worker).map_or(&[][..], Vec::as_slice);
         let stale = |c: &Connection| {
@@ -110,12 +121,12 @@
         let may_share = !below_limit || matches!(cargo, Payload::Order(_));
         let connection = match candidate.filter(|c| may_share || attempts(*c) < limits.spread) {
             Some(connection) => connection,
-            None if !below_limit => return None,
-            None => self.open(hub, limits, (worker, address), begin)?,
+            None if !below_limit => return Err(DispatchError::NoRoom),
+            None => self.open(hub, limits, (worker, address), begin).ok_or(DispatchError::ConnectFailed)?,
         };
         let (Payload::Attempt(number) | Payload::Order(number)) = cargo;
         if !hub.write(connection, Some(number), frame) {
-            return None;
+            return Err(DispatchError::NoRoom);
         }
         if let Some(pooled) = self.connections.get_mut(&connection) {
             match cargo {
@@ -124,7 +135,7 @@
             };
         }
         self.assignments.insert(number, connection);
-        Some(connection)
+        Ok(connection)
     }
 
     /// Opens a connection without sending anything on it if there is no usable one to the worker and the
@@ -218,7 +229,7 @@
         });
         let input = |cargo| match cargo {
             Payload::Attempt(number) => Input::AttemptEnded(number, AttemptEnd::TakenBack, Vec::new(), None),
-            Payload::Order(number) => Input::OrderEnded(number, OrderEnd::NotConnected, 0),
+            Payload::Order(number) => Input::OrderEnded(number, OrderEnd::NotSent, 0),
         };
         ended.into_iter().map(input).collect()
     }
--- a/crates/carriers/tests/idle.rs
+++ b/crates/carriers/tests/idle.rs
@@ -34,7 +34,7 @@
     fn send(&mut self, cargo: Payload) -> Option<Connection> {
         let to = (&"w".into(), self.worker.local_addr().unwrap());
         let frame = |out: &mut Vec<u8>| out.push(0);
-        self.carriers.dispatch(&mut self.hub, &self.limits, to, (cargo, frame), |_| true, |_| {})
+        self.carriers.dispatch(&mut self.hub, &self.limits, to, (cargo, frame), |_| true, |_| {}).ok()
     }
 
     /// Waits until a connection is established.
--- a/crates/cli/tests/loads.rs
+++ b/crates/cli/tests/loads.rs
@@ -70,3 +70,24 @@
         assert!(orders < 20, "{orders} orders within moments");
     }
 }
+
+/// Guards against blame for a lack of room on this side: a worker with all its connections in use is not
+/// 'not-connected', and is used again as soon as a connection has room.
+#[test]
+fn a_worker_whose_connections_are_full_is_not_counted_as_unreachable() {
+    let (listener, at) = listener();
+    let bed = Bed::with(&[at], "", "worker_connections = 1, worker_streams = 1,");
+    let mut client = bed.client();
+    client.send(&call(1, "check", "first", 5_000)).unwrap();
+    let mut worker = Played::accept(&listener);
+    let (attempt, ..) = worker.run();
+    client.send(&call(2, "check", "second", 5_000)).unwrap();
+    assert_eq!(answer(&mut client), (2, "refused".into(), "taken-back".into()));
+    worker.ran(attempt, Ending::Ok);
+    assert_eq!(answer(&mut client).1, "served");
+    client.send(&call(3, "check", "third", 5_000)).unwrap();
+    let (attempt, ..) = worker.run();
+    worker.ran(attempt, Ending::Ok);
+    assert_eq!(answer(&mut client).1, "served");
+    assert!(!bed.page("/metrics").contains("not-connected"));
+}
--- a/crates/engine/src/ending.rs
+++ b/crates/engine/src/ending.rs
@@ -75,6 +75,9 @@
 pub enum OrderEnd {
     /// No connection to the worker was established in time.
     NotConnected,
+    /// No connection to the worker had room for it, or it was withdrawn before a byte of it was passed to the
+    /// kernel. No sign of a failing worker, and the order is not in effect.
+    NotSent,
     /// The connection broke.
     Broken,
     /// The connection was closed before the worker answered, which is no sign of a failing worker. The order
@@ -91,6 +94,7 @@
     pub fn outcome(self) -> Outcome {
         match self {
             Self::NotConnected => Outcome::ConnectFailed,
+            Self::NotSent => Outcome::NotSent,
             Self::Broken => Outcome::Reset,
             // Not a failure: a worker may close a connection without a request in flight.
             Self::CutOff => Outcome::Cancelled,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use calloop::signals::Signal;
 use cresswheel::Effect;
 use cresswheel_admission::{CallQueue, ConnectionSplit, DescriptorBudget, OfferResult};
-use cresswheel_carriers::{CarrierLimits, Payload};
+use cresswheel_carriers::{CarrierLimits, DispatchError, Payload};
 use cresswheel_clients::{ClientLimits, ClientRequest, Clients};
 use cresswheel_engine::{Answer, Attempt, AttemptEnd, Call, Client, Engine, Input, OrderEnd, Output};
 use cresswheel_protocol::{ListedWorker, Message, Micros, Origin, Role, Status};
@@ -647,8 +647,13 @@
             Output::Prewarm { worker, order, function, count, shape } => {
                 tracing::debug!(%worker, %function, count, "hold");
                 let message = Message::Hold { order, function: function.to_string(), count, shape };
-                if !self.workers.dispatch(&mut self.event_loop, &worker, Payload::Order(order), &message) {
-                    self.inputs.push_back(Input::OrderEnded(order, OrderEnd::NotConnected, 0));
+                let payload = Payload::Order(order);
+                if let Err(error) = self.workers.dispatch(&mut self.event_loop, &worker, payload, &message) {
+                    let end = match error {
+                        DispatchError::NoRoom => OrderEnd::NotSent,
+                        DispatchError::ConnectFailed => OrderEnd::NotConnected,
+                    };
+                    self.inputs.push_back(Input::OrderEnded(order, end, 0));
                 }
             }
             Output::Unload(worker, function) => {
@@ -692,8 +697,11 @@
         tracing::debug!(worker = %attempt.worker, attempt = attempt.number, before = attempt.previous_attempts, "run");
         let message = attempt.message();
         let cargo = Payload::Attempt(attempt.number);
-        if !self.workers.dispatch(&mut self.event_loop, &attempt.worker, cargo, &message) {
-            let end = AttemptEnd::NotConnected;
+        if let Err(error) = self.workers.dispatch(&mut self.event_loop, &attempt.worker, cargo, &message) {
+            let end = match error {
+                DispatchError::NoRoom => AttemptEnd::TakenBack,
+                DispatchError::ConnectFailed => AttemptEnd::NotConnected,
+            };
             self.inputs.push_back(Input::AttemptEnded(attempt.number, end, Vec::new(), None));
         }
     }
--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use cresswheel::WorkerId;
-use cresswheel_carriers::{CarrierLimits, ConnectionPool, Payload};
+use cresswheel_carriers::{CarrierLimits, ConnectionPool, DispatchError, Payload};
 use cresswheel_engine::{AttemptEnd, Input, OrderEnd};
 use cresswheel_protocol::{ListedWorker, MemberState, Message, Micros, encode};
 use cresswheel_transport::{Connection, EventLoop};
@@ -96,25 +96,30 @@
         ended
     }
 
-    /// Sends an attempt or an order on a connection to its worker; false if no connection is available.
+    /// Sends an attempt or an order on a connection to its worker.
     pub fn dispatch(
         &mut self,
         event_loop: &mut EventLoop,
         worker: &WorkerId,
         cargo: Payload,
         message: &Message,
-    ) -> bool {
-        let Some(address) = self.addresses.get(worker).copied() else { return false };
+    ) -> Result<(), DispatchError> {
+        let address = self.addresses.get(worker).copied().ok_or(DispatchError::ConnectFailed)?;
         let now = event_loop.clock().now();
         let hello = &self.hello;
         let write_hello = |out: &mut Vec<u8>| encode(hello, out);
         let write_frame = |out: &mut Vec<u8>| encode(message, out);
         let target = (worker, address);
-        let connection =
-            self.pool.dispatch(event_loop, &self.limits, target, (cargo, write_frame), |_| true, write_hello);
-        let Some(connection) = connection else { return false };
+        let connection = self.pool.dispatch(
+            event_loop,
+            &self.limits,
+            target,
+            (cargo, write_frame),
+            |_| true,
+            write_hello,
+        )?;
         self.activity.entry(connection).or_insert(Activity { opened_at: now, last_received: now });
-        true
+        Ok(())
     }
 
     /// Sends a message that is neither an attempt nor an order, if a connection is established.
--- a/crates/platform/src/departures.rs
+++ b/crates/platform/src/departures.rs
@@ -197,7 +197,7 @@
         }
         Some(match pending.item {
             Item::Attempt(_) => Input::AttemptEnded(number, AttemptEnd::TakenBack, Vec::new(), None),
-            Item::Order(_) => Input::OrderEnded(number, OrderEnd::NotConnected, 0),
+            Item::Order(_) => Input::OrderEnded(number, OrderEnd::NotSent, 0),
         })
     }
 }
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -213,7 +213,7 @@
         };
         let usable = |connection| item_of(connection).is_none_or(is_done);
         let to = (worker, endpoint.address);
-        let connection = self.carriers.dispatch(hub, &limits, to, (cargo, frame), usable, |_| {})?;
+        let connection = self.carriers.dispatch(hub, &limits, to, (cargo, frame), usable, |_| {}).ok()?;
         self.connections_by_id
             .entry(connection)
             .or_insert_with(|| HostConnection::new(now))
@@ -249,7 +249,7 @@
                 self.in_flight.insert(attempt.number, (connection, call.trace.clone()));
                 None
             }
-            // The host is listed, but the local connection limit is reached: not a failure of the host.
+            // The host is listed, but no connection had room: not a failure of the host.
             None if self.endpoints.contains_key(&attempt.worker) => {
                 Some(ended(attempt.number, AttemptEnd::TakenBack))
             }
@@ -267,6 +267,10 @@
                 self.in_flight.insert(order.number, (connection, tag));
                 None
             }
+            // As with attempts: not a failure of the host.
+            None if self.endpoints.contains_key(&order.worker) => {
+                Some(Input::OrderEnded(order.number, OrderEnd::NotSent, 0))
+            }
             None => Some(Input::OrderEnded(order.number, OrderEnd::NotConnected, 0)),
         }
     }
--- a/crates/platform/src/hosts/tests.rs
+++ b/crates/platform/src/hosts/tests.rs
@@ -134,3 +134,23 @@
     assert_eq!(hosts.counts.unexpected, 1);
     assert!(matches!(hosts.receive(&mut hub, own, &answer)[..], [Input::OrderEnded(1, ..)]));
 }
+
+/// Guards against blame for a lack of room on this side: an order that no connection has room for was not
+/// sent, and says nothing about its host.
+#[test]
+fn an_order_without_room_on_a_connection_ends_as_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
+    let mut hosts = hosts(1);
+    let order = |number| Order { worker: "h".into(), number, function: "7f3a9c21e0b4d655".into(), count: 1 };
+    hosts.apply_list(&mut hub, &[host(&listener, MemberState::Active)]);
+    for number in 0..10 {
+        assert!(hosts.prewarm(&mut hub, &order(number)).is_none());
+    }
+    let ended = hosts.prewarm(&mut hub, &order(10));
+    assert!(matches!(ended, Some(Input::OrderEnded(10, OrderEnd::NotSent, 0))), "{ended:?}");
+    // A host that is not listed can't be reached.
+    let elsewhere = Order { worker: "gone".into(), ..order(11) };
+    let ended = hosts.prewarm(&mut hub, &elsewhere);
+    assert!(matches!(ended, Some(Input::OrderEnded(11, OrderEnd::NotConnected, 0))), "{ended:?}");
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -285,7 +285,8 @@
     Reset,
     /// Canceled; it may have run.
     Cancelled,
-    /// Not sent; it never ran.
+    /// Not sent, for a reason unrelated to the worker: the request was over, no connection had room for it,
+    /// or it was withdrawn. It never ran.
     NotSent,
     /// The function is not loaded at the worker; it never ran.
     Miss,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 
 mod idle;
 mod interface;
+mod order_slots;
 mod pairs;
 mod ring;
 mod rules;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -15,6 +15,7 @@
 
 use crate::idle::IdleQueue;
 use crate::interface::*;
+use crate::order_slots::OrderSlots;
 use crate::ring::Ring;
 use crate::state::*;
 use crate::wanted::LoadTimeSource;
@@ -318,6 +319,7 @@
                 worker.health = vec![Health::default(); self.settings.classes.len() + 1];
                 worker.slow_start =
                     SlowStart { since: self.now, seed: self.rng.next_u64(), ..SlowStart::default() };
+                worker.order_slots = OrderSlots::default();
                 self.clear_placements(index);
             }
             if self.workers[index].list_entry.state != entry.state {
@@ -494,7 +496,7 @@
         if record.attempts.len() >= self.settings.max_attempts || !self.may_send_again(record) {
             return self.refuse_or_fail(id);
         }
-        let orders_loads = self.settings.miss_policy == MissPolicy::Miss && self.settings.may_prewarm;
+        let orders_loads = self.must_order_loads();
         // Where no order can be sent, an instance may still be loaded: the request itself is sent. The same
         // holds where peers may keep an instance loaded: a miss is answered quickly and proves that nothing
         // ran.
@@ -528,7 +530,10 @@
             .collect();
         let homes = self.home_count(index);
         let usable = |worker: &WorkerIndex| {
-            !avoid.contains(worker) && self.has_capacity(index, *worker) && self.admits_class(*worker, class)
+            !avoid.contains(worker)
+                && self.has_capacity(index, *worker)
+                && !self.lacks_order_slot(index, *worker)
+                && self.admits_class(*worker, class)
         };
         let usable: Vec<WorkerIndex> =
             self.workers_in_ring_order(index).filter(usable).take(homes + FALLBACK_WORKERS).collect();
@@ -596,6 +601,20 @@
             .is_none_or(|placement| placement.no_capacity_until <= self.now)
     }
 
+    /// Whether the function must be loaded at the worker first and the order for it has no free slot.
+    fn lacks_order_slot(&self, function: FunctionIndex, worker: WorkerIndex) -> bool {
+        let is_ordered = |placement: &Placement| placement.ordered_at.is_some();
+        self.must_order_loads()
+            && !self.workers[worker].order_slots.is_available(self.now)
+            && self.known_absent(function, worker)
+            && !self.functions[function].placements.get(&worker).is_some_and(is_ordered)
+    }
+
+    /// Whether a function that is not loaded at a worker is loaded only by an order.
+    fn must_order_loads(&self) -> bool {
+        self.settings.miss_policy == MissPolicy::Miss && self.settings.may_prewarm
+    }
+
     fn workers_in_ring_order(&self, function: FunctionIndex) -> impl Iterator<Item = WorkerIndex> {
         self.ring.order(&self.functions[function].name, self.workers.len())
     }
@@ -1111,7 +1130,8 @@
     }
 
     /// The only place that sends load orders; true if one is now in flight. It enforces: workers in service
-    /// only, one order in flight for a function and worker, the limit on prewarm orders, the order budget.
+    /// only, one order in flight for a function and worker, the limit on prewarm orders, free slots on the
+    /// connections to the worker, the order budget.
     fn try_order(&mut self, worker: WorkerIndex, function: FunctionIndex, needed: bool, count: u32) -> bool {
         let worker_record = &self.workers[worker];
         if !self.settings.may_prewarm || worker_record.list_entry.state != WorkerState::InService {
@@ -1129,7 +1149,7 @@
         {
             return true;
         }
-        if !self.order_budget_allows(needed) {
+        if !self.workers[worker].order_slots.is_available(self.now) || !self.order_budget_allows(needed) {
             return false;
         }
         if !needed {
@@ -1138,7 +1158,9 @@
         if self.settings.order_rate_limit.is_some() {
             self.orders.order_times.push_back(self.now);
         }
+        let retry_interval = self.sweep_interval();
         let (function_record, worker_record) = (&mut self.functions[function], &mut self.workers[worker]);
+        worker_record.order_slots.take(self.now, retry_interval);
         self.orders.prewarms.function_changing(function, function_record.forecast.release_at);
         worker_record.functions.insert(function);
         function_record.placements.entry(worker).or_default().ordered_at = Some(self.now);
@@ -1160,7 +1182,11 @@
         let Some(ordered_at) = placement.ordered_at.take() else { return };
         let response_time = took as f64;
         let order_class = self.settings.classes.len();
+        if outcome != Outcome::NotSent {
+            self.workers[worker_index].order_slots.release();
+        }
         match outcome {
+            Outcome::NotSent => self.order_not_sent(worker_index, ordered_at),
             Outcome::Ok if loaded > 0 => {
                 (placement.loaded_seen_at, placement.missed_at, placement.no_capacity_until) =
                     (Some(self.now), None, 0);
@@ -1205,8 +1231,22 @@
         self.dispatch_waiting(function_index);
     }
 
+    /// An order found no free slot on the connections to its worker, or was withdrawn unsent. The worker
+    /// isn't to blame, but gets no prewarms for a while, and other orders only as slots become free.
+    fn order_not_sent(&mut self, worker: WorkerIndex, ordered_at: Micros) {
+        let retry_interval = self.sweep_interval();
+        let worker = &mut self.workers[worker];
+        worker.full_until = self.now + self.min_objective * 2;
+        worker.order_slots.record_exhausted(self.now, retry_interval);
+        self.orders.remove_order(ordered_at);
+    }
+
+    fn sweep_interval(&self) -> Micros {
+        (self.min_objective / SWEEPS_PER_OBJECTIVE).max(self.settings.tick)
+    }
+
     fn sweep(&mut self) {
-        let interval = (self.min_objective / SWEEPS_PER_OBJECTIVE).max(self.settings.tick);
+        let interval = self.sweep_interval();
         self.timers.insert((self.now + interval, Timer::Sweep));
         if self.now.saturating_sub(self.refreshed_at) >= self.min_objective {
             // The rate at which a warmed-up worker answers this gateway, averaged over about a warm-up time;
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
+use crate::order_slots::OrderSlots;
 use crate::wanted::PrewarmQueue;
 
 /// Positions in the dispatcher's tables of workers and functions. They stay small: a position is reused once
@@ -70,8 +71,10 @@
     /// One for each class, then one for load orders.
     pub health: Vec<Health>,
     pub last_success_at: Micros,
-    /// It rejected a load order for lack of capacity: it gets no prewarm orders until then.
+    /// It rejected a load order for lack of capacity, or an order found no free slot on the connections to
+    /// it: it gets no prewarm orders until then.
     pub full_until: Micros,
+    pub order_slots: OrderSlots,
     pub slow_start: SlowStart,
     /// Own requests in flight.
     pub in_flight: u32,
@@ -246,6 +249,13 @@
 }
 
 impl LoadOrders {
+    /// Removes an order that was issued at that time and never sent: it doesn't count for the budget.
+    pub fn remove_order(&mut self, issued_at: Micros) {
+        if let Some(position) = self.order_times.iter().rposition(|at| *at == issued_at) {
+            self.order_times.remove(position);
+        }
+    }
+
     /// Forgets orders older than the window plus the margin, and calls older than the window less the margin.
     pub fn forget_before(&mut self, now: Micros, window: Micros, margin: Micros) {
         while self.order_times.front().is_some_and(|at| at + window + margin < now) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -195,7 +195,8 @@
     /// Since when a worker drains or is out of service.
     unavailable_since: BTreeMap<WorkerId, Micros>,
     listed: BTreeMap<WorkerId, WorkerEntry>,
-    orders: VecDeque<Micros>,
+    /// Prewarm orders, except those that were not sent, with the time of each.
+    orders: Vec<(Micros, WorkerId, FunctionId)>,
     calls: VecDeque<Micros>,
     cold_sends: BTreeMap<WorkerId, VecDeque<Micros>>,
     /// Requests per second that one warm worker can handle, for the check of cold workers.
@@ -210,7 +211,7 @@
             requests: BTreeMap::new(),
             unavailable_since: BTreeMap::new(),
             listed: BTreeMap::new(),
-            orders: VecDeque::new(),
+            orders: Vec::new(),
             calls: VecDeque::new(),
             cold_sends: BTreeMap::new(),
             worker_rate: 40.0,
@@ -249,6 +250,13 @@
                     record.finished |= answered;
                 }
             }
+            Event::PrewarmEnded { worker, function, outcome: Outcome::NotSent, .. } => {
+                let is_same =
+                    |order: &(Micros, WorkerId, FunctionId)| order.1 == *worker && order.2 == *function;
+                if let Some(position) = self.orders.iter().rposition(is_same) {
+                    self.orders.remove(position);
+                }
+            }
             Event::ClientLeft(request) => {
                 self.requests.entry(request.clone()).and_modify(|record| record.finished = true);
             }
@@ -300,14 +308,14 @@
                 }
                 self.requests.entry(request.clone()).and_modify(|record| record.finished = true);
             }
-            Action::Hold { worker, count, .. } if *count > 0 => {
+            Action::Hold { worker, function, count } if *count > 0 => {
                 if !self.listed.contains_key(worker) || self.is_unavailable(now, worker) {
                     found.push(format!("orders a load on {worker}, which drains or is gone"));
                 }
-                self.orders.push_back(now);
+                self.orders.push((now, worker.clone(), function.clone()));
                 if let Some(limit) = &self.settings.order_rate_limit {
                     let since = now.saturating_sub(limit.window);
-                    let orders = self.orders.iter().filter(|at| **at >= since).count() as f64;
+                    let orders = self.orders.iter().filter(|(at, ..)| *at >= since).count() as f64;
                     let calls = self.calls.iter().filter(|at| **at >= since).count() as f64;
                     if orders > limit.base_orders + limit.per_request * calls {
                         found.push("orders more loads than the rate limit".into());
