Orders: a refused one no longer ends the pauses of other functions at its worker

Change: an order's refused connection forgets what was loaded at the worker, and no longer the pauses for lack of capacity.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -335,13 +335,21 @@
         self.dispatch_all_waiting();
     }
 
-    /// Discards what was known of loaded instances at a worker.
+    /// Discards what was known of loaded instances and of capacity at a worker, as its process is new.
     fn clear_placements(&mut self, worker: WorkerIndex) {
         for function in &self.workers[worker].functions {
             self.functions[*function].placements.entry(worker).or_default().clear();
         }
     }
 
+    /// Discards what was known of loaded instances at a worker that could not be reached. Functions that were
+    /// to stay away from it for a while still do.
+    fn forget_instances(&mut self, worker: WorkerIndex) {
+        for function in &self.workers[worker].functions {
+            self.functions[*function].placements.entry(worker).or_default().forget_instances();
+        }
+    }
+
     fn update_fleet(&mut self) {
         self.fleet = Fleet::default();
         let (mut healthy, mut busy) = (0.0, 0.0);
@@ -1215,7 +1223,7 @@
             // Without a pause, an order that fails at once would be repeated at the rate of its answers.
             Outcome::Error => placement.no_capacity_until = self.now + self.min_objective * 2,
             Outcome::ConnectFailed => {
-                self.clear_placements(worker_index);
+                self.forget_instances(worker_index);
                 self.functions[function_index]
                     .placements
                     .entry(worker_index)
--- a/src/state.rs
+++ b/src/state.rs
@@ -284,7 +284,13 @@
 impl Placement {
     /// Discards what was known of loaded instances and of capacity.
     pub fn clear(&mut self) {
-        (self.loaded_seen_at, self.loaded_instances, self.no_capacity_until) = (None, 0, 0);
+        self.forget_instances();
+        self.no_capacity_until = 0;
+    }
+
+    /// Discards what was known of loaded instances.
+    pub fn forget_instances(&mut self) {
+        (self.loaded_seen_at, self.loaded_instances) = (None, 0);
     }
 }
 
--- a/tests/order_slots.rs
+++ b/tests/order_slots.rs
@@ -107,3 +107,30 @@
     assert!(!again.is_empty(), "the budget is free again");
     assert_eq!(harness.checker.violations, Vec::<String>::new());
 }
+
+/// Guards against pauses that end each other: a refused connection keeps the function that met it from the
+/// worker for two latency objectives, whatever becomes of other functions there.
+#[test]
+fn a_refused_connection_does_not_end_the_pause_of_another_function() {
+    let mut harness = Harness::new(settings_with_load_orders());
+    harness.handle(workers(2));
+    let refused = |(worker, function): (WorkerId, FunctionId)| {
+        prewarm_answer(&worker, &function.0, Outcome::ConnectFailed, 0)
+    };
+    let mut arrive_and_refuse = |harness: &mut Harness, names: [&str; 2]| -> usize {
+        let arrive = |name: &&str| prewarm_orders(&harness.handle(Event::Arrived(request(name, 0, name))));
+        let mut pending: VecDeque<_> = names.iter().flat_map(arrive).collect();
+        let mut count = 0;
+        while let Some(order) = pending.pop_front() {
+            count += 1;
+            assert!(count <= 100, "orders are issued without end at one point in time");
+            pending.extend(prewarm_orders(&harness.handle(refused(order))));
+        }
+        count
+    };
+    // First all workers become suspects, so that their health is ignored at the next refresh.
+    arrive_and_refuse(&mut harness, ["a", "b"]);
+    harness.run_to(S);
+    let orders = arrive_and_refuse(&mut harness, ["c", "d"]);
+    assert_eq!(orders, 4, "one for each function and worker");
+}
