Orders: one that timed out gives its place on the connection back

Cause: when the engine gave an order up, the connection pool was not told. Hosts do not answer lost orders, so the place was lost until the connection ended, which does not happen while something is open on it. With all places lost, functions could no longer be loaded at that host.

Change: Output::OrderTimedOut; both event loops free the place, and take the order off the queue if it has not left.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -779,7 +779,10 @@
                         out.push(Output::CancelIfUnsent(in_flight.worker.clone(), attempt));
                     }
                 }
-                Timer::OrderTimeout(order) => self.order_ended(order, OrderEnd::Silent, 0, out),
+                Timer::OrderTimeout(order) => {
+                    out.push(Output::OrderTimedOut(order));
+                    self.order_ended(order, OrderEnd::Silent, 0, out);
+                }
                 Timer::WaiterTimeout(client) => match self.remove_wait(client) {
                     Some(WaitTarget::Result(id)) => {
                         self.remove_result_waiter(client, &id);
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -235,6 +235,8 @@
         /// Resource needs of the function, as far as known.
         shape: FunctionProfile,
     },
+    /// An order got no answer in time: nothing waits for it any more. It stays in effect if the worker has it.
+    OrderTimedOut(u64),
     /// Have the worker unload idle instances of the function.
     Unload(WorkerId, FunctionId),
     /// Probe a worker.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -656,6 +656,7 @@
                     self.inputs.push_back(Input::OrderEnded(order, end, 0));
                 }
             }
+            Output::OrderTimedOut(order) => self.workers.abandon_order(&mut self.event_loop, order),
             Output::Unload(worker, function) => {
                 let message = Message::Drop { function: function.to_string() };
                 self.workers.send_if_connected(&mut self.event_loop, &worker, &message);
--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -132,6 +132,13 @@
         self.pool.cancel_if_unsent(event_loop, attempt)
     }
 
+    /// Frees the place of an order that nothing waits for any more.
+    pub fn abandon_order(&mut self, event_loop: &mut EventLoop, order: u64) {
+        if !self.pool.cancel_if_unsent(event_loop, order) {
+            self.pool.complete(event_loop, order);
+        }
+    }
+
     /// Asks the worker to cancel an attempt.
     pub fn cancel_attempt(&mut self, event_loop: &mut EventLoop, attempt: u64) {
         let message = Message::CancelRun { attempt };
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -275,6 +275,14 @@
         }
     }
 
+    /// Frees the place of an order that nothing waits for any more. Its late answer is ignored.
+    pub fn abandon_order(&mut self, hub: &mut EventLoop, order: u64) {
+        if !self.carriers.cancel_if_unsent(hub, order) {
+            self.carriers.complete(hub, order);
+        }
+        self.discard(order);
+    }
+
     /// Whether an attempt or order is queued on a connection with no byte sent.
     pub fn is_unsent(&self, hub: &EventLoop, number: u64) -> bool {
         self.carriers.is_unsent(hub, number)
--- a/crates/platform/src/hosts/tests.rs
+++ b/crates/platform/src/hosts/tests.rs
@@ -154,3 +154,21 @@
     let ended = hosts.prewarm(&mut hub, &elsewhere);
     assert!(matches!(ended, Some(Input::OrderEnded(11, OrderEnd::NotConnected, 0))), "{ended:?}");
 }
+
+/// Guards against places that are lost for good: a lost order gets no answer, so its place is free again when
+/// its time is over.
+#[test]
+fn an_order_that_timed_out_gives_its_place_back() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
+    let mut hosts = hosts(1);
+    let order = |number| Order { worker: "h".into(), number, function: "7f3a9c21e0b4d655".into(), count: 1 };
+    hosts.apply_list(&mut hub, &[host(&listener, MemberState::Active)]);
+    for number in 0..10 {
+        assert!(hosts.prewarm(&mut hub, &order(number)).is_none());
+    }
+    hosts.abandon_order(&mut hub, 3);
+    assert!(hosts.prewarm(&mut hub, &order(10)).is_none(), "a place is free");
+    assert!(hosts.prewarm(&mut hub, &order(11)).is_some(), "one place is free");
+    assert_eq!(hosts.in_flight.len(), 10);
+}
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -398,6 +398,11 @@
             Output::Prewarm { worker, order, function, count, .. } => {
                 self.prewarm(Order { worker, number: order, function, count });
             }
+            Output::OrderTimedOut(order) => {
+                if !self.unsent_items.forget_parked(order) {
+                    self.hosts.abandon_order(&mut self.hub, order);
+                }
+            }
             Output::Unload(worker, function) => {
                 tracing::debug!(%worker, %function, "unload");
                 self.hosts.unload(&mut self.hub, &worker, &function);
--- a/crates/scale/src/run/gateways.rs
+++ b/crates/scale/src/run/gateways.rs
@@ -109,7 +109,7 @@
                 self.send_to_worker(gateway, &worker, NO_NUMBER, &message, WorkerRequest::Probe);
             }
             // What was sent has left at once here: nothing can be taken back.
-            Output::CancelIfUnsent(..) => {}
+            Output::CancelIfUnsent(..) | Output::OrderTimedOut(_) => {}
             // The list is followed from the start; calls here have no versions and none is deferred.
             Output::RequestList
             | Output::PrewarmEnded(..)
