Orders: they no longer take the places of attempts on a connection

The platform's settings define max_streams as the attempts that one connection carries at once.

Change: the connection pool bounds attempts and orders apart, by the same figure, so that both stay bounded.

--- a/crates/carriers/src/lib.rs
+++ b/crates/carriers/src/lib.rs
@@ -33,6 +33,14 @@
         self.attempts.len() + self.orders.len()
     }
 
+    /// Whether one more is within the limit on attempts, or the same limit on orders.
+    fn has_room(&self, payload: Payload, streams: usize) -> bool {
+        match payload {
+            Payload::Attempt(_) => self.attempts.len() < streams,
+            Payload::Order(_) => self.orders.len() < streams,
+        }
+    }
+
     /// Whether no attempt has been in flight for so long that the worker may be closing the connection: an
     /// attempt sent now could cross the close.
     fn is_stale(&self, now: Micros, idle: Micros) -> bool {
@@ -56,7 +64,8 @@
     pub wire: Wire,
     /// Connections to one worker.
     pub connections: usize,
-    /// Attempts and orders in flight on one connection.
+    /// Attempts in flight on one connection, and apart from these as many orders: orders wait for loads, and
+    /// must not keep attempts from the functions that are loaded.
     pub streams: usize,
     /// Below the limit on connections, another one is opened once each existing one has this many attempts in
     /// flight.
@@ -106,7 +115,7 @@
             matches!(cargo, Payload::Attempt(_)) && self.connections[c].is_stale(now, limits.idle)
         };
         let available = |c: &Connection| {
-            !self.connections[c].leaving && self.connections[c].in_flight() < limits.streams && !stale(c)
+            !self.connections[c].leaving && self.connections[c].has_room(cargo, limits.streams) && !stale(c)
         };
         let mut candidates = to_worker.iter().copied().filter(|c| available(c) && usable(*c));
         // Orders delay nobody while they wait. They go to the connection established first, which most
