Bodies: a call or an answer that fits no frame fails alone, not with the calls of others

Cause: body and frame had the same bound, each stated on its own. As a frame the call is longer by its header, names and figures, and the bound on clients' frames held on trunks and workers' connections too.

Fix: Limits::largest_body is the one place that relates bodies to frames. http_body is derived from it, settings that contradict it are an error, calls of the main protocol with a longer body are refused alone. The bound on clients' frames no longer holds for peers. A worker's answer that is too long fails its call alone; one beyond a frame is skipped by its length. Neither is tried again.

Open: a worker with a lower bound of its own than the gateway's frame still closes its connection, and the call goes to another worker.

--- a/crates/clients/src/clients.rs
+++ b/crates/clients/src/clients.rs
@@ -11,6 +11,9 @@
 use crate::http::{self, ParsedRequest};
 use crate::owed::{Outstanding, PendingResponse, answer_number};
 
+/// Reason of the refusal of a call whose body is longer than [`ClientLimits::largest_body`].
+const BODY_TOO_LONG: &str = "body-too-long";
+
 /// A client's request to the gateway: a `Call`, `Await`, `Cancel`, `Page` or `Versions`; or `Bye`: the
 /// connection is closed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -229,11 +232,7 @@
             return;
         };
         if self.limiter.open_requests(slot(connection)) as usize >= self.terms.per_connection {
-            self.limiter.count_refused();
-            let (status, reason) = (Status::Refused, "connection-full".into());
-            let answer =
-                Message::Answer { number, status, reason, retry_after: 0, body: Vec::new(), origin: None };
-            return self.send_answer(hub, connection, &answer);
+            return self.refuse(hub, connection, number, "connection-full");
         }
         let outstanding = self.states[slot(connection)].outstanding.get_or_insert_default();
         // The gateway reports a number that is used twice.
@@ -244,6 +243,15 @@
         self.queue_request(arrived, connection, message);
     }
 
+    /// Refuses a request before anything of it is passed on.
+    fn refuse(&mut self, hub: &mut EventLoop, connection: Connection, number: u64, reason: &str) {
+        self.limiter.count_refused();
+        let (status, reason) = (Status::Refused, reason.into());
+        let answer =
+            Message::Answer { number, status, reason, retry_after: 0, body: Vec::new(), origin: None };
+        self.send_answer(hub, connection, &answer);
+    }
+
     /// A request was answered or canceled. False: it was not open, so that a cancel and an answer that
     /// crossed count once.
     fn close_request(&mut self, hub: &EventLoop, connection: Connection, number: u64) -> bool {
@@ -287,6 +295,9 @@
             _ if !handshake_done => {
                 self.close_with_bye(hub, connection, "a connection begins with Hello as a client")
             }
+            Message::Call { number, ref body, .. } if body.len() > self.terms.largest_body() => {
+                self.refuse(hub, connection, number, BODY_TOO_LONG);
+            }
             Message::Call { ref tenant, .. } => {
                 let tenant = tenant.clone();
                 self.queue_answered_request(hub, arrived, connection, &tenant, message);
--- a/crates/clients/src/terms.rs
+++ b/crates/clients/src/terms.rs
@@ -21,7 +21,7 @@
     pub http_head: usize,
     /// Maximum number of headers of an HTTP request.
     pub http_headers: usize,
-    /// Maximum length of the body of an HTTP request, in bytes.
+    /// Maximum length of the body of an HTTP request, in bytes; at most [`ClientLimits::largest_body`].
     pub http_body: usize,
     /// Backlog of output, in bytes, above which a connection is closed.
     pub out: usize,
@@ -44,6 +44,11 @@
 }
 
 impl ClientLimits {
+    /// The longest body of a call: with it, every message that the call becomes fits a frame.
+    pub fn largest_body(&self) -> usize {
+        Limits { frame: self.frame }.largest_body()
+    }
+
     /// The limits that the event loop enforces.
     pub fn hub(&self) -> EventLoopLimits {
         EventLoopLimits {
--- a/crates/engine/src/ending.rs
+++ b/crates/engine/src/ending.rs
@@ -24,6 +24,8 @@
     /// The worker answered, but reported that it ran something else than the requested version. The number is
     /// that of [`Self::Answered`].
     Wrong(u32),
+    /// The worker answered, but its answer is too long to be passed on. It ran, and another try would not help.
+    AnswerTooLong,
     /// No answer arrived before the timeout.
     Silent,
     /// The dispatcher canceled it.
@@ -45,7 +47,8 @@
             Self::NotWritten | Self::TakenBack | Self::NotSent => Outcome::NotSent,
             Self::Answered(Ending::Full, _) => Outcome::Full,
             Self::Answered(Ending::Miss | Ending::LoadFailed, _) => Outcome::Miss,
-            Self::Answered(Ending::Ok, _) => Outcome::Ok,
+            // The worker did what it was asked to do.
+            Self::Answered(Ending::Ok, _) | Self::AnswerTooLong => Outcome::Ok,
             Self::Answered(Ending::Error, _) | Self::Wrong(_) => Outcome::Error,
             Self::Answered(Ending::Cancelled, _) | Self::CalledOff | Self::CutOff => Outcome::Cancelled,
             Self::Broken => Outcome::Reset,
@@ -63,6 +66,7 @@
             Self::CutOff => "cut-off",
             Self::Answered(ending, _) => ending.as_str(),
             Self::Wrong(_) => "wrong-version",
+            Self::AnswerTooLong => "answer-too-long",
             Self::Silent => "timeout",
             Self::CalledOff => "called-off",
             Self::NotSent => "not-sent",
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -588,7 +588,10 @@
             }
         };
         if served && !call_over {
-            let answer = Answer { body, ..Answer::without_body(Status::Served, "") };
+            let answer = match end {
+                AttemptEnd::AnswerTooLong => Answer::without_body(Status::Failed, end.word()),
+                _ => Answer { body, ..Answer::without_body(Status::Served, "") },
+            };
             self.complete(&in_flight.id, answer, out);
         } else if served {
             self.counters.late_answers += 1;
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -499,3 +499,13 @@
         harness.advance(200 * MS);
     }
 }
+
+#[test]
+fn an_answer_that_is_too_long_fails_its_call_without_another_try() {
+    let mut harness = Harness::new(5);
+    let (client, out) = harness.call(call("check"));
+    let attempt = sent_attempts(&out)[0].number;
+    let out = harness.handle(Input::AttemptEnded(attempt, AttemptEnd::AnswerTooLong, Vec::new(), None));
+    assert!(sent_attempts(&out).is_empty());
+    assert_eq!(answers(&out), [(client.number, Status::Failed, "answer-too-long")]);
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -177,7 +177,11 @@
             reload,
             event_loop,
             engine,
-            workers: Workers::new(worker_limits(&settings), hello(&settings)),
+            workers: Workers::new(
+                worker_limits(&settings),
+                settings.limits.clients.largest_body(),
+                hello(&settings),
+            ),
             clients,
             acceptors,
             budget,
@@ -386,7 +390,8 @@
                         (!new.list_services.is_empty()).then(|| self.event_loop.clock().now());
                     self.list_stale = !new.list_services.is_empty();
                 }
-                self.workers.set_limits(worker_limits(&new), hello(&new));
+                let largest_body = new.limits.clients.largest_body();
+                self.workers.set_limits(worker_limits(&new), largest_body, hello(&new));
                 self.settings = new;
                 tracing::info!("new settings are in force");
             }
--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -24,6 +24,8 @@
 pub struct Workers {
     pool: ConnectionPool,
     limits: CarrierLimits,
+    /// The longest answer that can be passed on to clients.
+    largest_body: usize,
     /// The first message on each connection.
     hello: Message,
     addresses: HashMap<WorkerId, SocketAddr>,
@@ -31,14 +33,14 @@
 }
 
 impl Workers {
-    pub fn new(limits: CarrierLimits, hello: Message) -> Self {
+    pub fn new(limits: CarrierLimits, largest_body: usize, hello: Message) -> Self {
         let (pool, addresses, activity) = (ConnectionPool::default(), HashMap::new(), HashMap::new());
-        Self { pool, limits, hello, addresses, activity }
+        Self { pool, limits, largest_body, hello, addresses, activity }
     }
 
     /// Sets limits and hello message for what is dispatched from now on.
-    pub fn set_limits(&mut self, limits: CarrierLimits, hello: Message) {
-        (self.limits, self.hello) = (limits, hello);
+    pub fn set_limits(&mut self, limits: CarrierLimits, largest_body: usize, hello: Message) {
+        (self.limits, self.largest_body, self.hello) = (limits, largest_body, hello);
     }
 
     /// The number of connections to workers.
@@ -165,6 +167,10 @@
     ) -> Option<Input> {
         self.record_received(event_loop, connection);
         match message {
+            Message::RanTooLong { attempt } => Some(self.answer_too_long(event_loop, connection, attempt)),
+            Message::Ran { attempt, body, .. } if body.len() > self.largest_body => {
+                Some(self.answer_too_long(event_loop, connection, attempt))
+            }
             Message::Ran { attempt, ending, crowd, body, origin } => {
                 let number = self.complete(event_loop, connection, attempt);
                 Some(Input::AttemptEnded(number, AttemptEnd::Answered(ending, crowd), body, origin))
@@ -186,6 +192,13 @@
         }
     }
 
+    fn answer_too_long(&mut self, event_loop: &EventLoop, connection: Connection, attempt: u64) -> Input {
+        let number = self.complete(event_loop, connection, attempt);
+        let worker = self.pool.worker(connection);
+        tracing::warn!(worker = worker.map(tracing::field::display), "the answer of a worker is too long");
+        Input::AttemptEnded(number, AttemptEnd::AnswerTooLong, Vec::new(), None)
+    }
+
     /// Completes the attempt or order of an answer and returns its number; 0 if the answer came on a
     /// connection other than the one it was sent on.
     fn complete(&mut self, event_loop: &EventLoop, connection: Connection, number: u64) -> u64 {
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -14,6 +14,9 @@
     out[start..start + 4].copy_from_slice(&length.to_be_bytes());
 }
 
+/// Code of [`Message::Ran`], whose first field is the number of its attempt.
+const RAN_CODE: u8 = 21;
+
 /// Decodes a stream of bytes into messages. After an error it returns that error on every call.
 #[derive(Debug, Default)]
 pub struct Decoder {
@@ -21,6 +24,8 @@
     buffer: Vec<u8>,
     /// Bytes at the front of the buffer that have been decoded.
     used: usize,
+    /// Bytes of an overlong frame that are still to be skipped.
+    to_skip: usize,
     /// Frames of unknown kinds that were skipped.
     pub skipped: u64,
     failed: Option<FrameError>,
@@ -34,6 +39,9 @@
 
     /// Appends received bytes. An idle decoder holds no buffer.
     pub fn push(&mut self, bytes: &[u8]) {
+        let skipped = self.to_skip.min(bytes.len());
+        self.to_skip -= skipped;
+        let bytes = &bytes[skipped..];
         if self.used == self.buffer.len() {
             self.buffer.clear();
             self.used = 0;
@@ -51,7 +59,7 @@
 
     /// Whether the decoder is in its initial state.
     pub fn is_idle(&self) -> bool {
-        self.buffered_len() == 0 && self.failed.is_none()
+        self.buffered_len() == 0 && self.to_skip == 0 && self.failed.is_none()
     }
 
     /// The next complete message; `None`: more bytes are needed.
@@ -89,6 +97,9 @@
                 return Err(FrameError::Version(version));
             }
             if length + 4 > self.limits.frame {
+                if code == RAN_CODE {
+                    return Ok(self.skip_overlong_answer(length + 4));
+                }
                 return Err(FrameError::TooLong { length: length + 4, most: self.limits.frame });
             }
             let Some(payload) = rest.get(HEADER..length + 4) else { return Ok(None) };
@@ -100,4 +111,15 @@
             self.skipped += 1;
         }
     }
+
+    /// Skips a worker's answer that exceeds the limit: the other answers on the connection are not affected.
+    /// Returns the message in its place, once the number of the attempt was received.
+    fn skip_overlong_answer(&mut self, size: usize) -> Option<Message> {
+        let rest = &self.buffer[self.used..];
+        let attempt = *rest.get(HEADER..)?.first_chunk::<8>()?;
+        let buffered = rest.len().min(size);
+        self.used += buffered;
+        self.to_skip = size - buffered;
+        Some(Message::RanTooLong { attempt: u64::from_be_bytes(attempt) })
+    }
 }
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -16,9 +16,9 @@
 }
 
 impl Default for Limits {
-    /// 16 KiB, 64 lines, 4 MiB.
+    /// 16 KiB, 64 lines, and the longest body that fits a frame of the default size.
     fn default() -> Self {
-        Self { head: 16 << 10, headers: 64, body: 4 << 20 }
+        Self { head: 16 << 10, headers: 64, body: crate::Limits::default().largest_body() }
     }
 }
 
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -173,6 +173,12 @@
         /// From `Run`.
         attempt: u64,
     }
+    /// Worker to gateway: the attempt ended, but its answer is too long for a frame. A decoder also returns this
+    /// in place of a `Ran` whose frame exceeds its limit.
+    26 RanTooLong {
+        /// From `Run`.
+        attempt: u64,
+    }
     /// Gateway to worker: keep at least this many instances loaded; with 0, only report how many are loaded.
     23 Hold {
         /// Identifies the order on this connection.
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -188,3 +188,90 @@
         assert!(read(&short).is_err(), "cut at {cut}");
     }
 }
+
+/// The messages that carry bodies, each with the longest names and the largest body.
+fn largest_messages(limits: Limits) -> [Message; 4] {
+    let name = "n".repeat(MAX_NAME);
+    let body = vec![b'x'; limits.largest_body()];
+    let origin = Some(Origin { function: name.clone(), digest: name.clone() });
+    let shape = FunctionProfile { memory_mb: u32::MAX, lanes: u32::MAX, load_time: u64::MAX, work: u64::MAX };
+    let call = Message::Call {
+        number: u64::MAX,
+        deferred: true,
+        function: name.clone(),
+        class: name.clone(),
+        tenant: name.clone(),
+        key: name.clone(),
+        trace: name.clone(),
+        time_left: u64::MAX,
+        shape: shape.clone(),
+        body: body.clone(),
+        account: Some(name.clone()),
+    };
+    let run = Message::Run {
+        attempt: u64::MAX,
+        trace: name.clone(),
+        before: u32::MAX,
+        function: name.clone(),
+        class: name.clone(),
+        key: name.clone(),
+        time_left: u64::MAX,
+        shape,
+        body: body.clone(),
+    };
+    let answer = Message::Answer {
+        number: u64::MAX,
+        status: Status::Served,
+        reason: name,
+        retry_after: u64::MAX,
+        body: body.clone(),
+        origin: origin.clone(),
+    };
+    let ran = Message::Ran { attempt: u64::MAX, ending: Ending::Ok, crowd: u32::MAX, body, origin };
+    [call, run, answer, ran]
+}
+
+/// Guards against a body that is allowed, but makes a frame that its receiver must reject.
+#[test]
+fn the_largest_body_fits_a_frame_with_the_longest_names() {
+    for limits in [Limits { frame: 8 << 10 }, Limits::default()] {
+        for message in largest_messages(limits) {
+            let mut bytes = Vec::new();
+            encode(&message, &mut bytes);
+            assert!(bytes.len() <= limits.frame, "{}: {} bytes", message.kind(), bytes.len());
+            let mut decoder = Decoder::new(limits);
+            decoder.push(&bytes);
+            assert_eq!(decoder.decode(), Ok(Some(message)));
+        }
+    }
+}
+
+#[test]
+fn an_overlong_answer_is_skipped_and_the_messages_around_it_are_read() {
+    let limits = Limits { frame: 1_000 };
+    let ran = |attempt, length| Message::Ran {
+        attempt,
+        ending: Ending::Ok,
+        crowd: 0,
+        body: vec![b'x'; length],
+        origin: None,
+    };
+    let mut bytes = Vec::new();
+    for message in [ran(1, 5), ran(2, 50_000), ran(3, 5), ran(4, 1_000), ran(5, 5)] {
+        encode(&message, &mut bytes);
+    }
+    for chunk in [1, 7, 999, 5_000, bytes.len()] {
+        let mut decoder = Decoder::new(limits);
+        let mut messages = Vec::new();
+        for part in bytes.chunks(chunk) {
+            decoder.push(part);
+            while let Some(message) = decoder.decode().unwrap() {
+                messages.push(message);
+            }
+            assert!(decoder.buffered_len() < limits.frame + chunk);
+        }
+        let too_long = |attempt| Message::RanTooLong { attempt };
+        assert_eq!(messages, [ran(1, 5), too_long(2), ran(3, 5), too_long(4), ran(5, 5)], "{chunk}");
+        assert!(decoder.is_idle());
+    }
+}
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -297,10 +297,14 @@
     shell.drain_timeout = fields.time("stop_within", shell.drain_timeout);
     let clients = &mut shell.clients;
     clients.frame = fields.size("frame", clients.frame);
-    fields.require((1_024..=1 << 30).contains(&clients.frame), "frame must be from kb(1) to mb(1024)");
+    fields.require((8_192..=1 << 30).contains(&clients.frame), "frame must be from kb(8) to mb(1024)");
     clients.http_head = fields.size("http_head", clients.http_head);
     clients.http_headers = fields.count("http_headers", clients.http_headers, (1, 10_000));
-    clients.http_body = fields.size("http_body", clients.http_body);
+    clients.http_body = fields.size("http_body", clients.largest_body());
+    fields.require(
+        clients.http_body <= clients.largest_body(),
+        "http_body must be at most frame less kb(4), so that a call with it fits a frame",
+    );
     clients.out = fields.size("out_buffer", clients.out);
     clients.backlog = fields.size("client_backlog", clients.backlog);
     fields.require(clients.backlog < clients.out, "client_backlog must be below out_buffer");
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -42,7 +42,7 @@
 /// Limits of a hub.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EventLoopLimits {
-    /// Limits of frames.
+    /// Limits of frames on accepted connections; see [`Limits::for_peers`] for all others.
     pub frame: Limits,
     /// Limits of HTTP requests.
     pub http: http::Limits,
@@ -184,7 +184,8 @@
     fn active(&mut self, limits: &EventLoopLimits) -> &mut ActiveState {
         self.active.get_or_insert_with(|| {
             let decode = match self.wire {
-                Wire::Frames => Decode::Frames(Decoder::new(limits.frame)),
+                Wire::Frames if self.accepted => Decode::Frames(Decoder::new(limits.frame)),
+                Wire::Frames => Decode::Frames(Decoder::new(limits.frame.for_peers())),
                 Wire::Http => Decode::Http(http::Decoder::new(limits.http)),
                 Wire::Raw => Decode::Raw(Vec::new()),
             };
--- a/tests/order_slots.rs
+++ b/tests/order_slots.rs
@@ -117,7 +117,7 @@
     let refused = |(worker, function): (WorkerId, FunctionId)| {
         prewarm_answer(&worker, &function.0, Outcome::ConnectFailed, 0)
     };
-    let mut arrive_and_refuse = |harness: &mut Harness, names: [&str; 2]| -> usize {
+    let arrive_and_refuse = |harness: &mut Harness, names: [&str; 2]| -> usize {
         let arrive = |name: &&str| prewarm_orders(&harness.handle(Event::Arrived(request(name, 0, name))));
         let mut pending: VecDeque<_> = names.iter().flat_map(arrive).collect();
         let mut count = 0;
