Refusals: a keyed call that may have run is failed at the gateway, and keeps its key

Cause: the module may refuse a keyed call of the group 'all' whether it may have run or not. That is the rule of the platform, whose clients repeat inside the workers' memory; clients of `cresswheel gateway` are told of no such window, and a call without a key has none.

Fix: whether clients do so is a setting of the module's interface. Dispatcher::may_refuse decides it at the deadline and, for the engine, at TERM.

The checker of the module's tests is stricter: it allows such refusals only where the settings say what the platform's do.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use cresswheel::{
-    Action, Dispatcher, Effect, Event, FunctionId, Group, Micros, Request, RequestId, SettingsError,
-    WorkerEntry, WorkerId, WorkerListUpdate, WorkerState,
+    Action, Dispatcher, Effect, Event, FunctionId, Micros, Request, RequestId, SettingsError, WorkerEntry,
+    WorkerId, WorkerListUpdate, WorkerState,
 };
 use cresswheel_protocol::{Ending, FunctionProfile, ListedWorker, MemberState, Origin, Status};
 use foldhash::{HashMap, HashMapExt};
@@ -749,11 +749,9 @@
             let Some(open_call) = self.open_calls.get(&id) else { continue };
             let has_in_flight =
                 open_call.attempts.iter().any(|attempt| self.attempts_in_flight.contains_key(attempt));
-            let is_safe_to_retry = match self.settings.dispatcher.classes[open_call.class].effect {
-                Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
-                _ => open_call.first_possible_run.is_none() && !has_in_flight,
-            };
-            let status = if is_safe_to_retry { Status::Refused } else { Status::Failed };
+            let never_ran = open_call.first_possible_run.is_none() && !has_in_flight;
+            let may_refuse = self.dispatcher.may_refuse(open_call.class, never_ran);
+            let status = if may_refuse { Status::Refused } else { Status::Failed };
             self.events.push_back(Event::ClientLeft(id.clone()));
             self.complete(&id, Answer::without_body(status, "stopping"), out);
         }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -84,6 +84,8 @@
         connect_timeout: 250 * MILLISECOND,
         drain_grace: SECOND,
         list_poll_interval: 10 * SECOND,
+        // Clients are told no time within which a further try meets the first one.
+        clients_retry_within_retention: false,
         ..Settings::default()
     };
     GatewaySettings {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -169,6 +169,9 @@
     pub may_hedge: bool,
     /// Most attempts per request.
     pub max_attempts: usize,
+    /// Whether clients retry a refused request with the same key, and only while the workers of the group
+    /// keep its record. Otherwise a keyed request that may have run is never refused.
+    pub clients_retry_within_retention: bool,
     /// Whether a refusal may state a retry delay.
     pub retry_after: bool,
     /// Longest retry delay that clients honor.
@@ -206,6 +209,7 @@
             may_probe: false,
             may_hedge: false,
             max_attempts: 1,
+            clients_retry_within_retention: false,
             retry_after: false,
             max_retry_after: 0,
             connect_timeout: 0,
--- a/src/pairs.rs
+++ b/src/pairs.rs
@@ -133,6 +133,8 @@
             may_probe: self.flag("limits.probes"),
             may_hedge: self.flag("limits.may_duplicate"),
             max_attempts: self.or("limits.max_attempts", defaults.max_attempts)?,
+            // The rule on refusals of these deployments: clients try again with the same key, inside its window.
+            clients_retry_within_retention: true,
             retry_after: self.flag("limits.retry_after"),
             max_retry_after: self.or("limits.max_retry_after", defaults.max_retry_after)?,
             connect_timeout: self.or("limits.connect_timeout", defaults.connect_timeout)?,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1005,10 +1005,7 @@
         else {
             return;
         };
-        let may_retry = match self.effect(record.request.class) {
-            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
-            _ => record.never_ran(),
-        };
+        let may_retry = self.may_refuse(record.request.class, record.never_ran());
         // Short, as a later try is worth little; random, so that clients don't all return at once.
         let retry_after = self.min_objective as f64 / 4.0 * (0.5 + record.random_draw);
         let retry_after = (retry_after as Micros).clamp(1, self.settings.max_retry_after.max(1));
@@ -1019,6 +1016,17 @@
         self.finish(id);
     }
 
+    /// Whether a request of the class may be refused: a client's further try then has no second effect.
+    pub fn may_refuse(&self, class: usize, never_ran: bool) -> bool {
+        match self.effect(class) {
+            Effect::Safe => true,
+            Effect::Keyed { group: Group::All, .. } => {
+                never_ran || self.settings.clients_retry_within_retention
+            }
+            Effect::Keyed { .. } | Effect::Unsafe => never_ran,
+        }
+    }
+
     /// Marks a request as finished; its record is removed once no attempt is in flight.
     fn finish(&mut self, id: &RequestId) {
         let Some(record) = self.requests.get_mut(id) else { return };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -298,7 +298,12 @@
                     Some(record) if record.finished => found.push(format!("answers {request} twice")),
                     Some(record) => {
                         let may_retry = match self.effect(&record.request) {
-                            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+                            Effect::Safe => true,
+                            Effect::Keyed { group: Group::All, .. }
+                                if self.settings.clients_retry_within_retention =>
+                            {
+                                true
+                            }
                             _ => record.attempts.iter().all(|a| a.2.is_some_and(Outcome::never_ran)),
                         };
                         if refused && !may_retry {
