Gateway: a rejection with a text that is too long stays a rejection

Need: an answer that is longer than the largest body fails its call, which is right for a result, but not where the worker says in the same answer that the call never ran, or failed.

Change: only results count as too long; any other end keeps its word and loses its text. an_answer_that_fits_no_frame_fails_its_call_alone has the case.

--- a/crates/cli/tests/largest_bodies.rs
+++ b/crates/cli/tests/largest_bodies.rs
@@ -12,7 +12,7 @@
 const CALLS_IN_FLIGHT: u64 = 8;
 
 /// A worker with the default limit on frames. It answers calls of the class 'post' once the function 'release' is
-/// called, and others at once; their function names the length of the answer's body.
+/// called, and others at once; their function names the length of the answer's body, or is 'full'.
 fn holding_worker() -> SocketAddr {
     let (listener, at) = listener();
     std::thread::spawn(move || {
@@ -26,8 +26,12 @@
                         held.push(attempt);
                         continue;
                     }
-                    let body = vec![b'x'; function.parse().unwrap_or(0)];
-                    worker.send(&Message::Ran { attempt, ending: Ending::Ok, crowd: 0, body, origin: None });
+                    let (ending, length) = match &*function {
+                        "full" => (Ending::Full, Limits::default().largest_body() + 1),
+                        other => (Ending::Ok, other.parse().unwrap_or(0)),
+                    };
+                    let body = vec![b'x'; length];
+                    worker.send(&Message::Ran { attempt, ending, crowd: 0, body, origin: None });
                     if function == "release" {
                         held.drain(..).for_each(|attempt| worker.ran(attempt, Ending::Ok));
                     }
@@ -168,6 +172,9 @@
                 let (status, reason, _) = call_over_frames(bed, &length.to_string(), b"in".to_vec());
                 assert_eq!((&*status, &*reason), ("failed", "answer-too-long"), "{length} bytes");
             }
+            // A long text beside a rejection changes nothing: the call never ran.
+            let (status, reason, _) = call_over_frames(bed, "full", b"in".to_vec());
+            assert_eq!((&*status, &*reason), ("refused", "full"));
         });
     }
 }
--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -9,7 +9,7 @@
 use cresswheel::WorkerId;
 use cresswheel_carriers::{CarrierLimits, ConnectionPool, DispatchError, Payload};
 use cresswheel_engine::{AttemptEnd, Input, OrderEnd};
-use cresswheel_protocol::{ListedWorker, MemberState, Message, Micros, encode};
+use cresswheel_protocol::{Ending, ListedWorker, MemberState, Message, Micros, encode};
 use cresswheel_transport::{Connection, EventLoop};
 use foldhash::{HashMap, HashMapExt, HashSet};
 
@@ -168,10 +168,14 @@
         self.record_received(event_loop, connection);
         match message {
             Message::RanTooLong { attempt } => Some(self.answer_too_long(event_loop, connection, attempt)),
-            Message::Ran { attempt, body, .. } if body.len() > self.largest_body => {
+            Message::Ran { attempt, ending: Ending::Ok, body, .. } if body.len() > self.largest_body => {
                 Some(self.answer_too_long(event_loop, connection, attempt))
             }
-            Message::Ran { attempt, ending, crowd, body, origin } => {
+            Message::Ran { attempt, ending, crowd, mut body, origin } => {
+                // What did not succeed ends as the worker says, at worst without its text.
+                if body.len() > self.largest_body {
+                    body = Vec::new();
+                }
                 let number = self.complete(event_loop, connection, attempt);
                 Some(Input::AttemptEnded(number, AttemptEnd::Answered(ending, crowd), body, origin))
             }
