--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -179,7 +179,7 @@
 
     /// Right before the hub writes, cancels whatever may no longer be sent to its host. Replacement attempts
     /// of the decision module are checked too, so this repeats until nothing is canceled; attempts per call
-    /// are limited, so it ends.
+    /// are limited, and after an order that was not sent its host gets no other one at once, so it ends.
     fn recheck_unsent_items(&mut self) {
         loop {
             let now = self.hub.clock().now();
