--- a/crates/carriers/src/lib.rs
+++ b/crates/carriers/src/lib.rs
@@ -225,6 +225,14 @@
         withdrawn
     }
 
+    /// Frees the place of an attempt or order that nothing waits for any more, and withdraws it if no byte of it
+    /// was sent.
+    pub fn abandon(&mut self, hub: &mut EventLoop, number: u64) {
+        if !self.cancel_if_unsent(hub, number) {
+            self.complete(hub, number);
+        }
+    }
+
     /// Withdraws all attempts and orders for a worker of which no byte was sent, and returns how they ended.
     pub fn withdraw_all(&mut self, hub: &mut EventLoop, worker: &WorkerId) -> Vec<Input> {
         let to_worker = self.by_worker.get(worker).cloned().unwrap_or_default();
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cresswheel_protocol::{Decoder, Ending, FunctionProfile, Limits, Message, encode};
 use cresswheel_rehearsal::{Client, Process};
@@ -145,6 +145,15 @@
     }
 }
 
+/// Waits for something; what takes as long as `PATIENCE` is a failure.
+pub fn until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !is_so() {
+        assert!(Instant::now() < end, "{what} never came about");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// A listener for a worker simulated by the test.
 pub fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/cli/tests/connections.rs
+++ b/crates/cli/tests/connections.rs
@@ -39,15 +39,6 @@
     }
 }
 
-/// Waits for something; what takes as long as `PATIENCE` is a failure.
-fn until(what: &str, mut so: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
-    while !so() {
-        assert!(Instant::now() < end, "{what} never came about");
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
 /// A metric with labels, 0 if it is not there.
 fn count(bed: &Bed, name: &str) -> f64 {
     let page = bed.page("/metrics");
--- a/crates/cli/tests/gateway_crossings.rs
+++ b/crates/cli/tests/gateway_crossings.rs
@@ -13,7 +13,7 @@
 use std::process::{Command, Stdio};
 use std::time::Duration;
 
-use common::{Bed, EXE, PATIENCE, Played, call, good_worker, listener, nobody, settings};
+use common::{Bed, EXE, PATIENCE, Played, call, good_worker, listener, nobody, settings, until};
 use cresswheel_protocol::{Ending, ListedWorker, MemberState, Message, encode};
 use gateway_peers::*;
 
--- a/crates/cli/tests/gateway_peers/mod.rs
+++ b/crates/cli/tests/gateway_peers/mod.rs
@@ -9,7 +9,7 @@
 
 use cresswheel_protocol::{Decoder, Ending, Limits, Message, Role, encode};
 
-use crate::common::{Bed, EXE, PATIENCE, call, settings};
+use crate::common::{Bed, EXE, PATIENCE, call, settings, until};
 
 /// A gateway of which a call for a function that is loaded nowhere waits for a load.
 pub fn gateway_that_loads_first(workers: &[SocketAddr], more: &str, limits: &str) -> Bed {
@@ -76,15 +76,6 @@
     until(&format!("{words:?} {times} times in the log"), || bed.log().matches(words).count() >= times);
 }
 
-/// Waits for something; what takes as long as `PATIENCE` is a failure.
-pub fn until(what: &str, mut is_so: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
-    while !is_so() {
-        assert!(Instant::now() < end, "{what} never came about");
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
 /// A client of the main protocol whose socket the test handles itself.
 pub struct FrameClient {
     pub socket: TcpStream,
--- a/crates/cli/tests/largest_bodies.rs
+++ b/crates/cli/tests/largest_bodies.rs
@@ -77,35 +77,10 @@
 /// Status, reason and length of the body of the answer to a call of the main protocol.
 fn call_over_frames(bed: &Bed, function: &str, body: Vec<u8>) -> (String, String, usize) {
     let mut client = bed.client();
-    let Message::Call {
-        number,
-        deferred,
-        function,
-        class,
-        tenant,
-        key,
-        trace,
-        time_left,
-        shape,
-        account,
-        ..
-    } = call(1, "check", function, 5_000)
-    else {
-        unreachable!("a call")
-    };
-    let sized = Message::Call {
-        number,
-        deferred,
-        function,
-        class,
-        tenant,
-        key,
-        trace,
-        time_left,
-        shape,
-        body,
-        account,
-    };
+    let mut sized = call(1, "check", function, 5_000);
+    if let Message::Call { body: default_body, .. } = &mut sized {
+        *default_body = body;
+    }
     client.send(&sized).unwrap();
     match client.receive_within(PATIENCE).unwrap() {
         Message::Answer { status, reason, body, .. } => (status.as_str().into(), reason, body.len()),
@@ -127,7 +102,7 @@
         socket.write_all(request.as_bytes()).unwrap();
         http_clients.push(socket);
     }
-    while bed.metric("cresswheel_open_attempts") < 2.0 * CALLS_IN_FLIGHT as f64 {}
+    until("all calls in flight", || bed.metric("cresswheel_open_attempts") >= 2.0 * CALLS_IN_FLIGHT as f64);
     calls(&bed);
     assert_eq!(call_over_frames(&bed, "release", Vec::new()).0, "served");
     for _ in 0..CALLS_IN_FLIGHT {
--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -136,9 +136,7 @@
 
     /// Frees the place of an order that nothing waits for any more.
     pub fn abandon_order(&mut self, event_loop: &mut EventLoop, order: u64) {
-        if !self.pool.cancel_if_unsent(event_loop, order) {
-            self.pool.complete(event_loop, order);
-        }
+        self.pool.abandon(event_loop, order);
     }
 
     /// Asks the worker to cancel an attempt.
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -277,9 +277,7 @@
 
     /// Frees the place of an order that nothing waits for any more. Its late answer is ignored.
     pub fn abandon_order(&mut self, hub: &mut EventLoop, order: u64) {
-        if !self.carriers.cancel_if_unsent(hub, order) {
-            self.carriers.complete(hub, order);
-        }
+        self.carriers.abandon(hub, order);
         self.discard(order);
     }
 
--- a/crates/platform/src/hosts/tests.rs
+++ b/crates/platform/src/hosts/tests.rs
@@ -135,18 +135,28 @@
     assert!(matches!(hosts.receive(&mut hub, own, &answer)[..], [Input::OrderEnded(1, ..)]));
 }
 
-/// Guards against blame for a lack of room on this side: an order that no connection has room for was not
-/// sent, and says nothing about its host.
-#[test]
-fn an_order_without_room_on_a_connection_ends_as_not_sent() {
+fn order(number: u64) -> Order {
+    Order { worker: "h".into(), number, function: "7f3a9c21e0b4d655".into(), count: 1 }
+}
+
+/// A host table whose only connection carries as many orders as it may, numbered from 0. The listener accepts
+/// nothing, so the connection isn't established.
+fn hosts_full_of_orders() -> (TcpListener, EventLoop, Hosts) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
     let mut hosts = hosts(1);
-    let order = |number| Order { worker: "h".into(), number, function: "7f3a9c21e0b4d655".into(), count: 1 };
     hosts.apply_list(&mut hub, &[host(&listener, MemberState::Active)]);
     for number in 0..10 {
         assert!(hosts.prewarm(&mut hub, &order(number)).is_none());
     }
+    (listener, hub, hosts)
+}
+
+/// Guards against blame for a lack of room on this side: an order that no connection has room for was not
+/// sent, and says nothing about its host.
+#[test]
+fn an_order_without_room_on_a_connection_ends_as_not_sent() {
+    let (_listener, mut hub, mut hosts) = hosts_full_of_orders();
     let ended = hosts.prewarm(&mut hub, &order(10));
     assert!(matches!(ended, Some(Input::OrderEnded(10, OrderEnd::NotSent, 0))), "{ended:?}");
     // A host that is not listed can't be reached.
@@ -159,14 +169,7 @@
 /// its time is over.
 #[test]
 fn an_order_that_timed_out_gives_its_place_back() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
-    let mut hosts = hosts(1);
-    let order = |number| Order { worker: "h".into(), number, function: "7f3a9c21e0b4d655".into(), count: 1 };
-    hosts.apply_list(&mut hub, &[host(&listener, MemberState::Active)]);
-    for number in 0..10 {
-        assert!(hosts.prewarm(&mut hub, &order(number)).is_none());
-    }
+    let (_listener, mut hub, mut hosts) = hosts_full_of_orders();
     hosts.abandon_order(&mut hub, 3);
     assert!(hosts.prewarm(&mut hub, &order(10)).is_none(), "a place is free");
     assert!(hosts.prewarm(&mut hub, &order(11)).is_some(), "one place is free");
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -320,7 +320,7 @@
                 worker.slow_start =
                     SlowStart { since: self.now, seed: self.rng.next_u64(), ..SlowStart::default() };
                 worker.order_slots = OrderSlots::default();
-                self.clear_placements(index);
+                self.update_placements(index, Placement::clear);
             }
             if self.workers[index].list_entry.state != entry.state {
                 changed.insert(index);
@@ -335,18 +335,10 @@
         self.dispatch_all_waiting();
     }
 
-    /// Discards what was known of loaded instances and of capacity at a worker, as its process is new.
-    fn clear_placements(&mut self, worker: WorkerIndex) {
+    /// Changes what is known of each function at a worker.
+    fn update_placements(&mut self, worker: WorkerIndex, change: fn(&mut Placement)) {
         for function in &self.workers[worker].functions {
-            self.functions[*function].placements.entry(worker).or_default().clear();
-        }
-    }
-
-    /// Discards what was known of loaded instances at a worker that could not be reached. Functions that were
-    /// to stay away from it for a while still do.
-    fn forget_instances(&mut self, worker: WorkerIndex) {
-        for function in &self.workers[worker].functions {
-            self.functions[*function].placements.entry(worker).or_default().forget_instances();
+            change(self.functions[*function].placements.entry(worker).or_default());
         }
     }
 
@@ -951,7 +943,7 @@
                 self.record_worker_failure(worker_index, class, attempt.sent_at, 1.0)
             }
             Outcome::ConnectFailed => {
-                self.clear_placements(worker_index);
+                self.update_placements(worker_index, Placement::clear);
                 self.record_worker_failure(worker_index, class, attempt.sent_at, SUSPECT_SCORE);
             }
             // Without an instance known to be loaded, the worker lacks the capacity to load one; with one,
@@ -1231,7 +1223,7 @@
             // Without a pause, an order that fails at once would be repeated at the rate of its answers.
             Outcome::Error => placement.no_capacity_until = self.now + self.min_objective * 2,
             Outcome::ConnectFailed => {
-                self.forget_instances(worker_index);
+                self.update_placements(worker_index, Placement::forget_instances);
                 self.functions[function_index]
                     .placements
                     .entry(worker_index)
--- a/src/state.rs
+++ b/src/state.rs
@@ -282,13 +282,13 @@
 }
 
 impl Placement {
-    /// Discards what was known of loaded instances and of capacity.
+    /// Discards what was known of loaded instances and of capacity, as the worker's process may be a new one.
     pub fn clear(&mut self) {
         self.forget_instances();
         self.no_capacity_until = 0;
     }
 
-    /// Discards what was known of loaded instances.
+    /// Discards what was known of loaded instances. A pause for lack of capacity stays.
     pub fn forget_instances(&mut self) {
         (self.loaded_seen_at, self.loaded_instances) = (None, 0);
     }
