--- a/review/common-2/kit.py
+++ b/review/common-2/kit.py
@@ -590,3 +590,62 @@
         return int(head[0].split()[1]), headers, await reader.readexactly(int(headers.get("content-length", 0)))
     except (asyncio.IncompleteReadError, ConnectionError):
         return None
+
+
+class ListService:
+    """A worker list on the main protocol: whoever follows it gets the whole list, then its changes."""
+
+    def __init__(self, name, record, version, entries):
+        self.name, self.record, self.version, self.entries = name, record, version, dict(entries)
+        self.followers = set()
+        self.told = {}
+
+    async def open(self, port=0):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    def message(self, whole, ids):
+        out = struct.pack(">BQI", whole, self.version, len(ids))
+        for ident in ids:
+            port, zone, standing, started = self.entries[ident]
+            out += name16(ident) + name16("127.0.0.1:%d" % port) + name16(zone) + name16("std")
+            out += struct.pack(">QBQ", 0, standing, started)
+        return main_frame(31, out)
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                length, _, kind = struct.unpack(">IBB", await reader.readexactly(6))
+                await reader.readexactly(length - 2)
+                if kind == 30:
+                    self.followers.add(writer)
+                    self.send(writer, True, list(self.entries))
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.followers.discard(writer)
+            writer.close()
+
+    def send(self, writer, whole, ids):
+        if writer.is_closing():
+            return
+        writer.write(self.message(whole, ids))
+        words = ", ".join("%s %s" % (i, ("in service", "draining", "out")[self.entries[i][2]]) for i in ids)
+        self.record.say("list service %s tells %s, version %d: %s" % (
+            self.name, "the whole list" if whole else "a change", self.version, words))
+        for ident in ids:
+            self.told.setdefault((ident, self.entries[ident][2]), now())
+
+    def change(self, ident, standing):
+        port, zone, _, started = self.entries[ident]
+        self.version += 1
+        self.entries[ident] = (port, zone, standing, started)
+        for writer in list(self.followers):
+            self.send(writer, False, [ident])
+
+    def close(self):
+        self.record.say("list service %s ends" % self.name)
+        self.server.close()
+        for writer in list(self.followers):
+            writer.transport.abort()
