--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A list service tells that a worker drains, and ends. The next service in the settings is some seconds behind."""
+"""Estimates are asked over HTTP, some with a length that is not digits alone. Their bodies are notes that quote a request."""
 
 import os
 import sys
@@ -8,62 +8,59 @@
 from kit import *
 from settings import script
 
-GRACE = 1.0   # settings: drain_grace, by default and here s(1); BRIEF 8.1: 'later than 1 s after the gateway was told'
-SLACK = 0.05
-BEHIND = 3.0  # BRIEF 6.1: 'pushes changes to every gateway, seconds late'
-RATE = 40
+# Each is a length, or a transfer coding, with one byte behind it that no length or coding has. 0xa0 is a no-break space in Latin-1.
+FAULTS = [b"Content-Length: %d\xa0", b"Content-Length: %d\xb2", b"Transfer-Encoding: chunked\xa0"]
+
+
+def body(number):
+    """A tenant's note, sent as the body of an estimate: it quotes how a payment is posted."""
+    inner = b"100 to account %d" % number
+    return http_request("POST", "/v1/functions/rent-account/invoke",
+                        [("X-Class", "payment-post"), ("X-Trace", "quoted-%d" % number)], inner)
 
 
 async def case(record):
-    late = Lateness()
-    watch = asyncio.ensure_future(late.watch())
-    workers = [await Worker(record).open() for _ in range(4)]
-    entries = {"w-%d" % i: (w.port, "block-a", 0, 0) for i, w in enumerate(workers)}
-    first = await ListService("A", record, 7, entries).open()
-    second = await ListService("B", record, 7, entries).open()
-    lists = ', list = ["127.0.0.1:%d", "127.0.0.1:%d"]' % (first.port, second.port)
-    gateway = MainGateway(script([], gateway=lists), record)
+    workers = [await Worker(record).open() for _ in range(2)]
+    gateway = MainGateway(script([w.port for w in workers]), record)
     gateway.start()
     host, port = gateway.at["http"].split(":")
-    for _ in range(100):
-        if first.followers:
-            break
-        await asyncio.sleep(0.05)
-    else:
-        raise CannotRun("the gateway follows no list")
-    stop, answers = [], []
-
-    async def load():
+    broken, served, refused, sent_bodies = [], 0, 0, set()
+    for number in range(12):
+        note = body(number)
+        sent_bodies.add(note)
+        fault = FAULTS[number % len(FAULTS)] if TROUBLE else b"Content-Length: %d"
+        fault = fault % len(note) if b"%d" in fault else fault
+        head = http_request("POST", "/v1/functions/estimate/invoke", [("X-Class", "charge-estimate")], length=False)
         reader, writer = await asyncio.open_connection(host, int(port))
-        while not stop:
-            writer.write(http_request("POST", "/v1/functions/balance-%d/invoke" % random.randrange(40),
-                                      [("X-Class", "balance-check")], b"x"))
-            answer = await asyncio.wait_for(http_response(reader), 10)
-            answers.append(answer and answer[0])
-            await asyncio.sleep(1 / RATE)
-
-    loading = asyncio.ensure_future(load())
-    await asyncio.sleep(3)
-    drains = max(range(len(workers)), key=lambda i: len(workers[i].runs))
-    ident = "w-%d" % drains
-    first.change(ident, 1)
-    told = first.told[(ident, 1)]
-    await asyncio.sleep(1.5)
-    if TROUBLE:
-        first.close()
-    await asyncio.sleep(told + BEHIND - now())
-    second.change(ident, 1)
-    await asyncio.sleep(2)
-    stop.append(True)
-    await loading
-    watch.cancel()
+        writer.write(head[:-2] + fault + b"\r\n\r\n" + note)
+        record.say("client: an estimate with the line %r and a body of %d bytes" % (fault, len(note)))
+        statuses = []
+        while True:
+            try:
+                response = await asyncio.wait_for(http_response(reader), 1)
+            except asyncio.TimeoutError:
+                record.say("client: the connection is still open")
+                break
+            if response is None:
+                record.say("client: closed")
+                break
+            statuses.append(response[0])
+            record.say("client: answer %d %r %r" % (response[0], response[1], response[2][:60]))
+        writer.close()
+        served += statuses[:1] == [200]
+        refused += bool(statuses) and statuses[0] >= 400
+    await asyncio.sleep(0.5)
     if not gateway.alive():
         raise CannotRun("the gateway ended")
-    after = [r for r in workers[drains].runs if r["at"] > told]
-    record.say("%s drains, told at %.3f; %d calls answered; %d sent to it after it was told; own lateness %.3f s" % (
-        ident, told - record.start, len(answers), len(after), late.most))
-    return ["%s of %s was sent to %s %.3f s after the gateway was told that it drains" % (
-        r["function"], r["class"], ident, r["at"] - told) for r in after if r["at"] - told > GRACE + SLACK + late.most]
+    for run in [r for w in workers for r in w.runs]:
+        if run["class"] != "charge-estimate" or run["function"] != "estimate":
+            broken.append("a worker ran %s (%s) with %r, which no client asked for" % (
+                run["function"], run["class"], run["body"]))
+        elif run["body"] not in sent_bodies:
+            broken.append("a worker ran an estimate with the body %r, which no client sent" % run["body"][:40])
+    record.say("12 estimates: %d served, %d refused; %d runs at the workers" % (
+        served, refused, sum(len(w.runs) for w in workers)))
+    return broken
 
 
 main(case, FOLDER)
