HTTP: refuse lengths, codings and call headers that are not text

Cause: Decoder::read_head went on to the next header when a value was not UTF-8, before it looked which header it was. A skipped length is a length of 0. Values were also trimmed of Unicode whitespace, so a length with a no-break space in UTF-8 was taken as a number.

Change: values are kept as bytes, and framing headers are compared as bytes, so no value is exempt from the checks. Request::header returns an error for a value that is not text, so a reader can't take it as absent; a call with such a header gets 400. Only spaces and tabs are trimmed. Why it works: no code path is left on which a header is passed over before its name was looked at.

--- a/crates/cli/tests/protocols.rs
+++ b/crates/cli/tests/protocols.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
 use common::*;
@@ -71,6 +72,59 @@
     assert!(response(&mut socket).0.starts_with("HTTP/1.1 200"));
 }
 
+/// A worker that serves everything at once, and the traces of what it runs.
+fn recording_worker() -> (SocketAddr, Receiver<String>) {
+    let (listener, at) = listener();
+    let (record, runs) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        loop {
+            let mut worker = Played::accept(&listener);
+            let record = record.clone();
+            std::thread::spawn(move || {
+                loop {
+                    let (attempt, trace, _) = worker.run();
+                    record.send(trace).unwrap();
+                    worker.ran(attempt, Ending::Ok);
+                }
+            });
+        }
+    });
+    (at, runs)
+}
+
+/// Guards against the body of a request with an unreadable length being run as a call of its own, and against a
+/// call that runs without the idempotency key that its client sent.
+#[test]
+fn a_request_with_an_unreadable_header_runs_nothing() {
+    for holders in [0, 1] {
+        let (at, runs) = recording_worker();
+        let bed = Bed::with(&[at], &format!("holders = {holders}"), "");
+        let hidden = invoke("x-class: post\r\nx-trace: hidden\r\n", "pay");
+        let start =
+            b"POST /v1/functions/f/invoke HTTP/1.1\r\nhost: x\r\nx-class: check\r\nx-trace: outer\r\n";
+        let length = format!("content-length: {}", hidden.len());
+        let framing = [
+            ([length.as_bytes(), b"\xa0"].concat(), "400"),
+            ([length.as_bytes(), b"\xc2\xa0"].concat(), "400"),
+            (b"transfer-encoding: chunked\xa0".to_vec(), "501"),
+        ];
+        for (line, status) in framing {
+            let mut socket = bed.http();
+            socket.write_all(&[start, &line[..], b"\r\n\r\n", hidden.as_bytes()].concat()).unwrap();
+            assert_eq!(&response(&mut socket).0[9..12], status, "{line:?}, {holders} holders");
+            assert_eq!(socket.read(&mut [0; 100]).unwrap(), 0, "the connection is closed");
+        }
+        let mut socket = bed.http();
+        let key = b"idempotency-key: d\xe9cembre-4711\r\ncontent-length: 0\r\n\r\n";
+        socket.write_all(&[start, &key[..]].concat()).unwrap();
+        assert_eq!(&response(&mut socket).0[9..12], "400", "{holders} holders");
+        // The connection is still usable, and no call but this one has reached the worker.
+        socket.write_all(invoke("x-class: post\r\nx-trace: good\r\n", "pay").as_bytes()).unwrap();
+        assert_eq!(&response(&mut socket).0[9..12], "200");
+        assert_eq!(runs.try_iter().collect::<Vec<_>>(), ["good"], "{holders} holders");
+    }
+}
+
 #[test]
 fn what_http_clients_get_wrong_is_said_and_closed() {
     let bed = Bed::new(&[good_worker()]);
--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -1,6 +1,6 @@
 //! Converts HTTP requests to messages and answers to HTTP responses. `docs/PROTOCOL.md` has the table.
 
-use cresswheel_protocol::http::{Request, respond};
+use cresswheel_protocol::http::{HeaderError, Request, respond};
 use cresswheel_protocol::{FunctionProfile, Message, Micros, Origin, Status};
 
 /// A parsed HTTP request.
@@ -52,21 +52,19 @@
     }
 }
 
+/// Parses the headers of a call. One that cannot be read is an error, never taken as absent: a call without its
+/// key, deadline or account is another call.
 fn parse_call(name: &str, request: Request, number: u64) -> Result<ParsedRequest, String> {
-    let text = |header: &str| request.header(header).unwrap_or("").to_owned();
-    let number_of = |header: &str| match request.header(header) {
+    let value = |header: &str| request.header(header).map_err(|error| error.to_string());
+    let text = |header: &str| value(header).map(|text| text.unwrap_or("").to_owned());
+    let number_of = |header: &str| match value(header)? {
         None => Ok(0u64),
         Some(value) => value.parse::<u64>().map_err(|_| format!("{header}: not a number: {value}")),
     };
     let small_number = |header: &str| number_of(header).map(|value| u32::try_from(value).unwrap_or(u32::MAX));
     let ms = |header: &str| number_of(header).map(|ms| ms.saturating_mul(1_000));
     let function = percent_decoded(name).ok_or("function: bad escape")?;
-    let deferred = request
-        .headers
-        .iter()
-        .filter(|(name, _)| name == "prefer")
-        .flat_map(|(_, value)| value.split([',', ';']))
-        .any(|preference| preference.trim().eq_ignore_ascii_case("respond-async"));
+    let deferred = wants_deferral(&request).map_err(|error| error.to_string())?;
     let shape = FunctionProfile {
         memory_mb: small_number("x-function-memory-mb")?,
         lanes: small_number("x-function-lanes")?,
@@ -77,17 +75,28 @@
         number,
         deferred,
         function,
-        class: text("x-class"),
-        tenant: text("x-tenant"),
-        key: text("idempotency-key"),
-        trace: text("x-trace"),
+        class: text("x-class")?,
+        tenant: text("x-tenant")?,
+        key: text("idempotency-key")?,
+        trace: text("x-trace")?,
         time_left: ms("x-deadline-ms")?,
         shape,
-        account: request.header("x-account").map(str::to_owned),
+        account: value("x-account")?.map(str::to_owned),
         body: request.body,
     }))
 }
 
+/// Whether the client prefers an asynchronous response, see RFC 7240.
+fn wants_deferral(request: &Request) -> Result<bool, HeaderError> {
+    for preferences in request.header_lines("prefer") {
+        let mut preferences = preferences?.split([',', ';']).map(|text| text.trim_matches([' ', '\t']));
+        if preferences.any(|preference| preference.eq_ignore_ascii_case("respond-async")) {
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
+
 fn percent_decoded(text: &str) -> Option<String> {
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::with_capacity(bytes.len()), 0);
--- a/crates/clients/src/http/tests.rs
+++ b/crates/clients/src/http/tests.rs
@@ -1,7 +1,14 @@
 use super::*;
 
+use cresswheel_protocol::http::Header;
+
 fn request(method: &str, target: &str, headers: &[(&str, &str)]) -> Request {
-    let headers = headers.iter().map(|(n, v)| ((*n).into(), (*v).into())).collect();
+    let lines: Vec<_> = headers.iter().map(|(name, value)| (*name, value.as_bytes())).collect();
+    request_of_bytes(method, target, &lines)
+}
+
+fn request_of_bytes(method: &str, target: &str, headers: &[(&str, &[u8])]) -> Request {
+    let headers = headers.iter().map(|(n, v)| Header { name: (*n).into(), value: v.to_vec() }).collect();
     Request { method: method.into(), target: target.into(), headers, ..Request::default() }
 }
 
@@ -42,3 +49,30 @@
         ParsedRequest::Message(awaits)
     );
 }
+
+/// Guards against a call that runs without a header that its client sent: a payment without its key is not
+/// recognized when it is repeated.
+#[test]
+fn a_call_with_a_header_that_is_not_text_is_invalid() {
+    let read = [
+        "x-class",
+        "x-tenant",
+        "x-account",
+        "x-deadline-ms",
+        "idempotency-key",
+        "x-trace",
+        "prefer",
+        "x-function-memory-mb",
+        "x-function-lanes",
+        "x-function-load-ms",
+        "x-function-work-ms",
+    ];
+    for name in read {
+        let headers: [(&str, &[u8]); 1] = [(name, b"d\xe9cembre-4711")];
+        let parsed = parse_request(request_of_bytes("POST", "/v1/functions/f/invoke", &headers), 0);
+        assert_eq!(parsed, ParsedRequest::Invalid(400, format!("{name}: not UTF-8")));
+    }
+    let other: [(&str, &[u8]); 2] = [("user-agent", b"\xe9"), ("x-class", b"post")];
+    let parsed = parse_request(request_of_bytes("POST", "/v1/functions/f/invoke", &other), 0);
+    assert!(matches!(parsed, ParsedRequest::Message(_)), "{parsed:?}");
+}
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -29,18 +29,47 @@
     pub method: String,
     /// Path and query as received.
     pub target: String,
-    /// Names in lower case, trimmed values; headers with values that are not UTF-8 are left out.
-    pub headers: Vec<(String, String)>,
+    /// The header lines in order.
+    pub headers: Vec<Header>,
     /// The body, chunks joined.
     pub body: Vec<u8>,
     /// Whether the connection stays open after the response.
     pub keep_alive: bool,
 }
 
+/// A header line. Its value is kept as received, because headers that the gateway does not read may have any
+/// bytes; [`Request::header`] reports a value that is not text as an error.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Header {
+    /// The name in lower case.
+    pub name: String,
+    /// The value without the spaces and tabs around it.
+    pub value: Vec<u8>,
+}
+
+impl Header {
+    fn text(&self) -> Result<&str, HeaderError> {
+        std::str::from_utf8(&self.value).map_err(|_| HeaderError::NotText(self.name.clone()))
+    }
+}
+
+/// Why the value of a header that the gateway reads is not usable.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HeaderError {
+    /// The value is not UTF-8.
+    #[error("{0}: not UTF-8")]
+    NotText(String),
+}
+
 impl Request {
-    /// The value of the first header with this name (in lower case).
-    pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.trim())
+    /// The value of the first header with this name (in lower case); `None`: there is none.
+    pub fn header(&self, name: &str) -> Result<Option<&str>, HeaderError> {
+        self.header_lines(name).next().transpose()
+    }
+
+    /// The values of all headers with this name (in lower case).
+    pub fn header_lines(&self, name: &str) -> impl Iterator<Item = Result<&str, HeaderError>> {
+        self.headers.iter().filter(move |header| header.name == name).map(Header::text)
     }
 }
 
@@ -240,45 +269,41 @@
         };
         let (mut content_length, mut chunked) = (None, false);
         for line in head.headers.iter() {
-            let Ok(value) = std::str::from_utf8(line.value) else { continue };
             let name = line.name.to_ascii_lowercase();
-            let value = value.trim();
+            let value = trim_whitespace(line.value);
+            // Each value is compared as bytes, so that one that is not text is no exception to these checks.
             match name.as_str() {
                 "content-length" => {
-                    // Only digits: other implementations disagree about `+5` and `5, 5`.
-                    if value.is_empty() || !value.bytes().all(|b| b.is_ascii_digit()) {
-                        return reject(400, "content-length is not a number");
-                    }
-                    let value = value.parse::<usize>().or(reject(413, "body too long"))?;
+                    let value = parse_content_length(value)?;
                     if content_length.is_some_and(|before| before != value) {
                         return reject(400, "two lengths that differ");
                     }
                     content_length = Some(value);
                 }
                 "transfer-encoding" => {
-                    if chunked || !value.eq_ignore_ascii_case("chunked") {
+                    if chunked || !value.eq_ignore_ascii_case(b"chunked") {
                         return reject(501, "transfer-encoding: chunked only, once");
                     }
                     chunked = true;
                 }
                 "connection" => {
-                    for word in value.split(',').map(str::trim) {
-                        if word.eq_ignore_ascii_case("close") {
-                            request.keep_alive = false;
-                        }
+                    let mut options = value.split(|byte| *byte == b',').map(trim_whitespace);
+                    if options.any(|option| option.eq_ignore_ascii_case(b"close")) {
+                        request.keep_alive = false;
                     }
                 }
                 "expect" => {
-                    if !value.eq_ignore_ascii_case("100-continue") {
+                    if !value.eq_ignore_ascii_case(b"100-continue") {
                         return reject(417, "expect: 100-continue only");
                     }
                     self.continue_expected = true;
                 }
+                "host" if std::str::from_utf8(value).is_err() => return reject(400, "host is not UTF-8"),
                 _ => {}
             }
-            request.headers.push((name, value.into()));
+            request.headers.push(Header { name, value: value.into() });
         }
-        if head.version == Some(1) && request.header("host").is_none() {
+        if head.version == Some(1) && request.header_lines("host").next().is_none() {
             return reject(400, "no host header");
         }
         if chunked && (content_length.is_some() || head.version == Some(0)) {
@@ -298,6 +323,24 @@
     }
 }
 
+/// The value without the whitespace that may surround it: spaces and tabs, see RFC 9110, section 5.6.3. Other
+/// implementations do not take anything else for whitespace.
+fn trim_whitespace(value: &[u8]) -> &[u8] {
+    let is_content = |byte: &u8| !matches!(byte, b' ' | b'\t');
+    let Some(start) = value.iter().position(is_content) else { return &[] };
+    let end = value.iter().rposition(is_content).map_or(start, |last| last + 1);
+    &value[start..end]
+}
+
+/// Accepts digits only: other implementations disagree about `+5` and `5, 5`.
+fn parse_content_length(value: &[u8]) -> Result<usize, HttpError> {
+    if value.is_empty() || !value.iter().all(u8::is_ascii_digit) {
+        return reject(400, "content-length is not a number");
+    }
+    let number = std::str::from_utf8(value).ok().and_then(|digits| digits.parse().ok());
+    number.map_or_else(|| reject(413, "body too long"), Ok)
+}
+
 fn chunk_size(line: &[u8]) -> Result<usize, HttpError> {
     let digits = line.split(|b| *b == b';').next().unwrap_or(&[]);
     let text = std::str::from_utf8(digits).unwrap_or("").trim_end_matches([' ', '\t']);
--- a/crates/protocol/tests/http.rs
+++ b/crates/protocol/tests/http.rs
@@ -37,7 +37,7 @@
         let read = requests(PIPELINED, cut);
         assert_eq!(read.len(), 3, "pieces of {cut}");
         assert_eq!((read[0].target.as_str(), read[0].body.as_slice()), ("/a", b"hello".as_slice()));
-        assert_eq!(read[1].header("x-tenant"), Some("t"));
+        assert_eq!(read[1].header("x-tenant"), Ok(Some("t")));
         assert_eq!((read[0].keep_alive, read[1].keep_alive), (true, false));
         assert_eq!(read[2].body, b"abc0123456789");
     }
@@ -85,6 +85,49 @@
     }
 }
 
+/// Guards against a length or coding that is skipped because it is not text: the body would be read as a request.
+#[test]
+fn a_length_or_coding_with_any_other_byte_is_rejected() {
+    let body = "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n";
+    let length = body.len().to_string();
+    let lines: [(&str, &[u8], u16); 2] =
+        [("Content-Length", length.as_bytes(), 400), ("Transfer-Encoding", b"chunked", 501)];
+    let mut added: Vec<Vec<u8>> = (0x80..=0xff).map(|byte| vec![byte]).collect();
+    // Text that is whitespace to Unicode and not to HTTP, and a digit that is not ASCII.
+    added.extend(["\u{a0}", "\u{85}", "\u{2003}", "\u{663}"].map(|text| text.as_bytes().to_vec()));
+    for (name, value, status) in lines {
+        for bytes in &added {
+            for value in [[value, bytes].concat(), [bytes, value].concat()] {
+                let start = format!("POST / HTTP/1.1\r\nHost: x\r\n{name}: ");
+                let whole = [start.as_bytes(), &value, b"\r\n\r\n", body.as_bytes()].concat();
+                for cut in [1, whole.len()] {
+                    let (read, error) = steps(&whole, cut);
+                    assert_eq!(error.map(|error| error.status), Some(status), "{name}: {value:?}");
+                    assert_eq!(read, [], "{name}: {value:?}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_connection_option_is_found_beside_one_that_is_not_text() {
+    let bytes = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: \xff, close\r\n\r\n";
+    assert!(!requests(bytes, bytes.len())[0].keep_alive);
+}
+
+/// Guards against a header that is taken as absent because it is not text.
+#[test]
+fn a_header_that_is_not_text_is_an_error_to_whoever_reads_it() {
+    let bytes = b"GET / HTTP/1.1\r\nHost: x\r\nUser-Agent: d\xe9\r\nX-Tenant: \t t\xc2\xa0 \r\n\r\n";
+    let request = &requests(bytes, bytes.len())[0];
+    assert_eq!(request.header("user-agent"), Err(HeaderError::NotText("user-agent".into())));
+    assert_eq!(request.header("x-tenant"), Ok(Some("t\u{a0}")), "only spaces and tabs are cut off");
+    assert_eq!(request.header("x-class"), Ok(None));
+    let (_, error) = steps(b"GET / HTTP/1.1\r\nHost: \xff\r\n\r\n", 100);
+    assert_eq!(error.map(|error| error.status), Some(400));
+}
+
 #[test]
 fn a_response_has_its_length_and_no_injected_line_ends() {
     let mut out = Vec::new();
@@ -104,4 +147,16 @@
         let pieces = steps(bytes.as_bytes(), cut);
         prop_assert_eq!(whole, pieces);
     }
+
+    #[test]
+    fn a_body_is_never_read_as_a_request(
+        value in proptest::collection::vec(any::<u8>().prop_filter("no line end", |b| !matches!(b, b'\r' | b'\n')), 0..4),
+        is_length in any::<bool>(),
+    ) {
+        let body = "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n";
+        let line = if is_length { format!("Content-Length: {}", body.len()) } else { "Transfer-Encoding: chunked".into() };
+        let whole = [b"POST / HTTP/1.1\r\nHost: x\r\n", line.as_bytes(), &value, b"\r\n\r\n", body.as_bytes()].concat();
+        let (read, _) = steps(&whole, whole.len());
+        prop_assert!(read.iter().all(|step| !matches!(step, Step::Request(r) if r.target == "/hidden")));
+    }
 }
