Platform: reject a directory answer with an unreadable start time

Change: such an answer is rejected like one with an unreadable cell, and the previous list stays. A missing start time still means 'long ago'.

Result: a_start_time_that_is_not_a_number_is_rejected failed before (the list was accepted with started = 0) and passes. By reading and this test alone: no directory that sends such a record is known.

--- a/crates/platform-wire/src/directory.rs
+++ b/crates/platform-wire/src/directory.rs
@@ -144,7 +144,10 @@
                 1 => MemberState::Draining,
                 _ => return Err(DirectoryError::InvalidRecord("SRV priority")),
             },
-            started: micros(value("started").and_then(|v| v.parse().ok()).unwrap_or(0)),
+            started: micros(match value("started") {
+                None => 0,
+                Some(text) => text.parse().map_err(|_| DirectoryError::InvalidRecord("TXT started"))?,
+            }),
         });
         if hosts.len() > MAX_HOSTS {
             return Err(DirectoryError::InvalidRecord("too many hosts"));
--- a/crates/platform-wire/tests/wire.rs
+++ b/crates/platform-wire/tests/wire.rs
@@ -237,6 +237,17 @@
     message
 }
 
+/// Guards against a new host that is taken for one that has run for long, and so is not spared as a cold one.
+#[test]
+fn a_start_time_that_is_not_a_number_is_rejected() {
+    for value in [&b"x"[..], b"-", b"\xff"] {
+        let mut bytes = listing(41).to_vec().unwrap();
+        let at = bytes.windows(9).position(|part| part == b"started=7").unwrap() + 8;
+        bytes[at..at + 1].copy_from_slice(value);
+        assert_eq!(directory::decode_answer(&bytes), Err(DirectoryError::InvalidRecord("TXT started")));
+    }
+}
+
 #[test]
 fn a_directory_answer_is_decoded_completely_or_rejected() {
     let bytes = listing(41).to_vec().unwrap();
