Back-pressure for acceptor processes; close no peer that reads for its backlog

Cause: EventLoop::write closed any connection whose output exceeded out_buffer as one that does not read, by the size of the backlog alone (log: acceptor process exited, why=too much waits to be written). On a connection that the gateway opened, the messages of many calls wait; their size says nothing about the peer. A worker's connection has the same fault: 24 calls with bodies of 4 MB at one worker that reads, with out_buffer = mb(8), got 503. Nothing made workers wait either.

Change: a connection that this side opened is closed at the limit only if its peer takes nothing for 1 s; one to a process of ours has no limit in the transport. While more than 4 MiB waits for an acceptor process, its requests and all workers' answers stay in the kernel. A process that takes nothing for 50 ms makes nobody wait (up to 4 x out_buffer), and is ended after 1 s with more than out_buffer waiting. The output buffer no longer moves its whole rest after every 256 KiB. Metric: holder_congestions_total. Why it works: whether a peer reads is now measured, not guessed from the backlog, and what waits is bounded at its source.

Failed: the first rule, to make workers wait for a stopped process up to out_buffer and beyond until it was ended, got calls at other processes refused; that is why they do not wait for it.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -179,6 +179,11 @@
         Self { socket, decoder: Decoder::new(Limits::default()) }
     }
 
+    /// The same connection once more, for another thread.
+    pub fn another(&self) -> Self {
+        Self { socket: self.socket.try_clone().unwrap(), decoder: Decoder::new(Limits::default()) }
+    }
+
     /// The next message; `None` if the gateway closed the connection.
     pub fn next(&mut self) -> Option<Message> {
         loop {
--- a/crates/cli/tests/gateway_peers/mod.rs
+++ b/crates/cli/tests/gateway_peers/mod.rs
@@ -1,5 +1,6 @@
 //! What the tests of crossings at `cresswheel gateway` share: a gateway that can be stopped and woken, clients on plain
 //! sockets of both wires, and workers of which each connection is played by the test.
+#![allow(dead_code)]
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -255,6 +255,7 @@
             }
             self.clients.tick(&mut self.event_loop);
             self.acceptors.tick(&mut self.event_loop);
+            self.acceptors.apply_backpressure(&mut self.event_loop, self.list_connection);
             self.run_timers(now);
         }
     }
@@ -577,6 +578,7 @@
             client_counts: std::iter::once(own).chain(self.acceptors.counts().cloned()).collect(),
             acceptors: self.acceptors.alive(),
             acceptor_restarts: self.acceptors.restarts,
+            acceptor_congestions: self.acceptors.congestions,
             rejected: self.rejected.clone(),
             waiting: self.intake.len(),
             intake_rate: self.intake.rate(),
--- a/crates/gateway/src/holders.rs
+++ b/crates/gateway/src/holders.rs
@@ -14,13 +14,23 @@
 use cresswheel_admission::ConnectionCounts;
 use cresswheel_clients::{ClientLimits, ClientRequest, answer_number, request_number, trunk};
 use cresswheel_protocol::{Message, Micros};
-use cresswheel_transport::{Connection, EventLoop, LoopEvent, Wire};
+use cresswheel_transport::{Connection, EventLoop, LoopEvent, PEER_STALL, Wire};
 
 /// Builds the command that runs an acceptor process; its standard input is set afterwards.
 pub type AcceptorCommand = Box<dyn Fn() -> io::Result<Command>>;
 
 /// An acceptor that ran for this long is restarted without a delay.
 const STABLE_AFTER: Micros = 10_000_000;
+/// Backlog of a trunk, in bytes, above which the gateway stops reading: one of the largest default frames.
+const CONGESTED_ABOVE: usize = 4 << 20;
+/// Backlog of a trunk, in bytes, below which it reads again.
+const CONGESTED_UNTIL: usize = 1 << 20;
+/// A process that takes nothing for this long does not make the rest of the gateway wait, until so many times the
+/// limit of output waits for it.
+const UNRESPONSIVE_AFTER: Micros = 50_000;
+const UNRESPONSIVE_LIMITS: usize = 4;
+/// How often a congested trunk is looked at while nothing happens.
+const CONGESTION_CHECK: Micros = 5_000;
 const MIN_RESTART_DELAY: Micros = 50_000;
 const MAX_RESTART_DELAY: Micros = 5_000_000;
 
@@ -29,6 +39,10 @@
     trunk: Connection,
     child: Child,
     started_at: Micros,
+    /// So much waits to be sent to it that the gateway reads no more for it.
+    congested: bool,
+    /// Reading its requests is paused.
+    paused: bool,
     /// Connection and arrival time of the next message on the trunk.
     next_message: Option<(Connection, Micros)>,
     /// The numbers of unanswered requests, by connection.
@@ -39,6 +53,26 @@
 }
 
 impl Acceptor {
+    /// Updates whether the process is congested. True: workers are to wait for it with their answers. It is closed
+    /// if it takes nothing for [`PEER_STALL`] while more than `max_output` waits for it.
+    fn check_congestion(&mut self, event_loop: &mut EventLoop, max_output: usize) -> bool {
+        let backlog = event_loop.backlog(self.trunk);
+        let stalled = event_loop.stalled_for(self.trunk);
+        self.congested = backlog > if self.congested { CONGESTED_UNTIL } else { CONGESTED_ABOVE };
+        if backlog > max_output && stalled >= PEER_STALL {
+            event_loop.close(self.trunk, "the acceptor process does not read");
+            return false;
+        }
+        let is_full = backlog > max_output.saturating_mul(UNRESPONSIVE_LIMITS);
+        self.congested && (stalled < UNRESPONSIVE_AFTER || is_full)
+    }
+
+    fn pause(&mut self, event_loop: &mut EventLoop, paused: bool) {
+        if std::mem::replace(&mut self.paused, paused) != paused {
+            event_loop.pause(self.trunk, paused);
+        }
+    }
+
     /// Removes a request that was answered or canceled.
     fn remove_unanswered(&mut self, connection: Connection, number: u64) {
         if let Some(unanswered) = self.unanswered.get_mut(&connection) {
@@ -91,6 +125,10 @@
     /// All calls are answered.
     finishing: bool,
     paused: bool,
+    /// Answers wait for a process, so that workers are not read.
+    congested: bool,
+    /// How often answers began to wait for a process.
+    pub congestions: u64,
     /// Processes started after an earlier one in their slot had exited, or after a start there had failed.
     pub restarts: u64,
 }
@@ -124,6 +162,8 @@
             draining: false,
             finishing: false,
             paused: false,
+            congested: false,
+            congestions: 0,
             restarts: 0,
         }
     }
@@ -209,13 +249,33 @@
         self.broadcast(event_loop, &Message::Leave {});
     }
 
-    /// Pauses or resumes reading requests.
+    /// Pauses or resumes reading requests. Requests of a congested process wait in any case, because each may
+    /// bring another answer.
     pub fn pause(&mut self, event_loop: &mut EventLoop, paused: bool) {
-        if std::mem::replace(&mut self.paused, paused) != paused {
-            self.running().for_each(|acceptor| event_loop.pause(acceptor.trunk, paused));
+        self.paused = paused;
+        for slot in &mut self.slots {
+            if let Slot::Running(acceptor) = slot {
+                acceptor.pause(event_loop, paused || acceptor.congested);
+            }
         }
     }
 
+    /// Makes workers wait with their answers, and processes with their requests, while more waits for a process
+    /// than it has taken. A trunk carries the answers of many clients, so it is not closed for its backlog.
+    pub fn apply_backpressure(&mut self, event_loop: &mut EventLoop, list: Option<Connection>) {
+        let max_output = self.terms.out;
+        let mut congested = false;
+        for slot in &mut self.slots {
+            if let Slot::Running(acceptor) = slot {
+                congested |= acceptor.check_congestion(event_loop, max_output);
+                acceptor.pause(event_loop, self.paused || acceptor.congested);
+            }
+        }
+        self.congestions += u64::from(congested && !self.congested);
+        self.congested = congested;
+        event_loop.hold_peers(congested, list);
+    }
+
     /// Called once all calls are answered: each process exits when its connections have ended.
     pub fn finish(&mut self, event_loop: &mut EventLoop) {
         self.finishing = true;
@@ -257,7 +317,6 @@
         let capacity_elsewhere = self.slots.len() > 1;
         let terms_message = self.terms_message(event_loop, capacity_elsewhere);
         event_loop.send(trunk, &terms_message, None);
-        event_loop.pause(trunk, self.paused);
         // Incarnations repeat after 65,535 starts; skip those of processes that still run.
         loop {
             self.last_incarnation = self.last_incarnation.wrapping_add(1).max(1);
@@ -270,6 +329,8 @@
             trunk,
             child,
             started_at: now,
+            congested: false,
+            paused: false,
             next_message: None,
             unanswered: BTreeMap::new(),
             counts,
@@ -283,7 +344,11 @@
             Slot::Vacant(at, _) if !self.draining => Some(*at),
             _ => None,
         });
-        starts.chain((!self.exited.is_empty()).then_some(now + MIN_RESTART_DELAY)).min()
+        let reaping = (!self.exited.is_empty()).then_some(now + MIN_RESTART_DELAY);
+        // A process that takes nothing causes no event.
+        let is_congested = self.running().any(|acceptor| acceptor.congested);
+        let congestion = is_congested.then_some(now + CONGESTION_CHECK);
+        starts.chain(reaping).chain(congestion).min()
     }
 
     fn slot_of(&self, trunk: Connection) -> Option<(u16, usize)> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     pub client_counts: Vec<ConnectionCounts>,
     pub acceptors: usize,
     pub acceptor_restarts: u64,
+    /// Times that workers waited because answers were waiting for an acceptor process.
+    pub acceptor_congestions: u64,
     /// Calls that the intake rejected, by class.
     pub rejected: Vec<u64>,
     pub waiting: usize,
@@ -83,6 +85,7 @@
         ("connections_asked_to_leave", "Connections asked to leave", total(|d| d.asked)),
         ("pings", "Pings sent to idle connections", total(|d| d.pings)),
         ("holder_restarts", "Holders of connections started again", gateway.acceptor_restarts),
+        ("holder_congestions", "Times that answers waited for a holder", gateway.acceptor_congestions),
     ];
     for (name, help, value) in counters {
         counter(name, help, vec![(Vec::new(), value)]);
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -13,9 +13,11 @@
 use slab::Slab;
 use socket2::Socket;
 
+mod backpressure;
 mod datagrams;
 mod listeners;
 
+pub use backpressure::PEER_STALL;
 pub use listeners::listener;
 use listeners::{ACCEPT_AT_ONCE, Listener};
 
@@ -46,7 +48,9 @@
     pub frame: Limits,
     /// Limits of HTTP requests.
     pub http: http::Limits,
-    /// Maximum output backlog of a connection, in bytes; beyond it the connection is closed.
+    /// Maximum output backlog of a connection, in bytes. Beyond it an accepted connection is closed, and one that
+    /// this side opened is closed if its peer has taken nothing for [`PEER_STALL`]. It does not apply to adopted
+    /// ones.
     pub max_output: usize,
     /// Maximum number of accepted connections; further ones are closed at once.
     pub accepted: usize,
@@ -109,6 +113,17 @@
     Signal(Signal),
 }
 
+/// How a connection came about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// Accepted by a listener.
+    Accepted,
+    /// Opened by this side.
+    Connected,
+    /// Adopted: the other end is a process of the same program.
+    Adopted,
+}
+
 enum Decode {
     Frames(Decoder),
     Http(http::Decoder),
@@ -121,6 +136,8 @@
     out: OutputBuffer,
     /// Deadline for the connection to be established, or for the peer to close it.
     deadline: Option<Micros>,
+    /// When the kernel last took output, or when output first waited since.
+    last_progress: Micros,
 }
 
 impl ActiveState {
@@ -139,7 +156,7 @@
     socket: Socket,
     serial: u32,
     wire: Wire,
-    accepted: bool,
+    origin: Origin,
     /// The connection is not established yet.
     connecting: bool,
     /// All output is written and the write side is shut down. The peer may still be writing and is read, so
@@ -148,6 +165,8 @@
     readable: bool,
     writable: bool,
     paused: bool,
+    /// It has input that is left unread until [`EventLoop::hold_peers`] ends.
+    held: bool,
     notify_flushed: bool,
     close_when_flushed: bool,
     /// Queued for the next iteration.
@@ -164,9 +183,13 @@
 }
 
 impl Conn {
+    fn is_accepted(&self) -> bool {
+        self.origin == Origin::Accepted
+    }
+
     /// Whether received bytes are to be read.
     fn wants_input(&self) -> bool {
-        let wanted = self.lingering || (!self.paused && !self.close_when_flushed);
+        let wanted = self.lingering || (!self.paused && !self.held && !self.close_when_flushed);
         !self.connecting && wanted
     }
 
@@ -184,12 +207,12 @@
     fn active(&mut self, limits: &EventLoopLimits) -> &mut ActiveState {
         self.active.get_or_insert_with(|| {
             let decode = match self.wire {
-                Wire::Frames if self.accepted => Decode::Frames(Decoder::new(limits.frame)),
+                Wire::Frames if self.origin == Origin::Accepted => Decode::Frames(Decoder::new(limits.frame)),
                 Wire::Frames => Decode::Frames(Decoder::new(limits.frame.for_peers())),
                 Wire::Http => Decode::Http(http::Decoder::new(limits.http)),
                 Wire::Raw => Decode::Raw(Vec::new()),
             };
-            Box::new(ActiveState { decode, out: OutputBuffer::default(), deadline: None })
+            Box::new(ActiveState { decode, out: OutputBuffer::default(), deadline: None, last_progress: 0 })
         })
     }
 
@@ -197,7 +220,7 @@
     fn has_output_left(&self, write: bool) -> bool {
         let ends = self.close_when_flushed && !self.lingering;
         let writes = self.writable && !self.connecting && (self.unsent() > 0 || ends);
-        !self.accepted && writes && !write
+        !self.is_accepted() && writes && !write
     }
 
     fn unsent(&self) -> usize {
@@ -242,6 +265,7 @@
 /// How long a finished connection waits for the peer to close.
 const LINGER: Micros = 500_000;
 const FINISHED: &str = "finished";
+const OUTPUT_LIMIT: &str = "too much waits to be written";
 /// Close reason of a connection that the peer ended in good order.
 pub const ENDED: &str = "closed by the other side";
 /// A wake-up this much too late shows that the process was paused, not only asleep: what is ready then may
@@ -273,6 +297,10 @@
     own_poller: Poller,
     /// Accepted connections are left waiting in the kernel.
     accepted_paused: bool,
+    /// While [`EventLoop::hold_peers`] is in force: the connections that have unread input.
+    held_peers: Option<Vec<Connection>>,
+    /// A connection that is read all the same.
+    hold_exempt: Option<Connection>,
     report_incomplete: bool,
     accept_at_once: usize,
     last_event_loop: Micros,
@@ -332,6 +360,8 @@
             accepted_source,
             own_poller,
             accepted_paused: false,
+            held_peers: None,
+            hold_exempt: None,
             report_incomplete: false,
             accept_at_once: ACCEPT_AT_ONCE,
             last_event_loop: 0,
@@ -439,7 +469,8 @@
             }
             Ok(socket)
         };
-        let connecting_socket = connecting_socket().and_then(|socket| self.add(socket, wire, false, true));
+        let connecting_socket =
+            connecting_socket().and_then(|socket| self.add(socket, wire, Origin::Connected, true));
         match connecting_socket {
             Ok(id) => {
                 let limits = self.limits;
@@ -468,7 +499,7 @@
     pub fn adopt(&mut self, socket: OwnedFd, wire: Wire) -> io::Result<Connection> {
         let socket = Socket::from(socket);
         socket.set_nonblocking(true)?;
-        self.add(socket, wire, false, false)
+        self.add(socket, wire, Origin::Adopted, false)
     }
 
     fn next_serial(&mut self) -> u32 {
@@ -480,7 +511,7 @@
         &mut self,
         socket: Socket,
         wire: Wire,
-        accepted: bool,
+        origin: Origin,
         connecting: bool,
     ) -> io::Result<Connection> {
         let serial = self.next_serial();
@@ -490,19 +521,20 @@
             return Err(io::Error::other("too many open connections"));
         }
         let id = connection_id(serial, slot);
-        let poller = if accepted { &self.accepted_poller } else { &self.own_poller };
+        let poller = if origin == Origin::Accepted { &self.accepted_poller } else { &self.own_poller };
         let interest = PollInterest { read: !connecting, write: connecting, end: false };
         poller.add(&socket, id, interest)?;
         entry.insert(Conn {
             socket,
             serial,
             wire,
-            accepted,
+            origin,
             connecting,
             lingering: false,
             readable: false,
             writable: !connecting,
             paused: false,
+            held: false,
             notify_flushed: false,
             close_when_flushed: false,
             queued: false,
@@ -589,12 +621,16 @@
 
     /// Sends the output of `write` as one frame; [`EventLoop::sent`] tells by the mark whether it was sent.
     pub fn write(&mut self, id: Connection, mark: Option<u64>, write: impl FnOnce(&mut Vec<u8>)) -> bool {
-        let limits = self.limits;
+        let (now, limits) = (self.clock.now(), self.limits);
         let Some(conn) = self.get_mut(id).filter(|c| !c.close_when_flushed) else { return false };
-        let out = &mut conn.active(&limits).out;
+        let active = conn.active(&limits);
+        if active.out.is_empty() {
+            active.last_progress = now;
+        }
+        let out = &mut active.out;
         out.push(mark, write);
-        if out.len() > limits.max_output {
-            self.close(id, "too much waits to be written");
+        if out.len() > limits.max_output && self.is_over_limit(id) {
+            self.close(id, OUTPUT_LIMIT);
             return false;
         }
         self.enqueue(id);
@@ -662,14 +698,14 @@
         }
         let conn = self.conns.remove(slot(id));
         conn.deadline().into_iter().for_each(|due| _ = self.deadlines.remove(&(due, id)));
-        if conn.accepted {
+        if conn.is_accepted() {
             self.accepted -= 1;
             self.accepted_poller.remove(&conn.socket);
         } else {
             self.own_poller.remove(&conn.socket);
         }
+        let (guest, never_stood, why) = (conn.is_accepted(), conn.connecting, why.to_owned());
         let unsent = conn.active.map_or_else(Vec::new, |active| active.out.unsent());
-        let (guest, never_stood, why) = (conn.accepted, conn.connecting, why.to_owned());
         self.notify(LoopEvent::Closed { connection: id, is_inbound: guest, never_stood, unsent, why });
     }
 
@@ -759,7 +795,8 @@
     /// Whether accepted connections may have unread input: the last poll is older than `span`, or found more
     /// than could be read, or so much that more may follow.
     pub fn is_behind(&self, span: Micros) -> bool {
-        let reads = |id: &Connection| self.get_ref(*id).is_some_and(|conn| conn.accepted && conn.can_read());
+        let reads =
+            |id: &Connection| self.get_ref(*id).is_some_and(|conn| conn.is_accepted() && conn.can_read());
         let late = self.last_polled.saturating_add(span) < self.clock.now();
         !self.accepted_paused && (late || self.polled_in_part || self.ready_queue.iter().any(reads))
     }
@@ -776,7 +813,7 @@
         events.drain(..).for_each(|(since, what)| self.handle_event(since, what));
         self.poll_events = events;
         // They stay queued: output to them is written later.
-        let is_accepted = |id: &Connection| self.get_ref(*id).is_some_and(|conn| conn.accepted);
+        let is_accepted = |id: &Connection| self.get_ref(*id).is_some_and(|conn| conn.is_accepted());
         let accepted: Vec<Connection> = self.ready_queue.iter().copied().filter(is_accepted).collect();
         accepted.into_iter().for_each(|id| self.read_available(id));
         Ok(())
@@ -819,6 +856,11 @@
             PollEvent::Datagrams(number) => return self.read_datagrams(number),
         };
         let Some(conn) = self.get_mut(id) else { return };
+        // What it sent before it ended is read now.
+        if broken && std::mem::take(&mut conn.held) {
+            conn.ended = true;
+            return self.enqueue(id);
+        }
         if !conn.interest.read && (broken || conn.interest.end && ended) && !conn.connecting {
             // Not polled for input, so this is the end: the peer closed the connection or it failed.
             return self.close(id, "hung up");
@@ -853,6 +895,7 @@
             // Evaluated for each connection: the process may be paused between two.
             let own = write.allows_own(self.clock.now());
             self.write_pending(id, own);
+            self.hold_if_peer(id);
             self.read_available(id);
             if self.get_ref(id).is_some_and(|conn| conn.has_output_left(own)) {
                 self.enqueue(id);
@@ -875,7 +918,7 @@
             return;
         }
         conn.interest = wanted;
-        let poller = if conn.accepted { &self.accepted_poller } else { &self.own_poller };
+        let poller = if conn.is_accepted() { &self.accepted_poller } else { &self.own_poller };
         if let Err(error) = poller.change(&conn.socket, id, wanted) {
             self.close(id, &error.to_string());
         }
@@ -926,6 +969,7 @@
                 Ok(0) => return self.close(id, "nothing can be written"),
                 Ok(count) => {
                     active.out.advance(count);
+                    active.last_progress = now;
                     if conn.unsent() == 0 && (std::mem::take(&mut conn.notify_flushed) || conn.paused) {
                         self.notify(LoopEvent::Flushed(id));
                     }
@@ -955,7 +999,7 @@
                 Ok(_) if conn.lingering => {}
                 Ok(count) => {
                     came = true;
-                    was_large |= conn.accepted && count >= LARGE_READ;
+                    was_large |= conn.is_accepted() && count >= LARGE_READ;
                     conn.readable = count == scratch.len();
                     conn.drained = !conn.readable;
                     match &mut conn.active(&limits).decode {
@@ -980,7 +1024,7 @@
         if let Some(why) = over {
             return self.close(id, &why);
         }
-        if came && self.report_incomplete && self.get_ref(id).is_some_and(|conn| conn.accepted) {
+        if came && self.report_incomplete && self.get_ref(id).is_some_and(|conn| conn.is_accepted()) {
             match self.buffered_bytes(id) {
                 0 => {}
                 held => self.notify(LoopEvent::PartialMessage(id, held)),
--- a/crates/transport/src/hub/listeners.rs
+++ b/crates/transport/src/hub/listeners.rs
@@ -8,7 +8,7 @@
 use rustix::net::SocketFlags;
 use socket2::Socket;
 
-use super::{EventLoop, LoopEvent, Wire};
+use super::{EventLoop, LoopEvent, Origin, Wire};
 
 /// Maximum connections accepted at once, to keep an iteration short.
 pub(super) const ACCEPT_AT_ONCE: usize = 64;
@@ -144,7 +144,7 @@
                     drop(socket);
                     self.turned_away += 1;
                 }
-                Ok(socket) => match self.add(socket.into(), wire, true, false) {
+                Ok(socket) => match self.add(socket.into(), wire, Origin::Accepted, false) {
                     Ok(id) => {
                         self.accepted += 1;
                         // The connection may have waited in the listen queue, and its first bytes with it.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,7 +5,7 @@
 //! to send, when to pause reading and what a closed connection means is up to the program.
 //!
 //! Guarantees:
-//! - no connection can exceed its buffer limits or delay another;
+//! - no accepted connection can exceed its buffer limits or delay another, and no other one that does not read;
 //! - the notice of a closed connection names the marked frames that were never sent ([`LoopEvent::Closed`]):
 //!   not one byte of them was handed to the kernel;
 //! - an idle connection takes 48 bytes here: a slab entry with its socket, without buffer, timer or
@@ -20,5 +20,5 @@
 mod watch;
 
 pub use clock::Clock;
-pub use hub::{Connection, ENDED, EventLoop, EventLoopLimits, LoopEvent, Wire, listener, slot};
+pub use hub::{Connection, ENDED, EventLoop, EventLoopLimits, LoopEvent, PEER_STALL, Wire, listener, slot};
 pub use out::Sent;
--- a/crates/transport/src/out.rs
+++ b/crates/transport/src/out.rs
@@ -13,6 +13,9 @@
     Whole,
 }
 
+/// Bytes that were sent are kept until there are so many of them.
+const MIN_COMPACTION: usize = 256 << 10;
+
 #[derive(Debug, Default)]
 pub struct OutputBuffer {
     buffer: Vec<u8>,
@@ -57,7 +60,8 @@
             self.sent = 0;
             // A large buffer is not kept for an idle connection.
             if self.buffer.capacity() > 4 << 10 { self.buffer = Vec::new() } else { self.buffer.clear() }
-        } else if self.sent > 256 << 10 {
+        } else if self.sent > MIN_COMPACTION && self.sent > self.buffer.len() / 2 {
+            // Moves no more bytes than were sent, so that the cost of a large backlog stays linear.
             self.buffer.drain(..self.sent);
             self.base = at;
             self.sent = 0;
