HTTP: a client that reads is not closed when pipelined answers are due at once

Cause: responses are sent in order, so that those behind a late one are all written in the same turn; they passed out_buffer, and the connection was closed as one that does not read.

Change: responses wait beside the output buffer while more than client_backlog is in it, and follow when it is sent. A connection that is to be closed waits for them. A client that takes nothing for 1 s is closed if more than out_buffer waits and another answer comes; read_stall closes it as before.

Tests of protocols, connections, crossings and sizes at the gateway pass.

Open: a client of the main protocol is still closed at out_buffer whether it reads or not.

--- a/crates/cli/tests/large_answers.rs
+++ b/crates/cli/tests/large_answers.rs
@@ -23,7 +23,7 @@
 type HeldAttempt = (Sender<Message>, u64);
 
 /// A worker that answers a call at once, except those of the class 'post': it answers these with [`LARGE`] bytes once
-/// it is told to. The receiver gets the length of each body that it was sent.
+/// it is told to, the last one first. The receiver gets the length of each body that it was sent.
 fn worker_that_waits() -> (SocketAddr, Sender<()>, Receiver<usize>) {
     let (listener, at) = listener();
     let (release, released) = channel();
@@ -32,7 +32,7 @@
     let all_held = held.clone();
     std::thread::spawn(move || {
         while released.recv().is_ok() {
-            for (answers, attempt) in all_held.lock().unwrap().drain(..) {
+            for (answers, attempt) in all_held.lock().unwrap().drain(..).rev() {
                 answers.send(ran(attempt, Ending::Ok, &vec![b'y'; LARGE])).unwrap();
             }
         }
@@ -116,6 +116,35 @@
     }
 }
 
+/// Guards against a client that is closed although it reads, since the answers that waited for its first one are due at
+/// once.
+#[test]
+fn pipelined_large_answers_reach_a_client_that_reads() {
+    const PIPELINED: usize = 6;
+    for holders in [0, 1] {
+        let (at, release, bodies) = worker_that_waits();
+        // On one connection, so that the first call is answered last.
+        let limits = format!("{LIMITS}, worker_connections = 1");
+        let bed = Bed::with(&[at], &format!("holders = {holders}"), &limits);
+        let mut client = bed.http();
+        for _ in 0..PIPELINED {
+            post(&mut client, "post", b"in");
+            bodies.recv_timeout(PATIENCE).unwrap();
+        }
+        release.send(()).unwrap();
+        for number in 0..PIPELINED {
+            let (status, body) = response(&mut client).unwrap_or_else(|| panic!("no answer {number}"));
+            assert_eq!((status, body.len()), (200, LARGE), "{holders} holders");
+        }
+        post(&mut client, "check", b"in");
+        assert_eq!(
+            response(&mut client).map(|(status, _)| status),
+            Some(200),
+            "the connection is still usable"
+        );
+    }
+}
+
 /// Guards against a worker's connection, or that of an acceptor process, that is closed with all the calls on it since
 /// many large bodies wait for it.
 #[test]
--- a/crates/clients/src/clients.rs
+++ b/crates/clients/src/clients.rs
@@ -49,6 +49,11 @@
         self.outstanding.as_ref().is_some_and(|outstanding| !outstanding.open_requests.is_empty())
     }
 
+    /// Whether responses wait to be sent, or for an earlier one.
+    pub fn has_waiting_responses(&self) -> bool {
+        self.outstanding.as_ref().is_some_and(|outstanding| !outstanding.responses.is_empty())
+    }
+
     /// Whether it will be closed, so that further requests are ignored.
     pub fn is_closing(&self) -> bool {
         self.outstanding.as_ref().is_some_and(|outstanding| outstanding.close_reason.is_some())
@@ -407,8 +412,14 @@
         self.send_responses(hub, connection);
     }
 
-    fn send_responses(&mut self, hub: &mut EventLoop, connection: Connection) {
+    /// Sends the responses that are due, in the order of their requests. While more than the limit waits to be
+    /// sent, the others wait here: those that a late one held up are due at once, which says nothing about
+    /// whether the client reads.
+    pub(crate) fn send_responses(&mut self, hub: &mut EventLoop, connection: Connection) {
         loop {
+            if hub.backlog(connection) > self.terms.backlog {
+                return self.hold_responses(hub, connection);
+            }
             let Some(state) = self.states.get_mut(slot(connection)) else { return };
             let Some(outstanding) = &mut state.outstanding else { return };
             if outstanding.responses.front().is_none_or(|pending| pending.bytes.is_none()) {
--- a/crates/clients/src/closing.rs
+++ b/crates/clients/src/closing.rs
@@ -2,7 +2,7 @@
 
 use cresswheel_admission::{ConnectionAction, ConnectionEvent};
 use cresswheel_protocol::{Message, Micros};
-use cresswheel_transport::{Connection, EventLoop, slot};
+use cresswheel_transport::{Connection, EventLoop, PEER_STALL, slot};
 
 use crate::Clients;
 use crate::owed::{ReadAhead, Stalled};
@@ -92,7 +92,7 @@
     /// Closes a connection that is to be closed, if it has no open request.
     pub(crate) fn close_if_settled(&mut self, hub: &mut EventLoop, connection: Connection) {
         let state = &mut self.states[slot(connection)];
-        if state.has_open() {
+        if state.has_open() || state.has_waiting_responses() {
             return;
         }
         let Some(why) = state.outstanding.as_mut().and_then(|outstanding| outstanding.close_reason.take())
@@ -140,7 +140,19 @@
         self.limiter.on_event(hub.clock().now(), slot(connection), ConnectionEvent::Stalled);
     }
 
-    /// The output backlog of a client is sent: the requests read ahead are handled.
+    /// Responses wait until the backlog of their client is sent. It is closed if it takes nothing while more than the
+    /// limit waits for it.
+    pub(crate) fn hold_responses(&mut self, hub: &mut EventLoop, connection: Connection) {
+        let outstanding = self.states[slot(connection)].outstanding.as_ref();
+        let held = outstanding.map_or(0, |outstanding| outstanding.waiting_bytes());
+        if hub.backlog(connection) + held > self.terms.out && hub.stalled_for(connection) >= PEER_STALL {
+            return hub.close(connection, "does-not-read");
+        }
+        self.check_backlog(hub, connection);
+    }
+
+    /// The output backlog of a client is sent: the requests read ahead are handled, and the responses that
+    /// waited for it are sent.
     pub(crate) fn on_flushed(&mut self, hub: &mut EventLoop, connection: Connection) {
         self.limiter.on_event(hub.clock().now(), slot(connection), ConnectionEvent::Resumed);
         let state = &mut self.states[slot(connection)];
@@ -157,6 +169,8 @@
             }
         }
         hub.pause(connection, false);
+        self.send_responses(hub, connection);
+        self.close_if_settled(hub, connection);
     }
 
     /// Closes each connection that has no outstanding work, no output to send and no received bytes to
--- a/crates/clients/src/owed.rs
+++ b/crates/clients/src/owed.rs
@@ -27,6 +27,11 @@
             && self.stalled.is_none()
             && self.close_reason.is_none()
     }
+
+    /// Bytes of the responses that wait.
+    pub fn waiting_bytes(&self) -> usize {
+        self.responses.iter().filter_map(|response| response.bytes.as_ref()).map(Vec::len).sum()
+    }
 }
 
 /// The response to a request, or its place while there is none.
