Platform: counts of long iterations and late answers; a failing test of floods

New: a warning when an iteration takes over 50 ms, with its longest stage (once a second at most); the longest iteration, the number of iterations, and the number and worst lateness of late answers in the counts; the id of a late answer (ten between two counts); at level debug why a request was rejected here and why an attempt was kept back.

tests/floods.rs plays clients that send at full speed (cresswheel_soak::flood, prepared bytes, a thread each) beside ordinary ones.

--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -365,7 +365,7 @@
         (gateway.wait_until_listening(), LogPipe { reading })
     }
 
-    fn spawn(command: Command, config: &str) -> Self {
+    pub fn spawn(command: Command, config: &str) -> Self {
         Self::spawn_logging_to(command, config, |log| std::fs::File::create(log).unwrap().into())
     }
 
--- a/crates/platform/src/departures.rs
+++ b/crates/platform/src/departures.rs
@@ -114,6 +114,7 @@
                 SendDecision::Deny(_) => self.cancel(number, hub, hosts),
             };
             if departure != SendDecision::Allow && (over.is_some() || self.parked_at(number) == Some(now)) {
+                tracing::debug!(number, ?departure, "kept back");
                 engine.count_unsent(departure);
             }
             ended.extend(over);
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -32,10 +32,26 @@
     Left(Connection),
 }
 
+/// Answers that were given after the client's time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LateAnswers {
+    /// Their number.
+    pub count: u64,
+    /// How long after the client's time the latest came.
+    pub longest: Micros,
+}
+
+/// A request without an answer.
+struct OpenRequest {
+    id: String,
+    /// The end of the client's time.
+    due: Micros,
+}
+
 struct Client {
     decoder: ClientDecoder,
-    /// Streams with an unanswered request, and its id.
-    streams: HashMap<u32, String>,
+    /// Unanswered requests, by stream.
+    streams: HashMap<u32, OpenRequest>,
     unusable: u32,
     /// Set while the client doesn't read: the backlog at the last check and the requests since.
     stalled: Option<(usize, u32)>,
@@ -59,12 +75,17 @@
     events: VecDeque<ClientEvent>,
     draining: bool,
     listening: bool,
+    late_answers: LateAnswers,
     /// Requests rejected here, by reason.
     pub rejected: HashMap<&'static str, u64>,
     /// Connections closed here with an unanswered request. Must stay 0.
     pub closed_unanswered: u64,
 }
 
+const MILLISECOND: Micros = 1_000;
+/// Late answers with a log line of their own between two lines with counts.
+const MAX_LATE_LINES: u64 = 10;
+
 /// Close reason of a client that keeps sending requests without reading.
 const NOT_READING: &str = "asks and does not read";
 
@@ -80,6 +101,7 @@
             events: VecDeque::new(),
             draining: false,
             listening: true,
+            late_answers: LateAnswers::default(),
             rejected: HashMap::new(),
             closed_unanswered: 0,
         }
@@ -93,6 +115,11 @@
         self.admission.counts()
     }
 
+    /// The late answers since the last call.
+    pub fn take_late_answers(&mut self) -> LateAnswers {
+        std::mem::take(&mut self.late_answers)
+    }
+
     /// Asks all clients to send no new requests here. Requests that arrive anyway are accepted as before.
     pub fn drain(&mut self, hub: &mut EventLoop) {
         self.draining = true;
@@ -125,7 +152,7 @@
                 if let Some(client) = self.connections.remove(&connection) {
                     self.admission.on_closed(slot(connection));
                     self.by_slot.remove(&slot(connection));
-                    client.streams.values().for_each(|id| _ = self.ids.remove(id));
+                    client.streams.values().for_each(|open| _ = self.ids.remove(&open.id));
                     self.events.push_back(ClientEvent::Left(connection));
                 }
             }
@@ -210,8 +237,8 @@
                 self.check_backlog(hub, connection);
             }
             FromClient::Canceled(stream) => {
-                if let Some(id) = client.streams.remove(&stream) {
-                    self.ids.remove(&id);
+                if let Some(open) = client.streams.remove(&stream) {
+                    self.ids.remove(&open.id);
                     self.admission.on_cancel(hub.clock().now(), slot(connection));
                     self.events.push_back(ClientEvent::Canceled(connection, stream));
                 }
@@ -241,7 +268,8 @@
                 if let Some(why) = why {
                     return self.reject(hub, connection, stream, why);
                 }
-                client.streams.insert(stream, request.id.clone());
+                let due = received.saturating_add(request.wait_ms.saturating_mul(MILLISECOND));
+                client.streams.insert(stream, OpenRequest { id: request.id.clone(), due });
                 self.ids.insert(request.id.clone());
                 self.admission.on_request(hub.clock().now(), slot(connection), "");
                 self.events.push_back(ClientEvent::Request(connection, stream, received, request));
@@ -251,6 +279,7 @@
 
     /// Rejects a request that was never accepted: nothing ran.
     fn reject(&mut self, hub: &mut EventLoop, connection: Connection, stream: u32, why: &'static str) {
+        tracing::debug!(connection, stream, why, "rejected");
         *self.rejected.entry(why).or_insert(0) += 1;
         hub.write(connection, None, |out| wire::encode_answer(out, stream, Code::Refused, None, &[]));
         self.check_backlog(hub, connection);
@@ -273,9 +302,18 @@
     /// Marks a stream as answered.
     fn mark_answered(&mut self, hub: &mut EventLoop, connection: Connection, stream: u32) -> bool {
         let Some(client) = self.connections.get_mut(&connection) else { return false };
-        let Some(id) = client.streams.remove(&stream) else { return false };
-        self.ids.remove(&id);
-        self.admission.on_answer(hub.clock().now(), slot(connection));
+        let Some(open) = client.streams.remove(&stream) else { return false };
+        let now = hub.clock().now();
+        self.ids.remove(&open.id);
+        self.admission.on_answer(now, slot(connection));
+        if open.due < now {
+            let late = now - open.due;
+            if self.late_answers.count < MAX_LATE_LINES {
+                tracing::info!(connection, stream, id = open.id, late, "answered after the client's time");
+            }
+            self.late_answers.count += 1;
+            self.late_answers.longest = self.late_answers.longest.max(late);
+        }
         true
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod front;
 mod hosts;
 mod lateness;
+mod loop_times;
 mod settings;
 mod shell;
 mod waiting;
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -20,6 +20,7 @@
 use crate::front::{ClientConnections, ClientEvent};
 use crate::hosts::{Hosts, Order};
 use crate::lateness::LoopLag;
+use crate::loop_times::{LongIteration, LoopTimes, Stage};
 use crate::waiting::DeferredRequests;
 
 /// Rereads the configuration on HUP.
@@ -70,6 +71,7 @@
     next_idle_check: Micros,
     next_counts: Micros,
     loop_lag: LoopLag,
+    loop_times: LoopTimes,
     /// Requests read while only cancellations and disconnects were being processed.
     deferred: DeferredRequests,
     inputs: VecDeque<Input>,
@@ -112,6 +114,7 @@
             next_idle_check: now + settings.idle_check,
             next_counts: now + COUNTS_INTERVAL,
             loop_lag: LoopLag::default(),
+            loop_times: LoopTimes::default(),
             deferred: DeferredRequests::default(),
             inputs: VecDeque::new(),
             outputs: Vec::new(),
@@ -146,17 +149,21 @@
             self.recheck_unsent_items();
             let due = if self.deferred.is_empty() { self.next_due(now) } else { now };
             self.hub.wait(Some(due.min(now + MAX_SLEEP)))?;
+            self.loop_times.begin(self.hub.clock().now());
             self.unsent_items.after_write(self.hub.wrote(), &self.hub, &self.hosts, &mut self.engine);
             while let Some(event) = self.deferred.take() {
                 self.handle_event(event);
             }
+            self.end_stage(Stage::Start);
             while let Some(notice) = self.hub.next_event() {
                 self.handle_notice(notice);
                 while let Some(event) = self.clients.take_event() {
                     self.handle_event(event);
                 }
             }
+            self.end_stage(Stage::Notices);
             self.read_late_events()?;
+            self.end_stage(Stage::Input);
             let now = self.hub.clock().now();
             if let Some(due) = self.engine.wake_at().filter(|at| *at <= now) {
                 self.loop_lag.record(now, due);
@@ -174,6 +181,28 @@
                 self.next_counts = now + COUNTS_INTERVAL;
                 self.log_counts();
             }
+            self.end_iteration();
+        }
+    }
+
+    fn end_stage(&mut self, stage: Stage) {
+        self.loop_times.end_stage(self.hub.clock().now(), stage);
+    }
+
+    /// Ends the times of an iteration, and tells of a long one.
+    fn end_iteration(&mut self) {
+        self.end_stage(Stage::Timers);
+        let long = self.loop_times.finish(self.hub.clock().now(), LONG_ITERATION);
+        if let Some(LongIteration { length, stage, stage_length }) = long {
+            let (open, attempts) = (self.engine.open_calls(), self.engine.open_attempts());
+            tracing::warn!(
+                length,
+                ?stage,
+                stage_length,
+                open,
+                attempts,
+                "a long iteration of the event loop"
+            );
         }
     }
 
@@ -466,7 +495,9 @@
         self.clients.answer(&mut self.hub, connection, stream, code, after, body);
     }
 
-    fn log_counts(&self) {
+    fn log_counts(&mut self) {
+        let (iterations, longest_iteration) = self.loop_times.take();
+        let late = self.clients.take_late_answers();
         let (door, hosts, counters) = (self.clients.counts(), self.hosts.counts, self.engine.counters());
         let rejected: Vec<_> = self.clients.rejected.iter().collect();
         tracing::info!(
@@ -485,6 +516,10 @@
             kept_back = ?counters.unsent,
             violations = ?counters.violations,
             closed_owed = self.clients.closed_unanswered,
+            late_answers = late.count,
+            latest_answer = late.longest,
+            iterations,
+            longest_iteration,
             list_age = self.hub.clock().now().saturating_sub(self.directory.age().as_of),
             turned_away = ?(rejected, &counters.rejected),
             serial = self.directory.list().number,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `judge`: the rules on the records; no I/O;
 //! - `roster`: the hosts there are and were, as the directory tells of them;
 //! - `hosts`, `directory`, `clients`, `crowd`, `gateways`: the stand-ins and the processes;
+//! - `flood`: clients that send at full speed;
 //! - `ports`: addresses that no other program is given meanwhile;
 //! - `run`: all of it together.
 //!
@@ -15,6 +16,7 @@
 mod clients;
 mod crowd;
 mod directory;
+pub mod flood;
 mod gateways;
 mod hosts;
 pub mod judge;
