--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -10,7 +10,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use cresswheel_platform_wire::client::{FromGateway, decode_from_gateway};
+use cresswheel_platform_wire::client::{FromGateway, decode_from_gateway, encode_without_fields};
 use cresswheel_soak::flood::{Flood, FloodKind, FloodPlan};
 use peers::{Client, Directory, Gateway, Host, answer_ok, config, request_frame, start_host};
 
@@ -165,9 +165,10 @@
 
 /// What became of the requests of ordinary clients beside a flood.
 struct Play {
+    /// Its log is printed if a check fails.
+    gateway: Gateway,
     asked: Vec<Asked>,
     flooded: (Instant, Instant),
-    memory_mb: u64,
     own_lag: Duration,
 }
 
@@ -192,12 +193,7 @@
         std::thread::sleep(QUIET);
         over.store(true, Ordering::SeqCst);
         let asked = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
-        let play = Self {
-            asked,
-            flooded: (began, ended),
-            memory_mb: peak_memory_mb(&gateway),
-            own_lag: own_lag.worst(),
-        };
+        let play = Self { gateway, asked, flooded: (began, ended), own_lag: own_lag.worst() };
         assert!(counts.written > 1 << 20, "no flood: {counts:?}");
         println!("{kind:?} from {connections}: {counts:?}, {}", play.summary());
         play
@@ -212,7 +208,7 @@
             "{served} of {} asked beside it served; {lost} of {} lost, the latest {late:?} after its time; {} MiB; own lag {:?}",
             beside.len(),
             self.asked.len(),
-            self.memory_mb,
+            peak_memory_mb(&self.gateway),
             self.own_lag
         )
     }
@@ -231,7 +227,7 @@
         let beside = self.beside_flood();
         let served = beside.iter().filter(|asked| asked.is_served()).count();
         assert!(2 * served >= beside.len(), "fewer than half served: {}", self.summary());
-        assert!(self.memory_mb <= MEMORY_MB, "more memory than allowed: {}", self.summary());
+        assert!(peak_memory_mb(&self.gateway) <= MEMORY_MB, "more memory than allowed: {}", self.summary());
     }
 }
 
@@ -246,3 +242,80 @@
 fn ordinary_clients_get_their_answers_in_time_beside_a_flood_of_requests_canceled_at_once() {
     Play::beside(FloodKind::CanceledAtOnce, 16, Functions::One).check();
 }
+
+/// How long after a client has canceled a request an attempt may begin (terms: 0.1 s, and 50 ms on sockets).
+const GONE_AFTER: Duration = Duration::from_millis(150);
+const CANCELING_CLIENTS: u32 = 8;
+/// Between a request and its cancellation, in separate writes.
+const CANCEL_AFTER: Duration = Duration::from_millis(10);
+
+/// Sends much that is canceled at once, then a request, and a cancellation of it a moment later. Returns the ids with
+/// the time at which each cancellation was with the kernel.
+fn cancel_apart(address: SocketAddr, number: u32, over: &AtomicBool) -> Vec<(String, Instant)> {
+    let mut client = Client::from_socket(std::net::TcpStream::connect(address).unwrap());
+    client.socket.set_nodelay(true).unwrap();
+    let reading = client.socket.try_clone().unwrap();
+    std::thread::spawn(move || std::io::copy(&mut &reading, &mut std::io::sink()));
+    let mut canceled = Vec::new();
+    for round in 1.. {
+        if over.load(Ordering::SeqCst) {
+            break;
+        }
+        let first = round * 1_000;
+        let mut ahead = Vec::new();
+        for stream in first..first + 400 {
+            let id = format!("ffff{number:04x}{stream:08x}");
+            ahead.extend(request_frame(stream, &id, "check", "1300", &id, b""));
+            encode_without_fields(&mut ahead, false, stream);
+        }
+        let (stream, id) = (first + 999, format!("eeee{number:04x}{round:08x}"));
+        ahead.extend(request_frame(stream, &id, "check", "1300", &format!("{number:016x}"), b""));
+        client.send_bytes(&ahead);
+        std::thread::sleep(CANCEL_AFTER);
+        client.cancel(stream);
+        canceled.push((id, Instant::now()));
+    }
+    canceled
+}
+
+// Guards against attempts that begin over 0.1 s after their client has canceled, behind much other input.
+#[test]
+fn no_attempt_begins_late_for_a_request_that_is_canceled_apart_from_it_beside_a_flood() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let (gateway, hosts) = start_gateway("info");
+    let (over, own_lag) = (Arc::<AtomicBool>::default(), OwnLag::watch());
+    let clients: Vec<JoinHandle<_>> = (0..CANCELING_CLIENTS)
+        .map(|number| {
+            let (address, over) = (gateway.address, over.clone());
+            std::thread::spawn(move || cancel_apart(address, number, &over))
+        })
+        .collect();
+    let plan =
+        FloodPlan { kind: FloodKind::CanceledLater, connections: 8, gateway: 1, class: "check".into() };
+    let flood = Flood::start(gateway.address, &plan);
+    std::thread::sleep(FLOOD);
+    over.store(true, Ordering::SeqCst);
+    let canceled: HashMap<String, Instant> =
+        clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
+    flood.stop();
+    std::thread::sleep(QUIET);
+    let allowed = GONE_AFTER + own_lag.worst();
+    let (mut begun, mut late) = (0, Vec::new());
+    for (id, at) in hosts.iter().flat_map(|host| host.invoke_times.lock().unwrap().clone()) {
+        let Some(gone) = canceled.get(&id) else { continue };
+        begun += 1;
+        let after = at.saturating_duration_since(*gone);
+        if after > allowed {
+            late.push((id, after));
+        }
+    }
+    println!("{} canceled apart, {begun} of them had begun, own lag {:?}", canceled.len(), own_lag.worst());
+    assert!(canceled.len() > 100, "too few to tell: {}", canceled.len());
+    assert!(late.is_empty(), "begun after the cancellation: {late:?}");
+}
+
+// Guards against refusing functions that are new to the gateway because other clients' canceled requests named many.
+#[test]
+fn new_functions_of_ordinary_clients_are_served_beside_a_flood_of_new_functions_that_are_canceled() {
+    Play::beside(FloodKind::CanceledLater, 8, Functions::New).check();
+}
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -43,28 +43,42 @@
     pub address: SocketAddr,
     /// `name id-or-tag` of each command.
     pub commands: Arc<Mutex<Vec<String>>>,
+    /// When each attempt came, by its id.
+    pub invoke_times: InvokeTimes,
 }
 
+pub type InvokeTimes = Arc<Mutex<Vec<(String, Instant)>>>;
+
 pub fn start_host(script: impl Fn(&str, usize) -> HostAction + Send + Sync + 'static) -> Host {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let commands: Arc<Mutex<Vec<String>>> = Arc::default();
+    let invoke_times = InvokeTimes::default();
     let (script, command_log): (HostScript, _) = (Arc::new(script), commands.clone());
+    let times = invoke_times.clone();
     std::thread::spawn(move || {
         for socket in listener.incoming() {
-            let (script, command_log) = (script.clone(), command_log.clone());
-            std::thread::spawn(move || serve_connection(socket.unwrap(), &script, &command_log));
+            let (script, command_log, times) = (script.clone(), command_log.clone(), times.clone());
+            std::thread::spawn(move || serve_connection(socket.unwrap(), &script, &command_log, &times));
         }
     });
-    Host { address, commands }
+    Host { address, commands, invoke_times }
 }
 
-pub fn serve_connection(mut socket: TcpStream, script: &HostScript, commands: &Mutex<Vec<String>>) {
+pub fn serve_connection(
+    mut socket: TcpStream,
+    script: &HostScript,
+    commands: &Mutex<Vec<String>>,
+    invoke_times: &Mutex<Vec<(String, Instant)>>,
+) {
     let (mut received, mut chunk) = (Vec::new(), [0; 4096]);
     loop {
         while let Some(command) = decode_command(&mut received).expect("commands") {
             let text = |n: usize| String::from_utf8_lossy(command.get(n).map_or(&[], |p| p)).into_owned();
             let (name, id) = (text(0), text(1));
+            if name == "invoke" {
+                invoke_times.lock().unwrap().push((id.clone(), Instant::now()));
+            }
             let before = {
                 let mut commands = commands.lock().unwrap();
                 let before = commands.iter().filter(|line| line.starts_with(&name)).count();
@@ -613,7 +627,7 @@
     }
 
     pub fn as_host(&self) -> Host {
-        Host { address: self.address, commands: Arc::default() }
+        Host { address: self.address, commands: Arc::default(), invoke_times: InvokeTimes::default() }
     }
 
     /// The index of the connection of the next command, and the command.
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -187,7 +187,7 @@
 fn a_host_that_refuses_connections_is_skipped_and_every_request_is_served() {
     let host = start_host(answer_ok);
     let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let down = Host { address: gone, commands: Arc::default() };
+    let down = Host { address: gone, commands: Arc::default(), invoke_times: Arc::default() };
     let directory = Directory::new(1);
     let gateway = Gateway::new(&[("s-1", &host), ("s-2", &down)], &directory, "load");
     let mut client = gateway.connect();
--- a/crates/engine/src/departure.rs
+++ b/crates/engine/src/departure.rs
@@ -48,6 +48,8 @@
     WorkerReport,
     /// Responses of the list service that agree about the worker.
     AgreeingResponses,
+    /// What the client has sent since: it may have canceled the call. Only the driver knows.
+    ClientInput,
 }
 
 /// Why something must not be sent.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -266,6 +266,13 @@
         }
     }
 
+    /// The connections of the clients that wait for an attempt's call; none for an order.
+    pub fn client_connections(&self, attempt: u64) -> impl Iterator<Item = u64> {
+        let in_flight = self.attempts_in_flight.get(&attempt);
+        let open_call = in_flight.and_then(|in_flight| self.open_calls.get(&in_flight.id));
+        open_call.into_iter().flat_map(|open_call| open_call.waiters.keys().map(|client| client.connection))
+    }
+
     fn may_send_to(&self, now: Micros, worker: &WorkerId) -> SendDecision {
         let standing = self.worker_list.get(&*worker.0).map(|listed| listed.standing);
         self.send_gate.decide(now, worker, standing)
@@ -285,6 +292,7 @@
             SendDecision::Defer(MissingEvidence::ListResponse) => "waits-for-list",
             SendDecision::Defer(MissingEvidence::WorkerReport) => "waits-for-worker",
             SendDecision::Defer(MissingEvidence::AgreeingResponses) => "list-disputed",
+            SendDecision::Defer(MissingEvidence::ClientInput) => "waits-for-client",
             SendDecision::Deny(barred) => barred.word(),
         };
         increment(&mut self.counters.unsent, word);
--- a/crates/platform/src/departures.rs
+++ b/crates/platform/src/departures.rs
@@ -9,7 +9,7 @@
 
 use cresswheel::{Micros, WorkerId};
 use cresswheel_engine::{Attempt, AttemptEnd, Engine, Input, MissingEvidence, OrderEnd, SendDecision};
-use cresswheel_transport::EventLoop;
+use cresswheel_transport::{Connection, EventLoop};
 
 use crate::hosts::{Hosts, Order};
 
@@ -96,18 +96,25 @@
         });
     }
 
-    /// Checks all unsent items with the engine; returns the ends of those that are canceled.
+    /// Checks all unsent items with the engine; returns the ends of those that are canceled. An attempt waits
+    /// while its client may have canceled it by input that is not processed yet (`is_read`).
     pub fn recheck(
         &mut self,
         now: Micros,
         hub: &mut EventLoop,
         hosts: &mut Hosts,
         engine: &mut Engine,
+        is_read: &dyn Fn(&EventLoop, Connection) -> bool,
     ) -> Vec<Input> {
         let numbers: Vec<u64> = self.pending.keys().copied().collect();
         let mut ended = Vec::new();
         for number in numbers {
-            let departure = engine.may_send(now, number);
+            let departure = match engine.may_send(now, number) {
+                SendDecision::Allow if has_unread_client(number, hub, engine, is_read) => {
+                    SendDecision::Defer(MissingEvidence::ClientInput)
+                }
+                other => other,
+            };
             let over = match departure {
                 SendDecision::Allow => self.allow(now, number, hub, hosts, engine),
                 SendDecision::Defer(what) => self.park(now, number, what, hub, hosts),
@@ -202,3 +209,14 @@
         })
     }
 }
+
+/// Whether an attempt has clients, and none of them is one whose input is processed.
+fn has_unread_client(
+    number: u64,
+    hub: &EventLoop,
+    engine: &Engine,
+    is_read: &dyn Fn(&EventLoop, Connection) -> bool,
+) -> bool {
+    let mut connections = engine.client_connections(number).peekable();
+    connections.peek().is_some() && !connections.any(|connection| is_read(hub, connection))
+}
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -1,4 +1,8 @@
 //! Client connections: the requests on each, and the streams that still need an answer.
+//!
+//! Input is decoded in turns of a few frames (`input`). A decoded request waits (`waiting`) until all that its
+//! connection has sent is decoded, since a cancellation may follow it, and is started in its connection's turn.
+//! So a client delays its own requests by what it sends, and nobody else's.
 
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
@@ -7,11 +11,17 @@
 use cresswheel_admission::{
     Admission, ConnectionAction, ConnectionCounts, ConnectionEvent, ConnectionLimiter, ConnectionLimits,
 };
-use cresswheel_platform_wire::client::{self as wire, ClientDecoder, Code, FromClient, Request};
+use cresswheel_platform_wire::client::{self as wire, ClientDecoder, Code};
 use cresswheel_transport::{Connection, EventLoop, LoopEvent, slot};
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
 
-use crate::settings::REQUESTS_PER_CONNECTION;
+use crate::turns::Turns;
+
+mod input;
+mod waiting;
+
+use waiting::WaitingRequest;
+pub use waiting::{Request as StartedRequest, WaitingLimits};
 
 /// A client with a larger output backlog counts as not reading, and its new requests are rejected. Its input
 /// is still read, as it may hold cancellations.
@@ -24,9 +34,7 @@
 /// What clients did.
 #[derive(Debug)]
 pub enum ClientEvent {
-    /// A request with its connection and stream, and the earliest time at which it can have arrived.
-    Request(Connection, u32, Micros, Request),
-    /// The client canceled the request on this stream.
+    /// The client canceled the started request on this stream.
     Canceled(Connection, u32),
     /// The client disconnected.
     Left(Connection),
@@ -50,6 +58,14 @@
 
 struct Client {
     decoder: ClientDecoder,
+    /// Input was received that is not decoded yet; it arrived at this time at the earliest.
+    undecoded_since: Option<Micros>,
+    /// Reading is paused until the input is decoded.
+    paused: bool,
+    /// Requests that are decoded and not started.
+    waiting: VecDeque<WaitingRequest>,
+    /// Bytes that the waiting requests take.
+    waiting_bytes: usize,
     /// Unanswered requests, by stream.
     streams: HashMap<u32, OpenRequest>,
     unusable: u32,
@@ -62,6 +78,19 @@
     timeout_extended: bool,
 }
 
+impl Client {
+    /// Nothing that it sent is left to be done.
+    fn is_idle(&self) -> bool {
+        !self.ending && self.undecoded_since.is_none() && self.waiting.is_empty()
+    }
+}
+
+/// Whether nothing came from a client that was not processed yet; see [`EventLoop::is_quiet`].
+fn is_quiet(connections: &HashMap<Connection, Client>, hub: &mut EventLoop, connection: Connection) -> bool {
+    let is_undecoded = |client: &Client| client.undecoded_since.is_some() || client.paused;
+    !connections.get(&connection).is_some_and(is_undecoded) && hub.is_quiet(connection)
+}
+
 /// All client connections.
 pub struct ClientConnections {
     admission: ConnectionLimiter,
@@ -72,6 +101,11 @@
     by_slot: HashMap<usize, Connection>,
     /// Ids of open requests.
     ids: HashSet<String>,
+    /// Connections with input to decode, and those with waiting requests.
+    input_turns: Turns,
+    start_turns: Turns,
+    waiting_limits: WaitingLimits,
+    waiting_bytes: usize,
     events: VecDeque<ClientEvent>,
     draining: bool,
     listening: bool,
@@ -90,7 +124,7 @@
 const NOT_READING: &str = "asks and does not read";
 
 impl ClientConnections {
-    pub fn new(now: Micros, limits: ConnectionLimits) -> Self {
+    pub fn new(now: Micros, limits: ConnectionLimits, waiting_limits: WaitingLimits) -> Self {
         Self {
             admission: ConnectionLimiter::new(now, limits),
             max_connections: limits.connections,
@@ -98,6 +132,10 @@
             connections: HashMap::new(),
             by_slot: HashMap::new(),
             ids: HashSet::new(),
+            input_turns: Turns::default(),
+            start_turns: Turns::default(),
+            waiting_limits,
+            waiting_bytes: 0,
             events: VecDeque::new(),
             draining: false,
             listening: true,
@@ -136,16 +174,18 @@
     }
 
     /// Handles notices of client connections; returns all others.
-    pub fn notice(&mut self, hub: &mut EventLoop, is_ready: bool, notice: LoopEvent) -> Option<LoopEvent> {
+    pub fn notice(&mut self, hub: &mut EventLoop, notice: LoopEvent) -> Option<LoopEvent> {
         let now = hub.clock().now();
         match notice {
             LoopEvent::Opened(connection, _) => self.opened(hub, connection),
             LoopEvent::Bytes(connection, bytes) if self.connections.contains_key(&connection) => {
-                self.bytes(hub, is_ready, connection, &bytes);
+                self.receive(hub, connection, &bytes);
             }
             LoopEvent::Flushed(connection) if self.connections.contains_key(&connection) => {
-                self.admission.on_event(now, slot(connection), ConnectionEvent::Resumed);
-                self.connections.entry(connection).and_modify(|client| client.stalled = None);
+                let client = self.connections.get_mut(&connection);
+                if client.is_some_and(|client| client.stalled.take().is_some()) {
+                    self.admission.on_event(now, slot(connection), ConnectionEvent::Resumed);
+                }
             }
             LoopEvent::Closed { connection, is_inbound: true, .. } => {
                 // A connection rejected by admission control is closed too, and was never registered.
@@ -153,6 +193,7 @@
                     self.admission.on_closed(slot(connection));
                     self.by_slot.remove(&slot(connection));
                     client.streams.values().for_each(|open| _ = self.ids.remove(&open.id));
+                    self.waiting_bytes -= client.waiting_bytes;
                     self.events.push_back(ClientEvent::Left(connection));
                 }
             }
@@ -168,8 +209,8 @@
         }
         // Clients connect through the platform's proxy layer, so their addresses don't identify them.
         let address = Ipv4Addr::UNSPECIFIED.into();
-        let (now, by_slot) = (hub.clock().now(), &self.by_slot);
-        let quiet = |slot| by_slot.get(&slot).is_none_or(|other| hub.is_quiet(*other));
+        let (now, by_slot, connections) = (hub.clock().now(), &self.by_slot, &self.connections);
+        let quiet = |slot| by_slot.get(&slot).is_none_or(|other| is_quiet(connections, hub, *other));
         match self.admission.admit(now, slot(connection), address, false, quiet) {
             Admission::Accept => {}
             Admission::AcceptEvicting(other) => {
@@ -184,6 +225,10 @@
         let decoder = ClientDecoder::default();
         let client = Client {
             decoder,
+            undecoded_since: None,
+            paused: false,
+            waiting: VecDeque::new(),
+            waiting_bytes: 0,
             streams: HashMap::new(),
             unusable: 0,
             stalled: None,
@@ -197,86 +242,6 @@
         }
     }
 
-    fn bytes(&mut self, hub: &mut EventLoop, is_ready: bool, connection: Connection, bytes: &[u8]) {
-        let (now, received) = (hub.clock().now(), hub.arrived_at());
-        let Some(client) = self.connections.get_mut(&connection) else { return };
-        client.decoder.push(bytes);
-        loop {
-            let Some(client) = self.connections.get_mut(&connection).filter(|client| !client.ending) else {
-                return;
-            };
-            match client.decoder.decode() {
-                Ok(None) => {
-                    let held = client.decoder.incomplete_bytes();
-                    return self.admission.on_event(now, slot(connection), ConnectionEvent::Received(held));
-                }
-                Ok(Some(frame)) => {
-                    client.timeout_extended = false;
-                    self.admission.on_message_complete(now, slot(connection));
-                    self.frame(hub, is_ready, connection, received, frame);
-                }
-                Err(error) => return self.protocol_error(hub, connection, &error.to_string()),
-            }
-        }
-    }
-
-    fn frame(
-        &mut self,
-        hub: &mut EventLoop,
-        is_ready: bool,
-        connection: Connection,
-        received: Micros,
-        frame: FromClient,
-    ) {
-        let Some(client) = self.connections.get_mut(&connection) else { return };
-        match frame {
-            FromClient::Ready(stream) => {
-                hub.write(connection, None, |out| wire::encode_readiness(out, stream, is_ready));
-                self.admission.on_request(hub.clock().now(), slot(connection), "");
-                self.admission.on_answer(hub.clock().now(), slot(connection));
-                self.check_backlog(hub, connection);
-            }
-            FromClient::Canceled(stream) => {
-                if let Some(open) = client.streams.remove(&stream) {
-                    self.ids.remove(&open.id);
-                    self.admission.on_cancel(hub.clock().now(), slot(connection));
-                    self.events.push_back(ClientEvent::Canceled(connection, stream));
-                }
-            }
-            FromClient::Request(stream, _) if client.streams.contains_key(&stream) => {
-                self.protocol_error(hub, connection, "a stream with two requests");
-            }
-            FromClient::Request(stream, Err(why)) => {
-                tracing::debug!(connection, stream, %why, "unusable");
-                client.unusable += 1;
-                let often = client.unusable >= MAX_UNUSABLE;
-                self.reject(hub, connection, stream, "unusable");
-                if often {
-                    self.protocol_error(hub, connection, "requests that can't be used");
-                }
-            }
-            FromClient::Request(stream, Ok(request)) => {
-                let why = if client.stalled.is_some() {
-                    Some("does-not-read")
-                } else if client.streams.len() >= REQUESTS_PER_CONNECTION {
-                    Some("connection-full")
-                } else if self.ids.contains(&request.id) {
-                    Some("id-in-use")
-                } else {
-                    None
-                };
-                if let Some(why) = why {
-                    return self.reject(hub, connection, stream, why);
-                }
-                let due = received.saturating_add(request.wait_ms.saturating_mul(MILLISECOND));
-                client.streams.insert(stream, OpenRequest { id: request.id.clone(), due });
-                self.ids.insert(request.id.clone());
-                self.admission.on_request(hub.clock().now(), slot(connection), "");
-                self.events.push_back(ClientEvent::Request(connection, stream, received, request));
-            }
-        }
-    }
-
     /// Rejects a request that was never accepted: nothing ran.
     fn reject(&mut self, hub: &mut EventLoop, connection: Connection, stream: u32, why: &'static str) {
         tracing::debug!(connection, stream, why, "rejected");
@@ -375,6 +340,7 @@
     /// Handles a timeout of a connection. Input that arrived by now is processed first.
     fn handle_timeout(&mut self, hub: &mut EventLoop, connection: Connection, why: &'static str) {
         let (now, slot) = (hub.clock().now(), slot(connection));
+        let is_quiet = is_quiet(&self.connections, hub, connection);
         let unread: usize = self.stalled().map(|(connection, _)| hub.backlog(connection)).sum();
         let Some(client) = self.connections.get_mut(&connection) else { return };
         let backlog = hub.backlog(connection);
@@ -386,9 +352,7 @@
                 *before = backlog;
                 self.admission.on_event(now, slot, ConnectionEvent::Stalled);
             }
-            (None, "half-sent" | "half-bytes" | "half-many")
-                if !client.timeout_extended && !hub.is_quiet(connection) =>
-            {
+            (None, "half-sent" | "half-bytes" | "half-many") if !client.timeout_extended && !is_quiet => {
                 client.timeout_extended = true;
                 self.admission.on_event(
                     now,
@@ -404,9 +368,7 @@
             (None, "half-sent" | "half-bytes" | "half-many") => {
                 self.close(hub, connection, why);
             }
-            (None, _) if !hub.is_quiet(connection) => {
-                self.admission.on_event(now, slot, ConnectionEvent::Received(0))
-            }
+            (None, _) if !is_quiet => self.admission.on_event(now, slot, ConnectionEvent::Received(0)),
             _ => {
                 self.close(hub, connection, why);
             }
@@ -421,10 +383,14 @@
     /// Closes all connections without pending work, each once its input is processed and its output is
     /// written. True when none is left.
     pub fn close_idle(&mut self, hub: &mut EventLoop) -> bool {
-        for (connection, client) in &mut self.connections {
-            if !client.ending && hub.backlog(*connection) == 0 && hub.is_quiet(*connection) {
+        let connections: Vec<Connection> = self.connections.keys().copied().collect();
+        for connection in connections {
+            if hub.backlog(connection) > 0 || !is_quiet(&self.connections, hub, connection) {
+                continue;
+            }
+            if let Some(client) = self.connections.get_mut(&connection).filter(|client| client.is_idle()) {
                 client.ending = true;
-                hub.finish(*connection);
+                hub.finish(connection);
             }
         }
         self.connections.is_empty()
@@ -454,3 +420,6 @@
         self.admission.next_due(now).into_iter().chain(self.admission.may_accept(now).err()).min()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -14,6 +14,8 @@
 use cresswheel_transport::{Connection, ENDED, EventLoop, Sent};
 use foldhash::{HashMap, HashMapExt};
 
+use crate::turns::Turns;
+
 /// What an id or tag on a connection refers to.
 #[derive(Clone, Copy, Debug)]
 enum Outstanding {
@@ -44,6 +46,10 @@
     outstanding: HashMap<String, Outstanding>,
     opened_at: Micros,
     last_received: Micros,
+    /// Its input is left unread until what was received is decoded.
+    held: bool,
+    /// A malformed answer came; what follows it means nothing.
+    malformed: bool,
 }
 
 impl HostConnection {
@@ -53,6 +59,8 @@
             outstanding: HashMap::new(),
             opened_at: now,
             last_received: now,
+            held: false,
+            malformed: false,
         }
     }
 }
@@ -84,6 +92,8 @@
     pub count: u32,
 }
 
+/// Answers of a connection that are taken in one turn.
+const ANSWERS_PER_TURN: usize = 8;
 /// Minimum interval between requested probes of a host.
 const MIN_PROBE_INTERVAL: Micros = 250_000;
 
@@ -104,6 +114,8 @@
     max_connections: usize,
     duplicate_windows: DuplicateWindows,
     connections_by_id: HashMap<Connection, HostConnection>,
+    /// Connections with answers to decode.
+    input_turns: Turns,
     endpoints: HashMap<WorkerId, Endpoint>,
     /// Connection and id or tag of each attempt and order in flight.
     in_flight: HashMap<u64, (Connection, String)>,
@@ -121,6 +133,7 @@
             max_connections,
             duplicate_windows,
             connections_by_id: HashMap::new(),
+            input_turns: Turns::default(),
             endpoints: HashMap::new(),
             in_flight: HashMap::new(),
             next_probe: 0,
@@ -438,21 +451,71 @@
         self.carriers.contains(connection)
     }
 
-    /// Processes bytes from a host; returns what they ended.
-    pub fn receive(&mut self, hub: &mut EventLoop, connection: Connection, bytes: &[u8]) -> Vec<Input> {
+    /// Takes in bytes from a host; they are decoded in the connection's turn.
+    pub fn receive(&mut self, hub: &EventLoop, connection: Connection, bytes: &[u8]) {
+        let Some(connection_state) = self.connections_by_id.get_mut(&connection) else { return };
+        connection_state.last_received = hub.clock().now();
+        connection_state.decoder.push(bytes);
+        self.input_turns.push(connection);
+    }
+
+    /// Whether there are received bytes to decode.
+    pub fn has_input(&self) -> bool {
+        !self.input_turns.is_empty()
+    }
+
+    /// Decodes some answers of the connection whose turn it is; returns what they ended.
+    pub fn decode_turn(&mut self, hub: &mut EventLoop) -> Vec<Input> {
+        let Some(connection) = self.input_turns.next() else { return Vec::new() };
+        let mut ended = Vec::new();
+        if self.decode(hub, connection, ANSWERS_PER_TURN, &mut ended) {
+            self.input_turns.push(connection);
+            return ended;
+        }
+        let connection_state = self.connections_by_id.get_mut(&connection);
+        if connection_state.is_some_and(|state| std::mem::take(&mut state.held)) {
+            hub.hold(connection, false);
+        }
+        ended
+    }
+
+    /// Decodes all that was received on a connection that has ended; returns what it ended.
+    pub fn decode_rest(&mut self, hub: &mut EventLoop, connection: Connection) -> Vec<Input> {
         let mut ended = Vec::new();
+        self.decode(hub, connection, usize::MAX, &mut ended);
+        ended
+    }
+
+    /// Leaves connections unread of which something is left to decode.
+    pub fn hold_undecoded(&mut self, hub: &mut EventLoop) {
+        for connection in self.input_turns.iter() {
+            let connection_state = self.connections_by_id.get_mut(&connection);
+            if connection_state.is_some_and(|state| !std::mem::replace(&mut state.held, true)) {
+                hub.hold(connection, true);
+            }
+        }
+    }
+
+    /// Decodes at most so many answers; true if more may follow.
+    fn decode(
+        &mut self,
+        hub: &mut EventLoop,
+        connection: Connection,
+        most: usize,
+        ended: &mut Vec<Input>,
+    ) -> bool {
         let now = hub.clock().now();
-        let Some(connection_state) = self.connections_by_id.get_mut(&connection) else { return ended };
-        connection_state.last_received = now;
-        connection_state.decoder.push(bytes);
-        loop {
-            let Some(connection_state) = self.connections_by_id.get_mut(&connection) else { return ended };
+        for _ in 0..most {
+            let connection_state = self.connections_by_id.get_mut(&connection);
+            let Some(connection_state) = connection_state.filter(|state| !state.malformed) else {
+                return false;
+            };
             let answer = match connection_state.decoder.decode() {
-                Ok(None) => return ended,
+                Ok(None) => return false,
                 Ok(Some(answer)) => answer,
                 Err(error) => {
                     self.close_malformed(hub, connection, &error.to_string());
-                    return ended;
+                    return false;
                 }
             };
             match connection_state.outstanding.get(&answer.id).copied() {
@@ -480,16 +543,18 @@
                     }
                     None => {
                         self.close_malformed(hub, connection, "answer does not match the request");
-                        return ended;
+                        return false;
                     }
                 },
             }
         }
+        true
     }
 
     /// Closes a connection after a malformed answer; what is in flight on it may have run.
     fn close_malformed(&mut self, hub: &mut EventLoop, connection: Connection, why: &str) {
         self.counts.malformed += 1;
+        self.connections_by_id.entry(connection).and_modify(|state| state.malformed = true);
         let host = self.carriers.worker(connection);
         tracing::info!(host = host.map(tracing::field::display), why, "malformed answer from host");
         hub.close(connection, "malformed answer from host");
--- a/crates/platform/src/hosts/tests.rs
+++ b/crates/platform/src/hosts/tests.rs
@@ -130,9 +130,9 @@
         assert!(hosts.run(&mut hub, &attempt(number, Vec::new())).is_none());
     }
     let other = [2, 3].map(|number| hosts.in_flight[&number].0).into_iter().find(|other| *other != own);
-    assert!(hosts.receive(&mut hub, other.expect("another connection"), &answer).is_empty());
+    assert!(receive(&mut hosts, &mut hub, other.expect("another connection"), &answer).is_empty());
     assert_eq!(hosts.counts.unexpected, 1);
-    assert!(matches!(hosts.receive(&mut hub, own, &answer)[..], [Input::OrderEnded(1, ..)]));
+    assert!(matches!(receive(&mut hosts, &mut hub, own, &answer)[..], [Input::OrderEnded(1, ..)]));
 }
 
 fn order(number: u64) -> Order {
@@ -175,3 +175,40 @@
     assert!(hosts.prewarm(&mut hub, &order(11)).is_some(), "one place is free");
     assert_eq!(hosts.in_flight.len(), 10);
 }
+
+/// Takes in bytes and decodes all of them.
+fn receive(hosts: &mut Hosts, hub: &mut EventLoop, connection: Connection, bytes: &[u8]) -> Vec<Input> {
+    hosts.receive(hub, connection, bytes);
+    let mut ended = Vec::new();
+    while hosts.has_input() {
+        ended.extend(hosts.decode_turn(hub));
+    }
+    ended
+}
+
+#[test]
+fn answers_of_a_host_are_taken_in_turns_and_all_of_them_when_its_connection_ends() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
+    let mut hosts = hosts(2);
+    hosts.apply_list(&mut hub, &[host(&listener, MemberState::Active)]);
+    let mut answers = Vec::new();
+    let order = Order { worker: "h".into(), number: 1, function: "7f3a9c21e0b4d655".into(), count: 1 };
+    assert!(hosts.prewarm(&mut hub, &order).is_none());
+    let (connection, tag) = hosts.in_flight[&1].clone();
+    for number in 0..3 * ANSWERS_PER_TURN {
+        host::encode_answer(&mut answers, &format!("{number:016x}"), "OK", "-", b"");
+    }
+    host::encode_answer(&mut answers, &tag, "OK", "instances=1", b"");
+    hosts.receive(&hub, connection, &answers);
+    assert!(hosts.decode_turn(&mut hub).is_empty());
+    assert_eq!((hosts.counts.unexpected, hosts.has_input()), (ANSWERS_PER_TURN as u64, true));
+    hosts.hold_undecoded(&mut hub);
+    assert!(hosts.connections_by_id[&connection].held);
+    // The connection ends with answers undecoded.
+    let ended = hosts.decode_rest(&mut hub, connection);
+    assert!(matches!(ended[..], [Input::OrderEnded(1, ..)]), "{ended:?}");
+    assert_eq!(hosts.counts.unexpected, 3 * ANSWERS_PER_TURN as u64);
+    assert!(hosts.decode_turn(&mut hub).is_empty() && !hosts.has_input());
+    assert!(!hosts.connections_by_id[&connection].held);
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,7 +12,7 @@
 mod loop_times;
 mod settings;
 mod shell;
-mod waiting;
+mod turns;
 
 pub use settings::PlatformSettings;
 pub use shell::Platform;
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -11,6 +11,7 @@
 use cresswheel_transport::{EventLoopLimits, Wire};
 use rustix::process::{Resource, getrlimit};
 
+use crate::front::WaitingLimits;
 use crate::hosts::DuplicateWindows;
 
 const SECOND: Micros = 1_000_000;
@@ -51,6 +52,8 @@
     pub engine: EngineSettings,
     /// Limits of client connections.
     pub connection_limits: ConnectionLimits,
+    /// Limits of requests that are not started yet.
+    pub waiting: WaitingLimits,
     /// Limits of connections to hosts.
     pub carriers: CarrierLimits,
     /// Connection limit over all hosts.
@@ -117,6 +120,7 @@
                 pings_per_s: 0,
                 ..ConnectionLimits::default()
             },
+            waiting: WaitingLimits { bytes: memory / 8, margin: answer_margin },
             carriers: CarrierLimits {
                 wire: Wire::Raw,
                 connections: (host_connections / HOSTS_EXPECTED).clamp(1, 16),
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -9,19 +9,18 @@
 use calloop::signals::Signal;
 use cresswheel::Micros;
 use cresswheel_engine::{Answer, Attempt, AttemptEnd, Call, Client, Engine, Input, Output};
-use cresswheel_platform_wire::client::{Code, Request};
+use cresswheel_platform_wire::client::Code;
 use cresswheel_platform_wire::config::Config;
 use cresswheel_protocol::{MemberState, Status};
-use cresswheel_transport::{Connection, EventLoop, LoopEvent, Wire, listener};
+use cresswheel_transport::{EventLoop, LoopEvent, Wire, listener};
 
 use crate::PlatformSettings;
 use crate::departures::{Item, UnsentItems};
 use crate::directory::{self, Directory};
-use crate::front::{ClientConnections, ClientEvent};
+use crate::front::{ClientConnections, ClientEvent, StartedRequest};
 use crate::hosts::{Hosts, Order};
 use crate::lateness::LoopLag;
 use crate::loop_times::{LongIteration, LoopTimes, Stage};
-use crate::waiting::DeferredRequests;
 
 /// Rereads the configuration on HUP.
 pub type Reload = Box<dyn FnMut() -> Result<Config, String>>;
@@ -37,14 +36,15 @@
 const FLUSH_POLL_INTERVAL: Micros = 5_000;
 
 /// No attempt may start later than 0.1 s after its client left: attempts are written within half of that
-/// after client sockets were last polled.
+/// after client sockets were last polled, and an iteration may not take longer.
 const LONG_ITERATION: Micros = 50_000;
 /// A pause of the process is detected by a sleep that ends late. A pause shorter than the sleep goes
 /// unnoticed and makes input received meanwhile look newer by as much: less than the 0.15 s by which a
 /// deadline passed to a host may be late.
 const MAX_SLEEP: Micros = 100_000;
-/// Maximum number of extra reads before normal processing continues.
-const MAX_EXTRA_READS: u32 = 64;
+/// How long an iteration decodes input of clients, takes answers of hosts, and starts requests; what is left
+/// goes to the next one.
+const STAGE_BUDGET: Micros = 5_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -72,8 +72,6 @@
     next_counts: Micros,
     loop_lag: LoopLag,
     loop_times: LoopTimes,
-    /// Requests read while only cancellations and disconnects were being processed.
-    deferred: DeferredRequests,
     inputs: VecDeque<Input>,
     outputs: Vec<Output>,
     phase: Phase,
@@ -94,6 +92,7 @@
         // Before the process becomes reachable: a signal without its handler would end it.
         hub.signals(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).context("signals")?;
         hub.leave_within(LONG_ITERATION);
+        hub.poll_to_end();
         let now = hub.clock().now();
         let mut engine = Engine::new(settings.engine.clone(), settings.seed ^ now)?;
         let module = &settings.engine.dispatcher;
@@ -106,7 +105,7 @@
         );
         engine.limit_list_age(directory::terms(module.drain_grace, module.may_probe), directory.age());
         let mut gateway = Self {
-            clients: ClientConnections::new(now, settings.connection_limits),
+            clients: ClientConnections::new(now, settings.connection_limits, settings.waiting),
             hosts: Hosts::new(settings.carriers, settings.host_connections, settings.duplicate_windows),
             directory,
             unsent_items: UnsentItems::default(),
@@ -115,7 +114,6 @@
             next_counts: now + COUNTS_INTERVAL,
             loop_lag: LoopLag::default(),
             loop_times: LoopTimes::default(),
-            deferred: DeferredRequests::default(),
             inputs: VecDeque::new(),
             outputs: Vec::new(),
             phase: Phase::Running,
@@ -147,23 +145,20 @@
                 self.feed_engine(Input::ListAge(self.directory.age()));
             }
             self.recheck_unsent_items();
-            let due = if self.deferred.is_empty() { self.next_due(now) } else { now };
+            let due = if self.has_work() { now } else { self.next_due(now) };
             self.hub.wait(Some(due.min(now + MAX_SLEEP)))?;
             self.loop_times.begin(self.hub.clock().now());
             self.unsent_items.after_write(self.hub.wrote(), &self.hub, &self.hosts, &mut self.engine);
-            while let Some(event) = self.deferred.take() {
-                self.handle_event(event);
-            }
-            self.end_stage(Stage::Start);
             while let Some(notice) = self.hub.next_event() {
                 self.handle_notice(notice);
-                while let Some(event) = self.clients.take_event() {
-                    self.handle_event(event);
-                }
+                self.handle_client_events();
             }
             self.end_stage(Stage::Notices);
-            self.read_late_events()?;
+            self.take_host_answers();
+            self.decode_client_input();
             self.end_stage(Stage::Input);
+            self.start_requests();
+            self.end_stage(Stage::Start);
             let now = self.hub.clock().now();
             if let Some(due) = self.engine.wake_at().filter(|at| *at <= now) {
                 self.loop_lag.record(now, due);
@@ -212,7 +207,10 @@
     fn recheck_unsent_items(&mut self) {
         loop {
             let now = self.hub.clock().now();
-            let ended = self.unsent_items.recheck(now, &mut self.hub, &mut self.hosts, &mut self.engine);
+            let clients = &self.clients;
+            let is_read = |hub: &EventLoop, connection| clients.is_read_to_end(hub, connection);
+            let ended =
+                self.unsent_items.recheck(now, &mut self.hub, &mut self.hosts, &mut self.engine, &is_read);
             if ended.is_empty() {
                 return;
             }
@@ -220,26 +218,40 @@
         }
     }
 
-    /// Output of this iteration is written in the next one, and a client that has left by then must be known.
-    /// So after a long iteration, or with more input than one iteration reads, client sockets are read again:
-    /// cancellations and disconnects take effect at once, new requests wait. The directory's socket is read
-    /// too, as its answers count as notified.
-    fn read_late_events(&mut self) -> io::Result<()> {
-        for _ in 0..MAX_EXTRA_READS {
-            if !self.hub.is_behind(LONG_ITERATION) || self.deferred.is_full() {
-                break;
-            }
-            self.hub.hear()?;
-            while let Some(notice) = self.hub.next_event() {
-                self.handle_notice(notice);
-                while let Some(event) = self.clients.take_event() {
-                    if let Some(event) = self.deferred.push(event) {
-                        self.handle_event(event);
-                    }
-                }
-            }
+    /// Whether something is left to do that needs no event.
+    fn has_work(&self) -> bool {
+        self.clients.has_input() || self.clients.has_waiting() || self.hosts.has_input()
+    }
+
+    /// Decodes input of clients in turns, for a limited time.
+    fn decode_client_input(&mut self) {
+        let is_ready = self.is_ready();
+        let end = self.hub.clock().now() + STAGE_BUDGET;
+        while self.clients.has_input() && self.hub.clock().now() < end {
+            self.clients.decode_turn(&mut self.hub, is_ready);
+            self.handle_client_events();
         }
-        Ok(())
+        self.clients.pause_undecoded(&mut self.hub);
+    }
+
+    /// Starts requests of clients of which all that they sent is decoded, in turns and for a limited time.
+    fn start_requests(&mut self) {
+        let end = self.hub.clock().now() + STAGE_BUDGET;
+        while self.hub.clock().now() < end
+            && let Some(request) = self.clients.take_request(&self.hub)
+        {
+            self.request(request);
+        }
+    }
+
+    /// Takes answers of hosts in turns, for a limited time.
+    fn take_host_answers(&mut self) {
+        let end = self.hub.clock().now() + STAGE_BUDGET;
+        while self.hosts.has_input() && self.hub.clock().now() < end {
+            let ended = self.hosts.decode_turn(&mut self.hub);
+            ended.into_iter().for_each(|input| self.feed_engine(input));
+        }
+        self.hosts.hold_undecoded(&mut self.hub);
     }
 
     /// Advances the shutdown; true once it is complete.
@@ -257,7 +269,7 @@
                 self.phase = Phase::Flushing(since + self.settings.stop_timeout + FLUSH_TIMEOUT);
             }
             Phase::Flushing(until)
-                if until <= now || self.deferred.is_empty() && self.clients.close_idle(&mut self.hub) =>
+                if until <= now || !self.has_work() && self.clients.close_idle(&mut self.hub) =>
             {
                 self.log_counts();
                 tracing::info!("stopped");
@@ -291,16 +303,16 @@
     }
 
     fn handle_notice(&mut self, notice: LoopEvent) {
-        let is_ready = self.is_ready();
-        let Some(notice) = self.clients.notice(&mut self.hub, is_ready, notice) else { return };
+        let Some(notice) = self.clients.notice(&mut self.hub, notice) else { return };
         match notice {
             LoopEvent::Connected(connection) => self.hosts.connected(&self.hub, connection),
             LoopEvent::Bytes(connection, bytes) if self.hosts.is_host_connection(connection) => {
-                let ended = self.hosts.receive(&mut self.hub, connection, &bytes);
-                ended.into_iter().for_each(|input| self.feed_engine(input));
+                self.hosts.receive(&self.hub, connection, &bytes);
             }
             LoopEvent::Closed { connection, is_inbound: false, never_stood, unsent, why } => {
                 let host = self.hosts.host(connection);
+                let answered = self.hosts.decode_rest(&mut self.hub, connection);
+                answered.into_iter().for_each(|input| self.feed_engine(input));
                 let ended = self.hosts.closed(connection, never_stood, &unsent, &why);
                 if !ended.is_empty() {
                     let host = host.map(tracing::field::display);
@@ -345,24 +357,24 @@
         }
     }
 
-    fn handle_event(&mut self, event: ClientEvent) {
-        match event {
-            ClientEvent::Request(connection, stream, received, request) => {
-                self.request(connection, stream, received, request);
-            }
-            ClientEvent::Canceled(connection, stream) => {
-                tracing::debug!(connection, stream, "taken back");
-                self.feed_engine(Input::Cancel(Client { connection, number: u64::from(stream) }));
-            }
-            ClientEvent::Left(connection) => {
-                tracing::debug!(connection, "left");
-                self.feed_engine(Input::Disconnected(connection));
+    fn handle_client_events(&mut self) {
+        while let Some(event) = self.clients.take_event() {
+            match event {
+                ClientEvent::Canceled(connection, stream) => {
+                    tracing::debug!(connection, stream, "taken back");
+                    self.feed_engine(Input::Cancel(Client { connection, number: u64::from(stream) }));
+                }
+                ClientEvent::Left(connection) => {
+                    tracing::debug!(connection, "left");
+                    self.feed_engine(Input::Disconnected(connection));
+                }
             }
         }
     }
 
     /// Starts a call. Its time limit counts from when the request was received.
-    fn request(&mut self, connection: Connection, stream: u32, received: Micros, request: Request) {
+    fn request(&mut self, request: StartedRequest) {
+        let StartedRequest { connection, stream, received, request } = request;
         let elapsed = self.hub.clock().now().saturating_sub(received);
         let call = Call {
             deferred: false,
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -166,7 +166,7 @@
     readable: bool,
     writable: bool,
     paused: bool,
-    /// It has input that is left unread until [`EventLoop::hold_peers`] ends.
+    /// It has input that is left unread until [`EventLoop::hold_peers`] or [`EventLoop::hold`] ends.
     held: bool,
     notify_flushed: bool,
     close_when_flushed: bool,
@@ -180,6 +180,10 @@
     ended: bool,
     /// All received bytes were read and it is polled for more: the next bytes arrived after the last poll.
     drained: bool,
+    /// All received bytes were read at this time; 0: never. Not set by a large read, as more may follow it at once.
+    read_to_end_at: Micros,
+    /// When it was last read.
+    last_read: Micros,
     active: Option<Box<ActiveState>>,
 }
 
@@ -266,6 +270,8 @@
 /// How long a finished connection waits for the peer to close.
 const LINGER: Micros = 500_000;
 const FINISHED: &str = "finished";
+/// What a connection sent is read up to the last poll, or to this long before it where a poll did not find all.
+const MAX_INPUT_AGE: Micros = 50_000;
 const OUTPUT_LIMIT: &str = "too much waits to be written";
 /// Close reason of a connection that the peer ended in good order.
 pub const ENDED: &str = "closed by the other side";
@@ -308,9 +314,11 @@
     accept_resume_at: Option<Micros>,
     /// Connections to read or write in the next iteration.
     ready_queue: Vec<Connection>,
-    /// When accepted connections were polled last, and whether more of them may have had input.
+    /// When accepted connections were polled last, and when a poll last found all that had input.
     last_polled: Micros,
-    polled_in_part: bool,
+    last_complete_poll: Micros,
+    /// A poll of accepted connections goes on until it has found all that have input.
+    polls_to_end: bool,
     /// Maximum age of the last poll at which output is sent on own connections.
     write_window: Option<Micros>,
     /// The last call of `wait` sent nothing on own connections, as the last poll was too old.
@@ -369,7 +377,8 @@
             accept_resume_at: None,
             ready_queue: Vec::new(),
             last_polled: now,
-            polled_in_part: false,
+            last_complete_poll: 0,
+            polls_to_end: false,
             write_window: None,
             write_skipped: false,
             last_write: now,
@@ -546,6 +555,7 @@
         let now = self.clock.now();
         if let Some(conn) = self.get_mut(id) {
             conn.paused = paused;
+            conn.readable |= !paused;
             if std::mem::take(&mut conn.drained) {
                 conn.earliest_arrival = now;
             }
@@ -685,39 +695,41 @@
         }
     }
 
-    /// Whether accepted connections may have unread input: the last poll is older than `span`, or found more
-    /// than could be read, or so much that more may follow.
-    pub fn is_behind(&self, span: Micros) -> bool {
-        let reads =
-            |id: &Connection| self.get_ref(*id).is_some_and(|conn| conn.is_accepted() && conn.can_read());
-        let late = self.last_polled.saturating_add(span) < self.clock.now();
-        !self.accepted_paused && (late || self.polled_in_part || self.ready_queue.iter().any(reads))
+    /// Has every poll find all accepted connections with input, however many, so that
+    /// [`EventLoop::is_read_to_end`] soon holds for one on which nothing has come.
+    pub fn poll_to_end(&mut self) {
+        self.polls_to_end = true;
     }
 
-    /// Reads the input of accepted connections and datagrams without blocking; writes and accepts nothing.
-    pub fn hear(&mut self) -> io::Result<()> {
-        let sockets: Vec<usize> = self.datagrams.iter().map(|(number, _)| number).collect();
-        sockets.into_iter().for_each(|number| self.read_datagrams(number));
-        if self.accepted_paused {
-            return Ok(());
-        }
-        let mut events = std::mem::take(&mut self.poll_events);
-        self.poll_accepted(self.clock.now(), &mut events)?;
-        events.drain(..).for_each(|(since, what)| self.handle_event(since, what));
-        self.poll_events = events;
-        // They stay queued: output to them is written later.
-        let is_accepted = |id: &Connection| self.get_ref(*id).is_some_and(|conn| conn.is_accepted());
-        let accepted: Vec<Connection> = self.ready_queue.iter().copied().filter(is_accepted).collect();
-        accepted.into_iter().for_each(|id| self.read_available(id));
-        Ok(())
+    /// Whether all that a connection had sent by the last poll of the sockets was read and is delivered by
+    /// [`EventLoop::next_event`], its end included.
+    pub fn is_read_to_end(&self, id: Connection) -> bool {
+        let Some(conn) = self.get_ref(id) else { return false };
+        let has_input = conn.readable || conn.ended || conn.paused || conn.held;
+        // After a large read more may have come at once; only a later poll tells.
+        let is_known = conn.read_to_end_at >= conn.last_read || self.last_complete_poll > conn.last_read;
+        let read_up_to = conn.read_to_end_at.max(self.last_complete_poll);
+        !has_input && is_known && read_up_to.saturating_add(MAX_INPUT_AGE) >= self.last_polled
     }
 
     fn poll_accepted(&mut self, now: Micros, events: &mut Vec<(Micros, PollEvent)>) -> io::Result<usize> {
         if self.accepted_paused {
             return Ok(0);
         }
-        let found = self.accepted_poller.poll(now, events)?;
-        (self.last_polled, self.polled_in_part) = (now, found == MAX_EVENTS);
+        self.last_polled = now;
+        let mut found = 0;
+        // Each poll returns other sockets than the one before, as long as there are others.
+        let polls = if self.polls_to_end { self.accepted / MAX_EVENTS + 2 } else { 1 };
+        for poll in 1..=polls {
+            let count = self.accepted_poller.poll(now, events)?;
+            found += count;
+            if count < MAX_EVENTS || self.polls_to_end && poll == polls {
+                self.last_complete_poll = now;
+            }
+            if count < MAX_EVENTS {
+                break;
+            }
+        }
         Ok(found)
     }
 
@@ -876,12 +888,12 @@
 
     fn read_available(&mut self, id: Connection) {
         let mut scratch = std::mem::take(&mut self.scratch);
-        let limits = self.limits;
+        let (now, limits) = (self.clock.now(), self.limits);
         let Some(conn) = self.get_mut(id) else {
             self.scratch = scratch;
             return;
         };
-        let (mut over, mut came, mut was_large) = (None, false, false);
+        let (mut over, mut came) = (None, false);
         // The end of the connection is to be known before earlier input of the peer is acted on.
         let mut reads = if conn.ended { MAX_FINAL_READS } else { 1 };
         while conn.can_read() && reads > 0 {
@@ -892,9 +904,12 @@
                 Ok(_) if conn.lingering => {}
                 Ok(count) => {
                     came = true;
-                    was_large |= conn.is_accepted() && count >= LARGE_READ;
+                    conn.last_read = now;
                     conn.readable = count == scratch.len();
                     conn.drained = !conn.readable;
+                    if count < LARGE_READ {
+                        conn.read_to_end_at = now;
+                    }
                     match &mut conn.active(&limits).decode {
                         Decode::Frames(decoder) => decoder.push(&scratch[..count]),
                         Decode::Http(decoder) => decoder.push(&scratch[..count]),
@@ -905,14 +920,15 @@
                         continue;
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => (conn.readable, conn.drained) = (false, true),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    (conn.readable, conn.drained, conn.read_to_end_at) = (false, true, now);
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(error) => over = Some(error.to_string()),
             }
             break;
         }
         self.scratch = scratch;
-        self.polled_in_part |= was_large;
         self.decode(id);
         if let Some(why) = over {
             return self.close(id, &why);
--- a/crates/transport/src/hub/backpressure.rs
+++ b/crates/transport/src/hub/backpressure.rs
@@ -47,6 +47,16 @@
         }
     }
 
+    /// Leaves the input of one connection that this side opened unread, or resumes reading. One that its peer has
+    /// closed is read to its end all the same.
+    pub fn hold(&mut self, id: Connection, hold: bool) {
+        if let Some(conn) = self.get_mut(id) {
+            conn.held = hold && !conn.ended;
+            conn.readable |= !hold;
+            self.enqueue(id);
+        }
+    }
+
     /// Holds a connection that has unread input, if peers are held.
     pub(super) fn hold_if_peer(&mut self, id: Connection) {
         if self.held_peers.is_none() || self.hold_exempt == Some(id) {
--- a/crates/transport/src/hub/connecting.rs
+++ b/crates/transport/src/hub/connecting.rs
@@ -117,6 +117,8 @@
             earliest_arrival: self.clock.now(),
             ended: false,
             drained: false,
+            read_to_end_at: 0,
+            last_read: 0,
             active: None,
         });
         Ok(id)
--- a/crates/transport/tests/hub.rs
+++ b/crates/transport/tests/hub.rs
@@ -82,15 +82,85 @@
     // all in one iteration.
     while !matches!(next(&mut hub), LoopEvent::Message(..)) {}
     assert!(hub.send(own, &probe(2), Some(2)));
-    assert!(!hub.is_behind(10_000_000), "all was read just now");
+    assert!(hub.is_read_to_end(id), "all was read just now");
     std::thread::sleep(Duration::from_millis(60));
+    client.write_all(&bytes).unwrap();
     drop(client);
-    assert!(hub.is_behind(50_000), "the last look was long ago");
-    hub.hear().unwrap();
-    assert!(matches!(hub.next_event(), Some(LoopEvent::Closed { connection, .. }) if connection == id));
-    assert!(!hub.is_behind(50_000));
     assert_eq!(hub.sent(own, 2), Sent::Nothing);
-    assert!(hub.cancel_unsent(own, 2), "listening writes nothing");
+    assert!(hub.cancel_unsent(own, 2), "no output is written before the next wait");
+    let LoopEvent::Message(..) = next(&mut hub) else { panic!("what it sent before its end") };
+    assert!(!hub.is_read_to_end(id), "its end is still to be read");
+    assert!(matches!(next(&mut hub), LoopEvent::Closed { connection, .. } if connection == id));
+    assert!(!hub.is_read_to_end(id));
+}
+
+#[test]
+fn a_connection_is_read_to_its_end_only_if_nothing_is_left_in_the_kernel_or_paused() {
+    let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
+    hub.poll_to_end();
+    let (_, address) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Raw).unwrap();
+    let mut client = TcpStream::connect(address).unwrap();
+    let LoopEvent::Opened(id, _) = next(&mut hub) else { panic!("a client") };
+    // More than one read takes; the kernel has all of it.
+    let sent = 200_000;
+    client.write_all(&vec![1; sent]).unwrap();
+    let LoopEvent::Bytes(_, first) = next(&mut hub) else { panic!("bytes") };
+    assert!(first.len() < sent && !hub.is_read_to_end(id), "more was sent than one read takes");
+    let mut received = first.len();
+    while received < sent {
+        let LoopEvent::Bytes(_, bytes) = next(&mut hub) else { panic!("bytes") };
+        received += bytes.len();
+    }
+    hub.wait(Some(0)).unwrap();
+    assert!(hub.is_read_to_end(id), "a later poll found nothing");
+    hub.pause(id, true);
+    assert!(!hub.is_read_to_end(id));
+    hub.wait(Some(0)).unwrap();
+    client.write_all(b"later").unwrap();
+    hub.wait(Some(0)).unwrap();
+    assert!(hub.next_event().is_none(), "a paused connection is not read");
+    hub.pause(id, false);
+    assert!(!hub.is_read_to_end(id), "it is to be read first");
+    assert!(matches!(next(&mut hub), LoopEvent::Bytes(_, bytes) if bytes == b"later"));
+    assert!(hub.is_read_to_end(id));
+}
+
+#[test]
+fn every_client_with_input_is_found_by_one_poll_however_many_there_are() {
+    let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
+    hub.poll_to_end();
+    let (_, address) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Raw).unwrap();
+    let mut clients: Vec<TcpStream> = (0..400).map(|_| TcpStream::connect(address).unwrap()).collect();
+    let mut accepted = Vec::new();
+    while accepted.len() < clients.len() {
+        let LoopEvent::Opened(id, _) = next(&mut hub) else { panic!("a client") };
+        accepted.push(id);
+    }
+    clients.iter_mut().for_each(|client| client.write_all(b"x").unwrap());
+    hub.wait(Some(0)).unwrap();
+    let read = std::iter::from_fn(|| hub.next_event()).count();
+    assert_eq!(read, clients.len());
+    assert!(accepted.iter().all(|id| hub.is_read_to_end(*id)));
+}
+
+#[test]
+fn the_input_of_a_held_peer_waits_and_its_end_comes_after_it() {
+    let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let own = hub.connect(listener.local_addr().unwrap(), Wire::Raw, 1_000_000);
+    let (mut peer, _) = listener.accept().unwrap();
+    assert!(matches!(next(&mut hub), LoopEvent::Connected(id) if id == own));
+    hub.hold(own, true);
+    hub.wait(Some(0)).unwrap();
+    peer.write_all(b"answer").unwrap();
+    drop(peer);
+    for _ in 0..3 {
+        hub.wait(Some(0)).unwrap();
+    }
+    assert!(hub.next_event().is_none(), "a held peer is not read, and its end is no reset");
+    hub.hold(own, false);
+    assert!(matches!(next(&mut hub), LoopEvent::Bytes(_, bytes) if bytes == b"answer"));
+    assert!(matches!(next(&mut hub), LoopEvent::Closed { connection, .. } if connection == own));
 }
 
 #[test]
@@ -140,18 +210,6 @@
     assert_eq!(&bytes, b"2");
 }
 
-#[test]
-fn hearing_reads_datagrams_and_writes_nothing() {
-    let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
-    let service = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
-    let socket = hub.datagrams(service.local_addr().unwrap()).unwrap();
-    hub.send_datagram(socket, b"?");
-    let (_, query_address) = service.recv_from(&mut [0]).unwrap();
-    service.send_to(b"news", query_address).unwrap();
-    hub.hear().unwrap();
-    assert!(matches!(hub.next_event(), Some(LoopEvent::Datagram(of, _)) if of == socket));
-}
-
 #[test]
 fn sent_frames_are_not_returned_as_unsent() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
