Function names: places are shared by connection and freed before they run out

Cause: the table of names admitted whoever came first, and a name that never served anybody kept its place as long as one that is in use.

Fix: engine/src/functions.rs. From seven eighths of the places on, each new name offers two names without an open call to the dispatcher (Event::FunctionUnneeded), never served and longest unused first; the dispatcher forgets those that nothing refers to. The last eighth is for connections that have brought few names. A connection that comes anew each time still gets a share anew: that is left to forgetting. The module: a function counts its request records, so that the check needs no walk over all requests; the walk in forget_unused went with it. Nothing changes while places are free.

Root tests with the recorded sequences, engine and cli tests pass.

--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -1,7 +1,9 @@
 //! Admission control: limits on open calls, bytes and function names. Each has a reason for clients and
 //! counters.
 
-use foldhash::{HashSet, HashSetExt};
+use std::sync::Arc;
+
+use crate::functions::FunctionTable;
 
 /// Limits on what the gateway keeps for its clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,17 +30,23 @@
     pub limits: AdmissionLimits,
     pub calls: usize,
     pub bytes: usize,
-    functions: HashSet<String>,
+    functions: FunctionTable,
 }
 
 impl Admission {
     pub fn new(limits: AdmissionLimits) -> Self {
-        Self { limits, calls: 0, bytes: 0, functions: HashSet::new() }
+        Self { limits, calls: 0, bytes: 0, functions: FunctionTable::default() }
     }
 
-    /// Admits a call, or returns the reason for its rejection. `pending`: calls and awaits without an answer
-    /// on its connection.
-    pub fn admit(&mut self, function: &str, bytes: usize, pending: usize) -> Result<(), &'static str> {
+    /// Admits a call of a connection, or returns the reason for its rejection. `pending`: calls and awaits
+    /// without an answer on its connection.
+    pub fn admit(
+        &mut self,
+        function: &str,
+        bytes: usize,
+        connection: u64,
+        pending: usize,
+    ) -> Result<(), &'static str> {
         if pending >= self.limits.per_connection {
             return Err("connection-full");
         }
@@ -48,23 +56,27 @@
         if self.bytes + bytes > self.limits.open_bytes {
             return Err("gateway-bytes");
         }
-        if !self.functions.contains(function) {
-            if self.functions.len() >= self.limits.functions {
-                return Err("too-many-functions");
-            }
-            self.functions.insert(function.into());
+        if !self.functions.begin_call(function, connection, self.limits.functions) {
+            return Err("too-many-functions");
         }
         self.calls += 1;
         self.bytes += bytes;
         Ok(())
     }
 
+    /// The functions that the dispatcher may forget now, since names are short of places.
+    pub fn functions_to_forget(&mut self) -> Vec<Arc<str>> {
+        self.functions.offer(self.limits.functions)
+    }
+
     /// The dispatcher no longer remembers this function.
     pub fn forget_function(&mut self, function: &str) {
-        self.functions.remove(function);
+        self.functions.forget(function);
     }
 
-    pub fn release(&mut self, bytes: usize) {
+    /// A call ended; `served`: with its function's answer.
+    pub fn release(&mut self, function: &str, bytes: usize, served: bool) {
+        self.functions.end_call(function, served);
         debug_assert!(self.calls > 0 && self.bytes >= bytes, "released more than was admitted");
         self.calls -= 1;
         self.bytes -= bytes;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -346,7 +346,9 @@
         } else if time <= self.settings.answer_margin {
             Some("no-time")
         } else {
-            self.admission.admit(call.routed_function(), call.body.len(), pending_on_connection).err()
+            self.admission
+                .admit(call.routed_function(), call.body.len(), client.connection, pending_on_connection)
+                .err()
         };
         if let Some(reason) = reason {
             return self.reject(client, reason, out);
@@ -395,6 +397,9 @@
         };
         self.open_calls.insert(id, open_call);
         self.events.push_back(Event::Arrived(request));
+        for name in self.admission.functions_to_forget() {
+            self.events.push_back(Event::FunctionUnneeded(FunctionId::from(&*name)));
+        }
     }
 
     /// Rejects a call before it is accepted: nothing ran, so the client may retry.
@@ -494,7 +499,7 @@
                     self.counters.abandoned += 1;
                     self.cancel_unsent(&id, out);
                     self.events.push_back(Event::ClientLeft(id.clone()));
-                    self.remove_call(&id);
+                    self.remove_call(&id, false);
                 }
             }
         }
@@ -518,15 +523,15 @@
         }
     }
 
-    fn remove_call(&mut self, id: &RequestId) -> Option<OpenCall> {
+    fn remove_call(&mut self, id: &RequestId, served: bool) -> Option<OpenCall> {
         let open_call = self.open_calls.remove(id)?;
-        self.admission.release(open_call.call.body.len());
+        self.admission.release(open_call.call.routed_function(), open_call.call.body.len(), served);
         Some(open_call)
     }
 
     /// Sends the final answer of a call to all its waiters.
     fn complete(&mut self, id: &RequestId, mut answer: Answer, out: &mut Vec<Output>) {
-        let Some(open_call) = self.remove_call(id) else { return };
+        let Some(open_call) = self.remove_call(id, answer.status == Status::Served) else { return };
         answer.origin = open_call.origin;
         increment(&mut self.counters.answers, (open_call.class, answer.status, answer.reason));
         if open_call.call.route.is_some() {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -19,6 +19,7 @@
 mod departure;
 mod ending;
 mod engine;
+mod functions;
 mod interface;
 mod keys;
 mod list_evidence;
--- a/crates/soak/src/flood.rs
+++ b/crates/soak/src/flood.rs
@@ -48,6 +48,8 @@
 const CANCELED_AFTER: u32 = 31;
 /// Written at once.
 const CHUNK: usize = 64 << 10;
+/// Written at once between pauses: some tens of requests.
+const PACED_CHUNK: usize = 8 << 10;
 /// How long a write or read may block before the end of the flood is looked at.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -65,6 +67,8 @@
     pub gateway: usize,
     /// A class of the gateway.
     pub class: String,
+    /// The pause of each connection between two writes; without one it writes as fast as the kernel takes it.
+    pub pause: Duration,
 }
 
 impl FloodPlan {
@@ -145,7 +149,8 @@
         let prepared: Vec<Vec<u8>> = (0..plan.connections).map(|number| plan.prepare(number)).collect();
         let send = |bytes: Vec<u8>| {
             let (over, counters) = (over.clone(), counters.clone());
-            std::thread::spawn(move || send_until_over(address, &bytes, &over, &counters))
+            let pause = plan.pause;
+            std::thread::spawn(move || send_until_over(address, &bytes, pause, &over, &counters))
         };
         let threads = prepared.into_iter().map(send).collect();
         Self { over, counters, threads }
@@ -165,7 +170,13 @@
 }
 
 /// Connects, sends, and connects again when the connection ends.
-fn send_until_over(address: SocketAddr, bytes: &[u8], over: &AtomicBool, counters: &Arc<FloodCounters>) {
+fn send_until_over(
+    address: SocketAddr,
+    bytes: &[u8],
+    pause: Duration,
+    over: &AtomicBool,
+    counters: &Arc<FloodCounters>,
+) {
     while !over.load(Ordering::SeqCst) {
         let Ok(socket) = TcpStream::connect_timeout(&address, LOOK) else {
             std::thread::sleep(LOOK / 10);
@@ -179,17 +190,25 @@
             let (ended, counters) = (ended.clone(), counters.clone());
             std::thread::spawn(move || read_until_ended(reading, &ended, &counters))
         };
-        write_until_over(&socket, bytes, over, counters);
+        write_until_over(&socket, bytes, pause, over, counters);
         ended.store(true, Ordering::SeqCst);
         let _ = socket.shutdown(std::net::Shutdown::Both);
         let _ = reader.join();
     }
 }
 
-fn write_until_over(mut socket: &TcpStream, bytes: &[u8], over: &AtomicBool, counters: &FloodCounters) {
+fn write_until_over(
+    mut socket: &TcpStream,
+    bytes: &[u8],
+    pause: Duration,
+    over: &AtomicBool,
+    counters: &FloodCounters,
+) {
     let mut rest = bytes;
+    let at_once = if pause.is_zero() { CHUNK } else { PACED_CHUNK };
     while !over.load(Ordering::SeqCst) {
-        match socket.write(&rest[..rest.len().min(CHUNK)]) {
+        std::thread::sleep(pause);
+        match socket.write(&rest[..rest.len().min(at_once)]) {
             Ok(count) => {
                 counters.written.fetch_add(count as u64, Ordering::SeqCst);
                 rest = if count == rest.len() { bytes } else { &rest[count..] };
--- a/src/idle.rs
+++ b/src/idle.rs
@@ -29,6 +29,13 @@
         }
     }
 
+    /// Takes out a function.
+    pub fn remove(&mut self, function: FunctionIndex) {
+        if let Some(scheduled) = self.check_at.get_mut(function).and_then(Option::take) {
+            self.due.remove(&(scheduled, function));
+        }
+    }
+
     /// Takes out the functions whose time has passed.
     pub fn take_due(&mut self, now: Micros) -> Vec<FunctionIndex> {
         let mut due = Vec::new();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -407,6 +407,9 @@
         /// Time from now until when the calls may come.
         within: Micros,
     },
+    /// The caller has no use for a function at present and is short of places for their names: it is forgotten
+    /// ([`Action::Forget`]) if nothing refers to it.
+    FunctionUnneeded(FunctionId),
     /// A timer set by [`Action::WakeAfter`] has expired.
     Wake,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -249,6 +249,7 @@
                 self.requests.entry(request).and_modify(|record| record.streaming = true);
             }
             Event::ClientLeft(request) => self.finish(&request),
+            Event::FunctionUnneeded(function) => self.function_unneeded(&function),
             Event::List(news) => self.update_worker_list(news),
             Event::PrewarmEnded { worker, function, outcome, elapsed, loaded_instances: standing } => {
                 self.load_ended(&worker, &function, outcome, elapsed, standing);
@@ -388,6 +389,7 @@
         let record =
             RequestRecord { random_draw: self.random_draw(), ..RequestRecord::new(request, index, self.now) };
         self.requests.insert(id.clone(), record);
+        self.functions[index].requests += 1;
         self.dispatch(&id);
     }
 
@@ -409,33 +411,19 @@
     /// Frees the records of functions and workers that nothing refers to: the number of names that ever occur
     /// is unbounded.
     fn forget_unused(&mut self) {
-        let (mut functions_in_use, mut workers_in_use) = (self.functions_waiting.clone(), BTreeSet::new());
+        let mut workers_in_use = BTreeSet::new();
         for record in self.requests.values() {
-            functions_in_use.insert(record.function);
             workers_in_use.extend(record.attempts.iter().map(|attempt| attempt.worker));
         }
         let mut unused = Vec::new();
         for index in self.idle_functions.take_due(self.now) {
-            let function = &self.functions[index];
-            let ordered = function.placements.values().any(|placement| placement.ordered_at.is_some());
-            let wanted = function.forecast_timer_set || ordered || self.orders.prewarms.has_function(index);
             match self.forgettable_from(index) {
-                from if from < self.now && !wanted && !functions_in_use.contains(&index) => {
-                    unused.push(index)
-                }
+                from if from < self.now && !self.is_function_in_use(index) => unused.push(index),
                 from => self.idle_functions.check_no_later_than(index, from.max(self.now)),
             }
         }
         unused.sort_by(|a, b| self.functions[*a].name.cmp(&self.functions[*b].name));
-        for index in unused {
-            let Function { name, placements, .. } = std::mem::take(&mut self.functions[index]);
-            for worker in placements.into_keys() {
-                self.workers[worker].functions.remove(&index);
-            }
-            self.function_indices.remove(&name);
-            self.free_function_indices.push(index);
-            self.actions.push(Action::Forget(name));
-        }
+        unused.into_iter().for_each(|index| self.forget_function(index));
         let unused = |index: &WorkerIndex| {
             let worker = &self.workers[*index];
             let silent = self.now.saturating_sub(worker.last_success_at)
@@ -458,6 +446,33 @@
         }
     }
 
+    /// Whether a request, a timer or an order refers to a function.
+    fn is_function_in_use(&self, index: FunctionIndex) -> bool {
+        let function = &self.functions[index];
+        let ordered = function.placements.values().any(|placement| placement.ordered_at.is_some());
+        let wanted = function.forecast_timer_set || ordered || self.orders.prewarms.has_function(index);
+        wanted || function.requests > 0 || self.functions_waiting.contains(&index)
+    }
+
+    fn forget_function(&mut self, index: FunctionIndex) {
+        let Function { name, placements, .. } = std::mem::take(&mut self.functions[index]);
+        for worker in placements.into_keys() {
+            self.workers[worker].functions.remove(&index);
+        }
+        self.idle_functions.remove(index);
+        self.function_indices.remove(&name);
+        self.free_function_indices.push(index);
+        self.actions.push(Action::Forget(name));
+    }
+
+    /// Forgets a function that the caller has no use for, unless something refers to it.
+    fn function_unneeded(&mut self, name: &FunctionId) {
+        let Some(index) = self.function_indices.get(name).copied() else { return };
+        if !self.is_function_in_use(index) {
+            self.forget_function(index);
+        }
+    }
+
     /// When a function may be forgotten if nothing happens to it until then.
     fn forgettable_from(&self, index: FunctionIndex) -> Micros {
         let function = &self.functions[index];
@@ -1028,6 +1043,7 @@
         self.functions[function].waiting.remove(&(record.deadline, id.clone()));
         if !record.has_attempt_in_flight() {
             self.requests.remove(id);
+            self.functions[function].requests -= 1;
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,6 +17,8 @@
 pub struct Function {
     pub name: FunctionId,
     pub forecast: Forecast,
+    /// Requests with a record: without a final answer, or with an attempt in flight.
+    pub requests: u32,
     /// Concurrency of one instance.
     pub concurrency: f64,
     pub memory_mb: f64,
