Admission: the last open calls and names go to connections below an equal share

Cause: 'gateway-full' and 'too-many-functions' hit whoever came next, so clients with many calls or names left none to the others.

Fix: from three quarters of the open calls on, and seven eighths of the names, a connection with an equal share of the whole or more is refused, the others are admitted while there is room at all. One connection alone may have everything. Names are also offered to be forgotten when a new one is refused, so that a full table empties.

Trial without effect: not retiring a host connection after an early cancellation.

--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -24,6 +24,19 @@
     }
 }
 
+/// The last part, one in so many, of all open calls is for connections that have less than an equal share of all.
+const SHARED_PART: usize = 4;
+
+/// The connection of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller {
+    pub connection: u64,
+    /// Calls and awaits without an answer on it.
+    pub pending: usize,
+    /// Connections with calls or awaits without an answer.
+    pub connections: usize,
+}
+
 /// The limits and their present use.
 #[derive(Debug)]
 pub struct Admission {
@@ -38,19 +51,15 @@
         Self { limits, calls: 0, bytes: 0, functions: FunctionTable::default() }
     }
 
-    /// Admits a call of a connection, or returns the reason for its rejection. `pending`: calls and awaits
-    /// without an answer on its connection.
-    pub fn admit(
-        &mut self,
-        function: &str,
-        bytes: usize,
-        connection: u64,
-        pending: usize,
-    ) -> Result<(), &'static str> {
+    /// Admits a call, or returns the reason for its rejection.
+    pub fn admit(&mut self, function: &str, bytes: usize, caller: Caller) -> Result<(), &'static str> {
+        let Caller { connection, pending, .. } = caller;
         if pending >= self.limits.per_connection {
             return Err("connection-full");
         }
-        if self.calls >= self.limits.open_calls {
+        if self.calls >= self.limits.open_calls
+            || self.calls >= self.unshared_calls() && !self.is_within_share(caller)
+        {
             return Err("gateway-full");
         }
         if self.bytes + bytes > self.limits.open_bytes {
@@ -64,6 +73,17 @@
         Ok(())
     }
 
+    /// Open calls up to which every connection is admitted.
+    fn unshared_calls(&self) -> usize {
+        self.limits.open_calls - self.limits.open_calls / SHARED_PART
+    }
+
+    /// Whether a connection has less than its equal share of all open calls; one without an open call has.
+    fn is_within_share(&self, caller: Caller) -> bool {
+        let connections = caller.connections + usize::from(caller.pending == 0);
+        caller.pending < (self.limits.open_calls / connections.max(1)).max(1)
+    }
+
     /// The functions that the dispatcher may forget now, since names are short of places.
     pub fn functions_to_forget(&mut self) -> Vec<Arc<str>> {
         self.functions.offer(self.limits.functions)
@@ -82,3 +102,6 @@
         self.bytes -= bytes;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -10,7 +10,7 @@
 use cresswheel_protocol::{Ending, FunctionProfile, ListedWorker, MemberState, Origin, Status};
 use foldhash::{HashMap, HashMapExt};
 
-use crate::admission::Admission;
+use crate::admission::{Admission, Caller};
 use crate::counters::{Counters, increment};
 use crate::departure::{DenyReason, ListAge, ListValidity, MissingEvidence, SendDecision, SendGate};
 use crate::keys::{IdempotencyKeys, KeyLookup};
@@ -346,9 +346,11 @@
         } else if time <= self.settings.answer_margin {
             Some("no-time")
         } else {
-            self.admission
-                .admit(call.routed_function(), call.body.len(), client.connection, pending_on_connection)
-                .err()
+            let (connection, pending) = (client.connection, pending_on_connection);
+            let caller = Caller { connection, pending, connections: self.clients.len() };
+            let rejection = self.admission.admit(call.routed_function(), call.body.len(), caller).err();
+            self.offer_functions();
+            rejection
         };
         if let Some(reason) = reason {
             return self.reject(client, reason, out);
@@ -397,6 +399,10 @@
         };
         self.open_calls.insert(id, open_call);
         self.events.push_back(Event::Arrived(request));
+    }
+
+    /// Offers names to the dispatcher to be forgotten, if places for them are short.
+    fn offer_functions(&mut self) {
         for name in self.admission.functions_to_forget() {
             self.events.push_back(Event::FunctionUnneeded(FunctionId::from(&*name)));
         }
--- a/crates/engine/src/functions.rs
+++ b/crates/engine/src/functions.rs
@@ -1,7 +1,7 @@
 //! The function names that the dispatcher remembers: how many there may be, and which it may lose first.
 //!
-//! A name takes a place until the dispatcher forgets it. The last places are for connections that have brought few
-//! names. Once they are used, names without an open call are offered to the dispatcher to be forgotten: those
+//! A name takes a place until the dispatcher forgets it. The last places are for connections that have brought less
+//! than an equal share. Once only they are left, names without an open call are offered to the dispatcher to be forgotten: those
 //! that no client was ever served with first, the longest unused first among equals. The dispatcher keeps a name that
 //! it still needs.
 
@@ -10,8 +10,8 @@
 
 use foldhash::HashMap;
 
-/// Of all places, one in so many is for connections that have brought few names.
-const RESERVED_PART: usize = 8;
+/// The last part of the places, one in so many, is for connections that have brought less than an equal share of all.
+const SHARED_PART: usize = 8;
 /// Names offered for each new one, so that the table shrinks although some are still needed.
 const OFFERED_AT_ONCE: usize = 2;
 
@@ -55,16 +55,16 @@
     }
 
     fn has_place(&self, connection: u64, limit: usize) -> bool {
-        if self.entries.len() < Self::unreserved(limit) {
+        if self.entries.len() < Self::unshared(limit) {
             return true;
         }
-        let share = limit / RESERVED_PART / self.brought.len().max(1);
         let brought = self.brought.get(&connection).copied().unwrap_or(0);
-        self.entries.len() < limit && brought <= share
+        let connections = self.brought.len() + usize::from(brought == 0);
+        self.entries.len() < limit && brought < (limit / connections).max(1)
     }
 
-    fn unreserved(limit: usize) -> usize {
-        limit - limit / RESERVED_PART
+    fn unshared(limit: usize) -> usize {
+        limit - limit / SHARED_PART
     }
 
     /// A call ended; `served`: its client got the function's answer.
@@ -79,10 +79,10 @@
         self.entries.insert(name, Entry { brought_by, open_calls, was_served, idle });
     }
 
-    /// The names to offer to the dispatcher now, if the unreserved places are used. Each goes to the end of the order, in
+    /// The names to offer to the dispatcher now, if only the last places are left. Each goes to the end of the order, in
     /// case that it is kept.
     pub fn offer(&mut self, limit: usize) -> Vec<Arc<str>> {
-        if self.entries.len() < Self::unreserved(limit) {
+        if self.entries.len() < Self::unshared(limit) {
             return Vec::new();
         }
         let mut offered = Vec::new();
