--- a/crates/cli/src/soak.rs
+++ b/crates/cli/src/soak.rs
@@ -30,6 +30,12 @@
     /// The mean pause between two requests to a gateway, in milliseconds.
     #[arg(long, default_value_t = 40, value_parser = clap::value_parser!(u16).range(1..=10_000))]
     pause_ms: u16,
+    /// Other clients send at full speed, before one gateway at a time, in windows drawn by the seed.
+    #[arg(long)]
+    floods: bool,
+    /// All gateways share one core, so that a flood outpaces them.
+    #[arg(long)]
+    one_core: bool,
     /// The program whose gateways are soaked, if not this one: to hold two builds against each other.
     #[arg(long, value_name = "FILE")]
     program: Option<PathBuf>,
@@ -50,7 +56,16 @@
         let folder = args.keep.as_ref().map(|folder| folder.join(format!("seed-{seed}")));
         let program = args.program.clone().map_or_else(std::env::current_exe, Ok)?;
         let (log, pause) = (args.gateway_log.clone(), u64::from(args.pause_ms) * 1_000);
-        let report = run(Options { program, log, folder, seed, size, pause })?;
+        let report = run(Options {
+            program,
+            log,
+            folder,
+            seed,
+            size,
+            pause,
+            floods: args.floods,
+            one_core: args.one_core,
+        })?;
         println!("{report}");
         held &= report.held();
     }
--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -31,6 +31,21 @@
     }
 }
 
+/// These hold long floods of canceled requests at full speed from 8 or 32 connections, and the first a crowd.
+const FLOOD_SEEDS: [u64; 3] = [24, 28, 34];
+
+// Guards against answers over 0.5 s late while other clients send at full speed beside other faults.
+#[test]
+fn a_few_gateways_keep_the_rules_beside_clients_that_send_at_full_speed() {
+    for seed in FLOOD_SEEDS {
+        let seed = seed.to_string();
+        let size = ["--gateways", "3", "--hosts", "5", "--seconds", "10"];
+        let (passed, output) = soak(&[&size[..], &["--floods", "--one-core", "--seed", &seed]].concat());
+        assert!(passed, "{output}");
+        assert!(!output.contains(" 0 floods") && !output.contains("floods of 0 MB"), "{output}");
+    }
+}
+
 #[test]
 fn a_program_that_is_not_a_gateway_fails_the_soak() {
     let (passed, output) =
--- a/crates/soak/src/flood.rs
+++ b/crates/soak/src/flood.rs
@@ -53,9 +53,15 @@
 /// How long a write or read may block before the end of the flood is looked at.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// The first digits of every id of a flood.
+/// The first digits of every id of a flood; the number of its gateway follows.
 pub const FLOOD_ID: &str = "ffff";
 
+/// The gateway of a flood, by the id of one of its requests.
+pub fn gateway(id: &str) -> Option<usize> {
+    let rest = id.strip_prefix(FLOOD_ID)?;
+    usize::from_str_radix(rest.get(..4)?, 16).ok()
+}
+
 /// What a flood is made of.
 #[derive(Clone, Debug)]
 pub struct FloodPlan {
--- a/crates/soak/src/gateways.rs
+++ b/crates/soak/src/gateways.rs
@@ -11,6 +11,7 @@
 use cresswheel_platform_wire::client::{FromGateway, decode_from_gateway, encode_without_fields};
 use cresswheel_protocol::{ListedWorker, MemberState, Micros};
 use rustix::process::{Pid, Signal, kill_process};
+use rustix::thread::{CpuSet, sched_getaffinity, sched_setaffinity};
 use serde_json::{Value, json};
 
 use crate::plan::{Planned, ProcessFault};
@@ -209,6 +210,9 @@
             .args(["--log", &self.world.options.log, "platform"])
             .env("NODE_CONFIG", self.folder.join("config.json"));
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
+        if self.world.options.one_core {
+            run_on_one_core(&child)?;
+        }
         self.child = Some(child);
         while !self.is_ready() && !self.world.is_quiet() {
             std::thread::sleep(LOOK);
@@ -271,3 +275,12 @@
         }
     })
 }
+
+/// Has a gateway run on the last core that the soak may use, where all of them run then.
+fn run_on_one_core(child: &Child) -> anyhow::Result<()> {
+    let allowed = sched_getaffinity(None)?;
+    let last = (0..CpuSet::MAX_CPU).rev().find(|core| allowed.is_set(*core));
+    let mut only = CpuSet::new();
+    only.set(last.unwrap_or(0));
+    Ok(sched_setaffinity(Some(Pid::from_child(child)), &only)?)
+}
--- a/crates/soak/src/hosts.rs
+++ b/crates/soak/src/hosts.rs
@@ -10,6 +10,7 @@
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 
+use crate::flood;
 use crate::plan::{HostFault, Planned};
 use crate::ports::ReservedPort;
 use crate::records::{Arrival, Dealt, RequestId};
@@ -175,7 +176,9 @@
     }
 
     fn invoke(&mut self, connection: Connection, came: Micros, id: String, fields: &str, body: &[u8]) {
-        let Some(request) = RequestId::read(&id) else {
+        let of_flood = flood::gateway(&id);
+        let request = RequestId::read(&id).filter(|_| of_flood.is_none());
+        let Some(gateway) = of_flood.or(request.map(|request| request.gateway)) else {
             let what = format!("{}: a request of nobody: {id}", self.listed.id);
             return self.world.book.write(|records| records.faults.push(what));
         };
@@ -188,8 +191,7 @@
         };
         let patience = field(fields, "patience").and_then(|ms| ms.parse::<Micros>().ok()).unwrap_or(0) * MS;
         let host = self.listed.id.clone();
-        let gateway = request.gateway;
-        let arrival = Arrival { request: Some(request), gateway, host, at: came, patience, dealt };
+        let arrival = Arrival { request, gateway, host, at: came, patience, dealt };
         self.world.book.write(|records| records.arrivals.push(arrival));
         let work = match dealt {
             Dealt::TurnedAway => 0,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,6 +7,8 @@
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 
+use crate::flood::FloodKind;
+
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
 
@@ -90,6 +92,23 @@
     pub fault: Fault,
 }
 
+/// A flood before one gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannedFlood {
+    /// Since the start.
+    pub at: Micros,
+    /// How long it goes on.
+    pub lasts: Micros,
+    /// The gateway.
+    pub gateway: usize,
+    /// What is sent.
+    pub kind: FloodKind,
+    /// From how many connections.
+    pub connections: u32,
+    /// The pause of each connection between two writes.
+    pub pause: Micros,
+}
+
 /// How large and how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
@@ -199,6 +218,27 @@
     planned
 }
 
+/// The floods of a run, one at a time, so that their clients leave the machine to the others.
+pub fn draw_floods(seed: u64, size: Size) -> Vec<PlannedFlood> {
+    let mut draw = Draw(Pcg32::new(seed, 0xf100d));
+    let mut floods = Vec::new();
+    let mut at = QUIET_START + draw.below(S);
+    while at < size.lasts {
+        let lasts = draw.between(2 * S, 6 * S);
+        let gateway = draw.below(size.gateways as u64) as usize;
+        let kind = match draw.below(10) {
+            0..3 => FloodKind::CanceledLater,
+            3..6 => FloodKind::CanceledAtOnce,
+            _ => FloodKind::ALL[draw.below(FloodKind::ALL.len() as u64) as usize],
+        };
+        let connections = [1, 8, 32][draw.below(3) as usize];
+        let pause = [0, 0, 0, 5 * MS][draw.below(4) as usize];
+        floods.push(PlannedFlood { at, lasts, gateway, kind, connections, pause });
+        at += lasts + draw.between(200 * MS, 1_500 * MS);
+    }
+    floods
+}
+
 fn one_after_another(
     draw: &mut Draw,
     lasts: Micros,
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -67,7 +67,7 @@
 /// An attempt or an order as it came to a host.
 #[derive(Clone, Debug)]
 pub struct Arrival {
-    /// Which request; `None`: an order.
+    /// Which request; `None`: an order, or a request of a flood.
     pub request: Option<RequestId>,
     /// Of which gateway.
     pub gateway: usize,
@@ -139,6 +139,8 @@
     pub lateness: BTreeMap<u64, Micros>,
     /// How long a request waited at most between its making and its leaving: clients are late, too.
     pub wrote_late: Micros,
+    /// Bytes that floods sent.
+    pub flooded: u64,
     /// Lines of gateways' logs that tell of a broken rule.
     pub own_word: Vec<String>,
     /// What the stand-ins could not read, or could not do.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,10 +13,11 @@
 use crate::clients::Clients;
 use crate::crowd::Crowd;
 use crate::directory::{Directory, silences};
+use crate::flood::{Flood, FloodPlan};
 use crate::gateways::Process;
 use crate::hosts::Place;
 use crate::judge::{Break, judge};
-use crate::plan::{self, Fault, Planned, Size};
+use crate::plan::{self, Fault, Planned, PlannedFlood, Size};
 use crate::records::{Book, Dealt, End, Records};
 use crate::roster::Roster;
 
@@ -41,6 +42,10 @@
     pub size: Size,
     /// The mean pause between two requests to a gateway.
     pub pause: Micros,
+    /// Whether other clients send at full speed, in windows.
+    pub floods: bool,
+    /// Whether all gateways share one core, so that a flood outpaces them.
+    pub one_core: bool,
 }
 
 /// A gateway as the stand-ins see it now.
@@ -102,6 +107,8 @@
     pub seed: u64,
     /// Faults that were played.
     pub faults: Vec<Planned>,
+    /// Floods that were played.
+    pub floods: Vec<PlannedFlood>,
     /// What passed.
     pub records: Records,
     /// What broke.
@@ -128,10 +135,12 @@
         let late = self.records.lateness.values().max().copied().unwrap_or(0);
         writeln!(
             f,
-            "seed {}: {} faults; {} requests: {} served, {} refused, {} failed; {} arrivals, {ran} of them ran; {} starts; \
+            "seed {}: {} faults, {} floods of {} MB; {} requests: {} served, {} refused, {} failed; {} arrivals, {ran} of them ran; {} starts; \
              the soak's own threads late by {} ms at most, its clients' writes by {}",
             self.seed,
             self.faults.len(),
+            self.floods.len(),
+            self.records.flooded >> 20,
             self.records.requests.len(),
             code(0),
             code(8),
@@ -158,7 +167,8 @@
     let clock = Clock::default();
     let (size, start) = (options.size, clock.now());
     let faults = plan::draw(options.seed, size);
-    std::fs::write(folder.join("plan"), plan_text(&faults))?;
+    let floods = if options.floods { plan::draw_floods(options.seed, size) } else { Vec::new() };
+    std::fs::write(folder.join("plan"), plan_text(&faults, &floods))?;
     let world = Arc::new(World {
         clock,
         start,
@@ -191,6 +201,11 @@
             threads.push(begin(&world, "crowd", move || Crowd::new(of_crowd, gateway)?.play()));
         }
     }
+    let (of_floods, planned) = (world.clone(), floods.clone());
+    threads.push(begin(&world, "floods", move || {
+        play_floods(&of_floods, &planned);
+        Ok(())
+    }));
     let heartbeat = world.clone();
     threads.push(begin(&world, "heartbeat", move || {
         beat(&heartbeat);
@@ -207,11 +222,39 @@
     let mut records = world.book.write(std::mem::take);
     records.own_word = own_word;
     let breaks = judge(&records, &world.roster.events());
-    Ok(Report { seed: world.options.seed, faults, records, breaks, start })
+    Ok(Report { seed: world.options.seed, faults, floods, records, breaks, start })
+}
+
+fn plan_text(faults: &[Planned], floods: &[PlannedFlood]) -> String {
+    let faults = faults.iter().map(|planned| format!("{:>7} ms  {:?}\n", planned.at / MS, planned.fault));
+    let floods = floods.iter().map(|planned| format!("{:>7} ms  {planned:?}\n", planned.at / MS));
+    faults.chain(floods).collect()
+}
+
+/// Plays the floods, each before the address at which its gateway takes connections when it begins.
+fn play_floods(world: &World, floods: &[PlannedFlood]) {
+    for planned in floods {
+        let (begins, ends) = (world.start + planned.at, world.start + planned.at + planned.lasts);
+        sleep_until(world, begins);
+        let Some(address) = world.gateway(planned.gateway).takes else { continue };
+        let plan = FloodPlan {
+            kind: planned.kind,
+            connections: planned.connections,
+            gateway: planned.gateway,
+            class: "check".into(),
+            pause: Duration::from_micros(planned.pause),
+        };
+        let flood = Flood::start(address, &plan);
+        sleep_until(world, ends.min(world.end));
+        let counts = flood.stop();
+        world.book.write(|records| records.flooded += counts.written);
+    }
 }
 
-fn plan_text(faults: &[Planned]) -> String {
-    faults.iter().map(|planned| format!("{:>7} ms  {:?}\n", planned.at / MS, planned.fault)).collect()
+fn sleep_until(world: &World, at: Micros) {
+    while world.clock.now() < at && !world.is_over() {
+        std::thread::sleep(HEARTBEAT);
+    }
 }
 
 type Thread = std::thread::JoinHandle<()>;
