Transport: bytes that arrived before a connection was paused keep their time

What callers would have seen: after a process stood still, hosts were given up to 1.7 s for requests whose clients had none left.

Cause: EventLoop::pause took the time of the call as the earliest arrival of what is read later. That holds only if the sockets were polled right before. Clients of the platform are paused since they share iterations, so an iteration that was stopped in the middle paused them with bytes of the stop unread.

Fix: the earliest arrival is the last complete poll. The new test failed before: 60 ms after the bytes were written.

--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -552,12 +552,13 @@
 
     /// Pauses or resumes reading a connection, which makes its sender wait.
     pub fn pause(&mut self, id: Connection, paused: bool) {
-        let now = self.clock.now();
+        let polled = [self.own_poller.drained, self.accepted_poller.drained];
         if let Some(conn) = self.get_mut(id) {
             conn.paused = paused;
             conn.readable |= !paused;
+            // More may have arrived since the last poll, for however long the process stood still.
             if std::mem::take(&mut conn.drained) {
-                conn.earliest_arrival = now;
+                conn.earliest_arrival = polled[usize::from(conn.is_accepted())];
             }
             self.enqueue(id);
         }
--- a/crates/transport/src/hub/connecting.rs
+++ b/crates/transport/src/hub/connecting.rs
@@ -119,6 +119,7 @@
             drained: false,
             read_to_end_at: 0,
             last_read: 0,
+            undecoded: false,
             active: None,
         });
         Ok(id)
--- a/crates/transport/tests/hub.rs
+++ b/crates/transport/tests/hub.rs
@@ -125,6 +125,25 @@
     assert!(hub.is_read_to_end(id));
 }
 
+// Guards against a request's time beginning anew when its connection is paused after the process stood still.
+#[test]
+fn bytes_that_arrived_before_a_pause_are_not_taken_for_later_ones() {
+    let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
+    let (_, address) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Raw).unwrap();
+    let mut client = TcpStream::connect(address).unwrap();
+    let LoopEvent::Opened(id, _) = next(&mut hub) else { panic!("a client") };
+    client.write_all(b"first").unwrap();
+    assert!(matches!(next(&mut hub), LoopEvent::Bytes(_, bytes) if bytes == b"first"));
+    client.write_all(b"second").unwrap();
+    let written = hub.clock().now();
+    std::thread::sleep(Duration::from_millis(60));
+    hub.pause(id, true);
+    hub.wait(Some(0)).unwrap();
+    hub.pause(id, false);
+    assert!(matches!(next(&mut hub), LoopEvent::Bytes(_, bytes) if bytes == b"second"));
+    assert!(hub.arrived_at() <= written, "{} after it was written", hub.arrived_at() - written);
+}
+
 #[test]
 fn every_client_with_input_is_found_by_one_poll_however_many_there_are() {
     let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
