Gateway: accepted connections share the event loop by messages, pipelined requests wait

Cause, the class of the incident: one iteration delivered all messages of a connection that a read of 64 KiB held, some hundreds, in front of everybody else's; nothing bounded the responses that wait in order on an HTTP connection; and calls of an unknown class, refused at once, used up the calls that may be started.

Fix: the event loop delivers 32 messages of an accepted connection in an iteration and reads on once all are delivered; one that its peer closed is still delivered whole. An HTTP connection with 64 responses in hand is not read until half of them are sent. Unknown classes no longer count as started.

--- a/crates/clients/src/clients.rs
+++ b/crates/clients/src/clients.rs
@@ -13,6 +13,8 @@
 
 /// Reason of the refusal of a call whose body is longer than [`ClientLimits::largest_body`].
 const BODY_TOO_LONG: &str = "body-too-long";
+/// HTTP: responses of a connection that wait; beyond it no further request of it is read.
+const MAX_PIPELINED: usize = 64;
 
 /// A client's request to the gateway: a `Call`, `Await`, `Cancel`, `Page` or `Versions`; or `Bye`: the
 /// connection is closed.
@@ -358,6 +360,7 @@
                     Message::Call { tenant, .. } => tenant.clone(),
                     _ => String::new(),
                 };
+                self.stop_reading_if_full(hub, connection);
                 self.queue_answered_request(hub, hub.arrived_at(), connection, &tenant, message);
             }
             ParsedRequest::Health => {
@@ -374,6 +377,24 @@
         }
     }
 
+    /// HTTP: requests that are pipelined behind many others are left in the kernel, and their client waits.
+    fn stop_reading_if_full(&mut self, hub: &mut EventLoop, connection: Connection) {
+        let Some(outstanding) = self.states[slot(connection)].outstanding.as_mut() else { return };
+        if outstanding.responses.len() >= MAX_PIPELINED {
+            outstanding.is_full = true;
+            hub.pause(connection, true);
+        }
+    }
+
+    /// HTTP: reads on once half of the responses that waited are sent.
+    fn read_on_if_room(&mut self, hub: &mut EventLoop, connection: Connection) {
+        let Some(outstanding) = self.states[slot(connection)].outstanding.as_mut() else { return };
+        let has_room = outstanding.responses.len() <= MAX_PIPELINED / 2 && outstanding.stalled.is_none();
+        if has_room && std::mem::take(&mut outstanding.is_full) {
+            hub.pause(connection, false);
+        }
+    }
+
     /// Queues a response that needs no answer of the gateway; it is sent after those of earlier requests.
     fn respond_now(
         &mut self,
@@ -392,6 +413,9 @@
             keep_alive,
             bytes: Some(response),
         });
+        if keep_alive {
+            self.stop_reading_if_full(hub, connection);
+        }
         self.send_responses(hub, connection);
     }
 
@@ -420,6 +444,7 @@
             if hub.backlog(connection) > self.terms.backlog {
                 return self.hold_responses(hub, connection);
             }
+            self.read_on_if_room(hub, connection);
             let Some(state) = self.states.get_mut(slot(connection)) else { return };
             let Some(outstanding) = &mut state.outstanding else { return };
             if outstanding.responses.front().is_none_or(|pending| pending.bytes.is_none()) {
--- a/crates/clients/src/closing.rs
+++ b/crates/clients/src/closing.rs
@@ -168,7 +168,10 @@
                 }
             }
         }
-        hub.pause(connection, false);
+        let outstanding = self.states[slot(connection)].outstanding.as_ref();
+        if !outstanding.is_some_and(|outstanding| outstanding.is_full) {
+            hub.pause(connection, false);
+        }
         self.send_responses(hub, connection);
         self.close_if_settled(hub, connection);
     }
--- a/crates/clients/src/owed.rs
+++ b/crates/clients/src/owed.rs
@@ -14,6 +14,8 @@
     pub next_number: u64,
     /// HTTP: responses, which are sent in the order of their requests.
     pub responses: VecDeque<PendingResponse>,
+    /// HTTP: so many responses wait that no further request is read.
+    pub is_full: bool,
     /// Set while the client does not read.
     pub stalled: Option<Stalled>,
     /// Set if the connection is to be closed, for this reason, once no request is open.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -483,11 +483,13 @@
     }
 
     fn handle_call(&mut self, client: Client, arrived_at: Micros, call: Call) {
-        let class = self.classes.get(&call.class).copied();
-        // The engine refuses these at once, so they need not be queued.
-        let Some(class) = class.filter(|_| self.phase == Phase::Running) else {
-            return self.start_call(client, arrived_at, call);
+        // The engine refuses these at once, so they need not be queued, and take no place of those that are started.
+        let Some(class) = self.classes.get(&call.class).copied() else {
+            return self.handle_input(Input::Call(client, call));
         };
+        if self.phase != Phase::Running {
+            return self.start_call(client, arrived_at, call);
+        }
         // The usual case: no call is queued.
         if self.intake.is_empty() && self.started < self.intake.per_turn() {
             return self.start_call(client, arrived_at, call);
--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -184,6 +184,8 @@
     read_to_end_at: Micros,
     /// When it was last read.
     last_read: Micros,
+    /// Messages that were received are left to decode, in a later iteration.
+    undecoded: bool,
     active: Option<Box<ActiveState>>,
 }
 
@@ -272,6 +274,9 @@
 const FINISHED: &str = "finished";
 /// What a connection sent is read up to the last poll, or to this long before it where a poll did not find all.
 const MAX_INPUT_AGE: Micros = 50_000;
+/// Messages of an accepted connection that are delivered in one iteration, so that a connection with many leaves the
+/// others their turn.
+const MESSAGES_PER_TURN: usize = 32;
 const OUTPUT_LIMIT: &str = "too much waits to be written";
 /// Close reason of a connection that the peer ended in good order.
 pub const ENDED: &str = "closed by the other side";
@@ -584,7 +589,8 @@
             | LoopEvent::Flushed(_) => false,
             LoopEvent::Datagram(..) | LoopEvent::Signal(_) => false,
         };
-        !self.notices.iter().any(|(_, notice)| concerns(notice))
+        let is_decoded = self.get_ref(id).is_none_or(|conn| !conn.undecoded);
+        is_decoded && !self.notices.iter().any(|(_, notice)| concerns(notice))
     }
 
     /// Closes a connection once its output is written. Its only further notice is `Closed`.
@@ -706,7 +712,7 @@
     /// [`EventLoop::next_event`], its end included.
     pub fn is_read_to_end(&self, id: Connection) -> bool {
         let Some(conn) = self.get_ref(id) else { return false };
-        let has_input = conn.readable || conn.ended || conn.paused || conn.held;
+        let has_input = conn.readable || conn.ended || conn.paused || conn.held || conn.undecoded;
         // After a large read more may have come at once; only a later poll tells.
         let is_known = conn.read_to_end_at >= conn.last_read || self.last_complete_poll > conn.last_read;
         let read_up_to = conn.read_to_end_at.max(self.last_complete_poll);
@@ -897,6 +903,10 @@
         let (mut over, mut came) = (None, false);
         // The end of the connection is to be known before earlier input of the peer is acted on.
         let mut reads = if conn.ended { MAX_FINAL_READS } else { 1 };
+        let was_undecoded = std::mem::take(&mut conn.undecoded);
+        if was_undecoded {
+            reads = 0;
+        }
         while conn.can_read() && reads > 0 {
             reads -= 1;
             match (&conn.socket).read(&mut scratch) {
@@ -930,11 +940,25 @@
             break;
         }
         self.scratch = scratch;
-        self.decode(id);
+        let is_limited =
+            over.is_none() && self.get_ref(id).is_some_and(|conn| conn.is_accepted() && !conn.ended);
+        let undecoded = self.decode(id, if is_limited { MESSAGES_PER_TURN } else { usize::MAX });
         if let Some(why) = over {
             return self.close(id, &why);
         }
-        if came && self.report_incomplete && self.get_ref(id).is_some_and(|conn| conn.is_accepted()) {
+        if undecoded {
+            self.get_mut(id).into_iter().for_each(|conn| conn.undecoded = true);
+            return self.enqueue(id);
+        }
+        // Decoding stops where the program pauses a connection, and goes on before more is read.
+        let is_paused = self.get_ref(id).is_some_and(|conn| conn.paused);
+        if is_paused && self.buffered_bytes(id) > 0 {
+            return self.get_mut(id).into_iter().for_each(|conn| conn.undecoded = true);
+        }
+        if (came || was_undecoded)
+            && self.report_incomplete
+            && self.get_ref(id).is_some_and(|conn| conn.is_accepted())
+        {
             match self.buffered_bytes(id) {
                 0 => {}
                 held => self.notify(LoopEvent::PartialMessage(id, held)),
@@ -945,26 +969,30 @@
         }
     }
 
-    fn decode(&mut self, id: Connection) {
-        loop {
-            let Some(conn) = self.get_mut(id).filter(|c| !c.paused && !c.close_when_flushed) else { return };
+    /// Delivers at most so many received messages; true if more may follow.
+    fn decode(&mut self, id: Connection, most: usize) -> bool {
+        for _ in 0..most {
+            let Some(conn) = self.get_mut(id).filter(|c| !c.paused && !c.close_when_flushed) else {
+                return false;
+            };
             let since = conn.earliest_arrival;
-            let Some(active) = conn.active.as_mut() else { return };
+            let Some(active) = conn.active.as_mut() else { return false };
             let notice = match &mut active.decode {
-                Decode::Raw(bytes) if bytes.is_empty() => return,
+                Decode::Raw(bytes) if bytes.is_empty() => return false,
                 Decode::Raw(bytes) => LoopEvent::Bytes(id, std::mem::take(bytes)),
                 Decode::Frames(decoder) => match decoder.decode() {
-                    Ok(None) => return,
+                    Ok(None) => return false,
                     Ok(Some(message)) => LoopEvent::Message(id, message),
                     Err(error) => {
                         let reason = error.to_string();
                         tracing::info!(%reason, connection = id, "malformed frame");
                         self.send(id, &Message::Bye { reason }, None);
-                        return self.finish(id);
+                        self.finish(id);
+                        return false;
                     }
                 },
                 Decode::Http(decoder) => match decoder.decode() {
-                    Ok(http::Step::More) => return,
+                    Ok(http::Step::More) => return false,
                     Ok(http::Step::Continue) => {
                         self.send_bytes(id, http::CONTINUE);
                         continue;
@@ -978,5 +1006,6 @@
             };
             self.notify_since(since, notice);
         }
+        true
     }
 }
--- a/crates/transport/tests/hub.rs
+++ b/crates/transport/tests/hub.rs
@@ -162,6 +162,78 @@
     assert!(accepted.iter().all(|id| hub.is_read_to_end(*id)));
 }
 
+/// A client of the main protocol whose probes 1 to `count` are with the kernel.
+fn client_with_probes(address: std::net::SocketAddr, count: u64) -> TcpStream {
+    let mut client = TcpStream::connect(address).unwrap();
+    let mut bytes = Vec::new();
+    (1..=count).for_each(|number| encode(&probe(number), &mut bytes));
+    client.write_all(&bytes).unwrap();
+    client
+}
+
+// Guards against a client with much to say that delays the others.
+#[test]
+fn a_client_with_many_messages_leaves_the_others_their_turn_and_loses_none() {
+    let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
+    let (_, address) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Frames).unwrap();
+    let count = 1_000;
+    let busy = client_with_probes(address, count);
+    let LoopEvent::Opened(busy_id, _) = next(&mut hub) else { panic!("a client") };
+    let _other = client_with_probes(address, 1);
+    let (mut of_busy, mut before_other) = (0, None);
+    while of_busy < count {
+        match next(&mut hub) {
+            LoopEvent::Message(id, _) if id == busy_id => of_busy += 1,
+            LoopEvent::Message(..) => before_other = Some(of_busy),
+            LoopEvent::Opened(..) => {}
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(before_other.is_some_and(|before| before < count / 4), "{before_other:?}");
+    drop(busy);
+    assert!(matches!(next(&mut hub), LoopEvent::Closed { connection, .. } if connection == busy_id));
+}
+
+#[test]
+fn messages_that_were_received_are_delivered_before_the_end_of_their_client() {
+    let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
+    let (_, address) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Frames).unwrap();
+    drop(client_with_probes(address, 300));
+    assert!(matches!(next(&mut hub), LoopEvent::Opened(..)));
+    for _ in 0..300 {
+        assert!(matches!(next(&mut hub), LoopEvent::Message(..)));
+    }
+    assert!(matches!(next(&mut hub), LoopEvent::Closed { .. }));
+}
+
+// Guards against input that piles up while a connection is paused again and again.
+#[test]
+fn a_connection_that_is_paused_between_messages_is_not_read_on_before_they_are_delivered() {
+    let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
+    hub.report_partial_messages();
+    let (_, address) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Frames).unwrap();
+    let count = 20_000;
+    let _client = client_with_probes(address, count);
+    let LoopEvent::Opened(id, _) = next(&mut hub) else { panic!("a client") };
+    let mut received = 0;
+    while received < count {
+        let first = next(&mut hub);
+        hub.pause(id, true);
+        for event in std::iter::once(first).chain(std::iter::from_fn(|| hub.next_event())) {
+            match event {
+                LoopEvent::Message(..) => received += 1,
+                // All that is held is a part of one message.
+                LoopEvent::PartialMessage(_, held) if held < 64 => {}
+                other => panic!("{other:?}"),
+            }
+        }
+        hub.wait(Some(0)).unwrap();
+        assert!(!hub.is_quiet(id) || received >= count, "messages wait: {received}");
+        hub.pause(id, false);
+    }
+    assert!(!hub.has_partial_message(id));
+}
+
 #[test]
 fn the_input_of_a_held_peer_waits_and_its_end_comes_after_it() {
     let mut hub = EventLoop::new(EventLoopLimits::default()).unwrap();
