Platform: an unsafe id that comes again after its client left is failed, not run again

Cause: an id was known only while its request was open. Safe classes are served as before.

The crossing is forced by a new test. Without the check it failed: the second request reached the host.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -1235,3 +1235,33 @@
     client.send_request("post", "400", 1);
     assert_eq!(client.next_answer(), (1, 13), "it may have run");
 }
+
+// Guards against an id that runs twice when it comes again after its client has left.
+#[test]
+fn an_id_that_comes_again_after_its_client_left_runs_twice_only_if_that_is_safe() {
+    for (class, wanted) in [("post", 13), ("check", 0)] {
+        let (mut host, directory) = (ManualHost::new(), Directory::new(1));
+        let gateway = Gateway::with_config(&one_host(&host.as_host(), &directory, "load"));
+        let mut client = gateway.connect();
+        client.send_request_with_id(1, &id(1), class, "5000");
+        let (_, first) = host.next_command_named("invoke");
+        assert_eq!(first[1], id(1));
+        // The host has it, and may run it.
+        client.reset();
+        let mut again = gateway.connect();
+        std::thread::sleep(AFTER_CLIENT_LEFT);
+        again.send_request_with_id(1, &id(1), class, "5000");
+        if wanted == 0 {
+            let (connection, second) = host.next_command_named("invoke");
+            assert_eq!(second[1], id(1));
+            host.send_answer(connection, &id(1), "OK", "rivals=1", b"out");
+        }
+        assert_eq!(again.next_answer(), (1, wanted), "{class}");
+        // Another id is served as always.
+        again.send_request_with_id(2, &id(2), class, "5000");
+        let (connection, other) = host.next_command_named("invoke");
+        assert_eq!(other[1], id(2), "{class}");
+        host.send_answer(connection, &id(2), "OK", "rivals=1", b"out");
+        assert_eq!(again.next_answer(), (2, 0), "{class}");
+    }
+}
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -17,9 +17,11 @@
 
 use crate::turns::Turns;
 
+mod abandoned;
 mod input;
 mod waiting;
 
+use abandoned::AbandonedIds;
 use waiting::WaitingRequest;
 pub use waiting::{Request as StartedRequest, WaitingLimits};
 
@@ -31,6 +33,15 @@
 /// A connection is closed after this many requests without reading its answers.
 const MAX_UNREAD: u32 = 1_000;
 
+/// Requests that must not run twice.
+#[derive(Clone, Debug)]
+pub struct UnsafeRequests {
+    /// Their classes.
+    pub classes: Vec<String>,
+    /// How long an id is remembered after its client gave the request up.
+    pub id_retention: Micros,
+}
+
 /// What clients did.
 #[derive(Debug)]
 pub enum ClientEvent {
@@ -101,6 +112,10 @@
     by_slot: HashMap<usize, Connection>,
     /// Ids of open requests.
     ids: HashSet<String>,
+    /// Ids of requests that were started and given up by their clients.
+    abandoned: AbandonedIds,
+    /// Classes of which no request may run twice.
+    unsafe_classes: HashSet<String>,
     /// Connections with input to decode, and those with waiting requests.
     input_turns: Turns,
     start_turns: Turns,
@@ -124,7 +139,12 @@
 const NOT_READING: &str = "asks and does not read";
 
 impl ClientConnections {
-    pub fn new(now: Micros, limits: ConnectionLimits, waiting_limits: WaitingLimits) -> Self {
+    pub fn new(
+        now: Micros,
+        limits: ConnectionLimits,
+        waiting_limits: WaitingLimits,
+        unsafe_requests: UnsafeRequests,
+    ) -> Self {
         Self {
             admission: ConnectionLimiter::new(now, limits),
             max_connections: limits.connections,
@@ -132,6 +152,8 @@
             connections: HashMap::new(),
             by_slot: HashMap::new(),
             ids: HashSet::new(),
+            abandoned: AbandonedIds::new(unsafe_requests.id_retention),
+            unsafe_classes: unsafe_requests.classes.into_iter().collect(),
             input_turns: Turns::default(),
             start_turns: Turns::default(),
             waiting_limits,
@@ -192,8 +214,13 @@
                 if let Some(client) = self.connections.remove(&connection) {
                     self.admission.on_closed(slot(connection));
                     self.by_slot.remove(&slot(connection));
-                    client.streams.values().for_each(|open| _ = self.ids.remove(&open.id));
                     self.waiting_bytes -= client.waiting_bytes;
+                    for (stream, open) in client.streams {
+                        self.ids.remove(&open.id);
+                        if !client.waiting.iter().any(|waiting| waiting.stream == stream) {
+                            self.abandoned.insert(now, open.id);
+                        }
+                    }
                     self.events.push_back(ClientEvent::Left(connection));
                 }
             }
@@ -244,9 +271,20 @@
 
     /// Rejects a request that was never accepted: nothing ran.
     fn reject(&mut self, hub: &mut EventLoop, connection: Connection, stream: u32, why: &'static str) {
+        self.reject_as(hub, connection, stream, Code::Refused, why);
+    }
+
+    fn reject_as(
+        &mut self,
+        hub: &mut EventLoop,
+        connection: Connection,
+        stream: u32,
+        code: Code,
+        why: &'static str,
+    ) {
         tracing::debug!(connection, stream, why, "rejected");
         *self.rejected.entry(why).or_insert(0) += 1;
-        hub.write(connection, None, |out| wire::encode_answer(out, stream, Code::Refused, None, &[]));
+        hub.write(connection, None, |out| wire::encode_answer(out, stream, code, None, &[]));
         self.check_backlog(hub, connection);
     }
 
--- a/crates/platform/src/front/input.rs
+++ b/crates/platform/src/front/input.rs
@@ -2,7 +2,7 @@
 
 use cresswheel::Micros;
 use cresswheel_admission::ConnectionEvent;
-use cresswheel_platform_wire::client::{self as wire, FromClient};
+use cresswheel_platform_wire::client::{self as wire, Code, FromClient};
 use cresswheel_transport::{Connection, EventLoop, slot};
 
 use super::{ClientConnections, ClientEvent, MAX_UNUSABLE};
@@ -108,6 +108,9 @@
                     self.protocol_error(hub, connection, "requests that can't be used");
                 }
             }
+            FromClient::Request(stream, Ok(request)) if self.may_have_run(hub, &request) => {
+                self.reject_as(hub, connection, stream, Code::Failed, "id-given-up");
+            }
             FromClient::Request(stream, Ok(request)) => {
                 if let Err(why) = self.add_waiting(hub.clock().now(), connection, stream, received, request) {
                     self.reject(hub, connection, stream, why);
@@ -116,12 +119,20 @@
         }
     }
 
+    /// Whether a request that must not run twice came before under its id, was given up, and may have run.
+    fn may_have_run(&mut self, hub: &EventLoop, request: &wire::Request) -> bool {
+        self.unsafe_classes.contains(&request.class)
+            && self.abandoned.contains(hub.clock().now(), &request.id)
+    }
+
     fn canceled(&mut self, hub: &EventLoop, connection: Connection, stream: u32) {
         let Some(client) = self.connections.get_mut(&connection) else { return };
         let Some(open) = client.streams.remove(&stream) else { return };
         self.ids.remove(&open.id);
-        self.admission.on_cancel(hub.clock().now(), slot(connection));
+        let now = hub.clock().now();
+        self.admission.on_cancel(now, slot(connection));
         if self.remove_waiting(connection, stream).is_none() {
+            self.abandoned.insert(now, open.id);
             self.events.push_back(ClientEvent::Canceled(connection, stream));
         }
     }
--- a/crates/platform/src/front/tests.rs
+++ b/crates/platform/src/front/tests.rs
@@ -23,8 +23,9 @@
         hub.poll_to_end();
         let (_, address) = hub.listen("127.0.0.1:0".parse().unwrap(), Wire::Raw).unwrap();
         let limits = ConnectionLimits { connections: 100, ..ConnectionLimits::default() };
-        let front =
-            ClientConnections::new(hub.clock().now(), limits, WaitingLimits { bytes, margin: MARGIN });
+        let waiting = WaitingLimits { bytes, margin: MARGIN };
+        let unsafe_requests = UnsafeRequests { classes: vec!["post".into()], id_retention: 5_000_000 };
+        let front = ClientConnections::new(hub.clock().now(), limits, waiting, unsafe_requests);
         Self { hub, front, address }
     }
 
--- a/crates/platform/src/front/waiting.rs
+++ b/crates/platform/src/front/waiting.rs
@@ -31,7 +31,7 @@
 
 #[derive(Debug)]
 pub(super) struct WaitingRequest {
-    stream: u32,
+    pub(super) stream: u32,
     received: Micros,
     due: Micros,
     request: client::Request,
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use cresswheel::Micros;
+use cresswheel::{Class, Effect, Micros};
 use cresswheel_admission::ConnectionLimits;
 use cresswheel_carriers::CarrierLimits;
 use cresswheel_engine::{AdmissionLimits, EngineSettings, ResultLimits};
@@ -11,7 +11,7 @@
 use cresswheel_transport::{EventLoopLimits, Wire};
 use rustix::process::{Resource, getrlimit};
 
-use crate::front::WaitingLimits;
+use crate::front::{UnsafeRequests, WaitingLimits};
 use crate::hosts::DuplicateWindows;
 
 const SECOND: Micros = 1_000_000;
@@ -54,6 +54,8 @@
     pub connection_limits: ConnectionLimits,
     /// Limits of requests that are not started yet.
     pub waiting: WaitingLimits,
+    /// Requests that must not run twice.
+    pub unsafe_requests: UnsafeRequests,
     /// Limits of connections to hosts.
     pub carriers: CarrierLimits,
     /// Connection limit over all hosts.
@@ -88,6 +90,9 @@
         let idle_close: Micros = pairs.or("limits.idle_close", DEFAULT_HOST_IDLE)?;
         let answer_margin = (2 * module.tick).max(10 * MILLISECOND);
         let connect_timeout = module.connect_timeout;
+        let is_unsafe = |class: &&Class| matches!(class.effect, Effect::Unsafe);
+        let unsafe_classes =
+            module.classes.iter().filter(is_unsafe).map(|class| class.name.clone()).collect();
         Ok(Self {
             name: config.name.clone(),
             listen: config.listen,
@@ -121,6 +126,7 @@
                 ..ConnectionLimits::default()
             },
             waiting: WaitingLimits { bytes: memory / 8, margin: answer_margin },
+            unsafe_requests: UnsafeRequests { classes: unsafe_classes, id_retention: give_up },
             carriers: CarrierLimits {
                 wire: Wire::Raw,
                 connections: (host_connections / HOSTS_EXPECTED).clamp(1, 16),
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -105,7 +105,12 @@
         );
         engine.limit_list_age(directory::terms(module.drain_grace, module.may_probe), directory.age());
         let mut gateway = Self {
-            clients: ClientConnections::new(now, settings.connection_limits, settings.waiting),
+            clients: ClientConnections::new(
+                now,
+                settings.connection_limits,
+                settings.waiting,
+                settings.unsafe_requests.clone(),
+            ),
             hosts: Hosts::new(settings.carriers, settings.host_connections, settings.duplicate_windows),
             directory,
             unsent_items: UnsentItems::default(),
