Transport: a stop between a poll and the sleep after it no longer makes old bytes look new

Cause: a sleep counted as undisturbed if it ended in time, and what ended it as having just arrived. A process that was stopped after the poll and before the sleep never slept late. Found by reading, from what was seen: a stop of 0.98 s, a loop that hardly slept beside a flood, and attempts that waited 0.1 s for the directory and were still allowed. The window is older than this change; a loop that spins meets it more often.

Fix: the time between the poll and the sleep is looked at as well (hub/sleep.rs), with a unit test of the crossing; a stop can't be placed there from outside.

--- a/crates/transport/src/hub.rs
+++ b/crates/transport/src/hub.rs
@@ -17,10 +17,12 @@
 mod connecting;
 mod datagrams;
 mod listeners;
+mod sleep;
 
 pub use backpressure::PEER_STALL;
 pub use listeners::listener;
 use listeners::{ACCEPT_AT_ONCE, Listener};
+use sleep::Sleep;
 
 use crate::Clock;
 use crate::out::{OutputBuffer, Sent};
@@ -280,9 +282,6 @@
 const OUTPUT_LIMIT: &str = "too much waits to be written";
 /// Close reason of a connection that the peer ended in good order.
 pub const ENDED: &str = "closed by the other side";
-/// A wake-up this much too late shows that the process was paused, not only asleep: what is ready then may
-/// have arrived at any time since the sleep began.
-const PAUSE_THRESHOLD: Micros = 20_000;
 /// Maximum interval between checks for signals, however busy the sockets are.
 const MAX_LOOP_INTERVAL: Micros = 5_000;
 
@@ -648,8 +647,8 @@
             let woke = self.clock.now();
             self.last_event_loop = woke;
             received_signals.signals.into_iter().for_each(|signal| self.notify(LoopEvent::Signal(signal)));
-            let was_paused = until.is_some_and(|at| at.max(now).saturating_add(PAUSE_THRESHOLD) < woke);
-            if found == 0 && !busy && !was_paused {
+            let sleep = Sleep { polled: self.last_polled, began: now, until, woke };
+            if found == 0 && !busy && !sleep.was_interrupted() {
                 self.own_poller.idle_until(woke);
                 if !self.accepted_paused {
                     self.accepted_poller.idle_until(woke);
