--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -250,18 +250,33 @@
 
 /// How long after a client has canceled a request an attempt may begin (terms: 0.1 s, and 50 ms on sockets).
 const GONE_AFTER: Duration = Duration::from_millis(150);
-const CANCELING_CLIENTS: u32 = 8;
-/// Between a request and its cancellation, in separate writes.
-const CANCEL_AFTER: Duration = Duration::from_millis(10);
+const DEPARTING_CLIENTS: u32 = 8;
+/// Between a request and its cancellation, in separate writes, or the end of its connection.
+const GIVEN_UP_AFTER: Duration = Duration::from_millis(10);
 
-/// Sends much that is canceled at once, then a request, and a cancellation of it a moment later. Returns the ids with
-/// the time at which each cancellation was with the kernel.
-fn cancel_apart(address: SocketAddr, number: u32, over: &AtomicBool) -> Vec<(String, Instant)> {
+/// How a client gives up its request.
+#[derive(Clone, Copy, Debug)]
+enum Departure {
+    /// It cancels it.
+    Cancel,
+    /// It closes its connection with answers unread, and comes again on another.
+    Close,
+}
+
+/// Sends much that is canceled at once, then a request, and gives that up a moment later. Returns the ids with the time
+/// at which each was given up, as the kernel knew then.
+fn give_up_apart(
+    address: SocketAddr,
+    number: u32,
+    departure: Departure,
+    over: &AtomicBool,
+) -> Vec<(String, Instant)> {
     let mut client = Client::from_socket(std::net::TcpStream::connect(address).unwrap());
-    client.socket.set_nodelay(true).unwrap();
-    let reading = client.socket.try_clone().unwrap();
-    std::thread::spawn(move || std::io::copy(&mut &reading, &mut std::io::sink()));
-    let mut canceled = Vec::new();
+    if matches!(departure, Departure::Cancel) {
+        let reading = client.socket.try_clone().unwrap();
+        std::thread::spawn(move || std::io::copy(&mut &reading, &mut std::io::sink()));
+    }
+    let mut given_up = Vec::new();
     for round in 1.. {
         if over.load(Ordering::SeqCst) {
             break;
@@ -276,23 +291,25 @@
         let (stream, id) = (first + 999, format!("eeee{number:04x}{round:08x}"));
         ahead.extend(request_frame(stream, &id, "check", "1300", &format!("{number:016x}"), b""));
         client.send_bytes(&ahead);
-        std::thread::sleep(CANCEL_AFTER);
-        client.cancel(stream);
-        canceled.push((id, Instant::now()));
+        std::thread::sleep(GIVEN_UP_AFTER);
+        match departure {
+            Departure::Cancel => client.cancel(stream),
+            Departure::Close => client = Client::from_socket(std::net::TcpStream::connect(address).unwrap()),
+        }
+        given_up.push((id, Instant::now()));
     }
-    canceled
+    given_up
 }
 
-// Guards against attempts that begin over 0.1 s after their client has canceled, behind much other input.
-#[test]
-fn no_attempt_begins_late_for_a_request_that_is_canceled_apart_from_it_beside_a_flood() {
+/// No attempt begins over 0.1 s after its client has given the request up, beside a flood.
+fn no_attempt_begins_late(departure: Departure) {
     let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let (gateway, hosts) = start_gateway(HOST_WORK);
     let (over, own_lag) = (Arc::<AtomicBool>::default(), OwnLag::watch());
-    let clients: Vec<JoinHandle<_>> = (0..CANCELING_CLIENTS)
+    let clients: Vec<JoinHandle<_>> = (0..DEPARTING_CLIENTS)
         .map(|number| {
             let (address, over) = (gateway.address, over.clone());
-            std::thread::spawn(move || cancel_apart(address, number, &over))
+            std::thread::spawn(move || give_up_apart(address, number, departure, &over))
         })
         .collect();
     let (class, pause) = ("check".to_owned(), Duration::ZERO);
@@ -300,23 +317,39 @@
     let flood = Flood::start(gateway.address, &plan);
     std::thread::sleep(FLOOD);
     over.store(true, Ordering::SeqCst);
-    let canceled: HashMap<String, Instant> =
+    let given_up: HashMap<String, Instant> =
         clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
     flood.stop();
     std::thread::sleep(QUIET);
     let allowed = GONE_AFTER + own_lag.worst();
     let (mut begun, mut late) = (0, Vec::new());
     for (id, at) in hosts.iter().flat_map(|host| host.invoke_times.lock().unwrap().clone()) {
-        let Some(gone) = canceled.get(&id) else { continue };
+        let Some(gone) = given_up.get(&id) else { continue };
         begun += 1;
         let after = at.saturating_duration_since(*gone);
         if after > allowed {
             late.push((id, after));
         }
     }
-    println!("{} canceled apart, {begun} of them had begun, own lag {:?}", canceled.len(), own_lag.worst());
-    assert!(canceled.len() > 100, "too few to tell: {}", canceled.len());
-    assert!(late.is_empty(), "begun after the cancellation: {late:?}");
+    println!(
+        "{departure:?}: {} given up, {begun} of them had begun, own lag {:?}",
+        given_up.len(),
+        own_lag.worst()
+    );
+    assert!(given_up.len() > 100, "too few to tell: {}", given_up.len());
+    assert!(late.is_empty(), "begun after it was given up: {late:?}");
+}
+
+// Guards against attempts that begin over 0.1 s after their client has canceled, behind much other input.
+#[test]
+fn no_attempt_begins_late_for_a_request_that_is_canceled_apart_from_it_beside_a_flood() {
+    no_attempt_begins_late(Departure::Cancel);
+}
+
+// Guards against attempts that begin over 0.1 s after their client has closed, with much of what it sent unread.
+#[test]
+fn no_attempt_begins_late_for_a_client_that_closes_with_much_unread_beside_a_flood() {
+    no_attempt_begins_late(Departure::Close);
 }
 
 // Guards against refusing functions that are new to the gateway because other clients' canceled requests named many.
