Decoders: one input buffer for the main protocol's HTTP and the platform's wires

The buffer that the HTTP decoder got stood word for word in platform-wire. Tests of protocol, platform-wire and platform pass.

--- a/crates/platform-wire/src/client.rs
+++ b/crates/platform-wire/src/client.rs
@@ -3,9 +3,9 @@
 //! There are two kinds of errors. A malformed frame ([`FrameError`]) ends the connection, because nothing
 //! after it can be trusted. An invalid request ([`RequestError`]) fails only that request.
 
-use cresswheel_protocol::FunctionProfile;
+use cresswheel_protocol::{FunctionProfile, InputBuffer};
 
-use crate::held::{DecodeBuffer, InputBuffer};
+use crate::held::DecodeBuffer;
 
 /// Largest length of a frame, which counts type, stream and payload.
 pub const MAX_LENGTH: usize = 262_144;
--- a/crates/platform-wire/src/host.rs
+++ b/crates/platform-wire/src/host.rs
@@ -6,7 +6,9 @@
 
 use std::io::Write;
 
-use crate::held::{DecodeBuffer, InputBuffer};
+use cresswheel_protocol::InputBuffer;
+
+use crate::held::DecodeBuffer;
 
 /// Longest body of an answer: it fits a client frame together with the frame's header.
 const MAX_BODY: usize = crate::client::MAX_LENGTH - 64;
--- a/crates/protocol/src/input.rs
+++ b/crates/protocol/src/input.rs
@@ -4,6 +4,7 @@
 /// So many consumed bytes are worth moving the rest to the front.
 const MAX_CONSUMED: usize = 64 << 10;
 
+/// A buffer of received bytes.
 #[derive(Debug, Default)]
 pub struct InputBuffer {
     bytes: Vec<u8>,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub use error::FrameError;
 pub use frame::{Decoder, encode};
+pub use input::InputBuffer;
 pub use limits::{HEADER, Limits, MAX_NAME, MAX_OVERHEAD, VERSION};
 pub use message::Message;
 pub use values::{Ending, FunctionProfile, ListedWorker, MemberState, Origin, Role, Status};
